--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -1,7 +1,7 @@
 #include "BenchReport.h"
 #include "Processes.h"
 
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <chrono>
 #include <csignal>
--- a/bench/Processes.cpp
+++ b/bench/Processes.cpp
@@ -1,7 +1,7 @@
 #include "Processes.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 #include "gentianloom/settings/Settings.h"
 
 #include <algorithm>
--- a/bench/StreamClient.cpp
+++ b/bench/StreamClient.cpp
@@ -1,7 +1,7 @@
 #include "StreamClient.h"
 
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/include/gentianloom/base/Clock.h
+++ b/include/gentianloom/base/Clock.h
@@ -2,6 +2,7 @@
 #define GENTIANLOOM_BASE_CLOCK_H
 
 #include <chrono>
+#include <ctime>
 
 namespace gentianloom {
 
@@ -42,6 +43,25 @@
   }
 };
 
+/**
+ * @brief The machine's clock that also counts the time in which the machine was suspended.
+ *
+ * Leases and deadlines run on elsewhere while this process stands still.
+ */
+class BootClock final : public Clock
+{
+public:
+  TimePoint Now() const override
+  {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto since = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+    return TimePoint(std::chrono::duration_cast<Micros>(since));
+  }
+
+  Millis WallTime() const override { return SystemClock().WallTime(); }
+};
+
 /// A clock that moves only when told to, for tests and deterministic runs.
 class ManualClock final : public Clock
 {
--- a/include/gentianloom/base/Log.h
+++ b/include/gentianloom/base/Log.h
@@ -20,7 +20,7 @@
 using LogField = std::pair<std::string_view, std::string>;
 
 /**
- * @brief Sets up structured logging to the standard error stream, one JSON object a line.
+ * @brief Sets up structured logging to standard output, one JSON object a line; never blocks.
  * @param aInstance name of this process, part of each line
  */
 void StartLog(std::string_view aInstance);
@@ -28,7 +28,8 @@
 /**
  * @brief Writes one line about a change of state.
  *
- * What happens often is counted instead, see Metrics; lines are for changes of state only.
+ * A line is written for each decision that touches a request or changes what the process believes,
+ * with the inputs that decided it. Empty values are left out.
  *
  * @param aLevel importance
  * @param aComponent area of the code, for example `budget`
--- a/include/gentianloom/billing/Bill.h
+++ b/include/gentianloom/billing/Bill.h
@@ -13,7 +13,7 @@
 /// What one run of a request used. The bill of a request is the largest use of all its runs.
 struct Bill
 {
-  std::string mKey; ///< see BillKeyOf()
+  std::string mKey; ///< see BillKeyOf(); empty: no other run can bill the same work
   std::string mBudget;
   std::string mOrganisation;
   std::string mModel;
--- a/include/gentianloom/cli/CliContext.h
+++ b/include/gentianloom/cli/CliContext.h
@@ -2,7 +2,7 @@
 #define GENTIANLOOM_CLI_CLI_CONTEXT_H
 
 #include "gentianloom/base/Error.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <cstdint>
 #include <span>
--- a/include/gentianloom/configuration/ConfigurationStore.h
+++ b/include/gentianloom/configuration/ConfigurationStore.h
@@ -3,7 +3,7 @@
 
 #include "gentianloom/configuration/Accepted.h"
 #include "gentianloom/configuration/Head.h"
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <functional>
 #include <optional>
--- a/include/gentianloom/configuration/Head.h
+++ b/include/gentianloom/configuration/Head.h
@@ -2,7 +2,7 @@
 #define GENTIANLOOM_CONFIGURATION_HEAD_H
 
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <cstdint>
 #include <string>
--- a/include/gentianloom/control/ControlDuty.h
+++ b/include/gentianloom/control/ControlDuty.h
@@ -5,7 +5,7 @@
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/control/OrderLock.h"
 #include "gentianloom/control/ShardPlan.h"
-#include "gentianloom/platform/WeightStore.h"
+#include "gentianloom/external/WeightStore.h"
 
 #include <condition_variable>
 #include <functional>
--- a/include/gentianloom/control/EndpointJob.h
+++ b/include/gentianloom/control/EndpointJob.h
@@ -2,8 +2,8 @@
 #define GENTIANLOOM_CONTROL_ENDPOINT_JOB_H
 
 #include "gentianloom/base/Clock.h"
-#include "gentianloom/platform/EngineControl.h"
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/EngineControl.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <optional>
 #include <string>
--- a/include/gentianloom/platform/EngineControl.h
+++ b/include/gentianloom/external/EngineControl.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLOOM_PLATFORM_ENGINE_CONTROL_H
-#define GENTIANLOOM_PLATFORM_ENGINE_CONTROL_H
+#ifndef GENTIANLOOM_EXTERNAL_ENGINE_CONTROL_H
+#define GENTIANLOOM_EXTERNAL_ENGINE_CONTROL_H
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
--- a/include/gentianloom/platform/EtcdStore.h
+++ b/include/gentianloom/external/EtcdStore.h
@@ -1,7 +1,7 @@
-#ifndef GENTIANLOOM_PLATFORM_ETCD_STORE_H
-#define GENTIANLOOM_PLATFORM_ETCD_STORE_H
+#ifndef GENTIANLOOM_EXTERNAL_ETCD_STORE_H
+#define GENTIANLOOM_EXTERNAL_ETCD_STORE_H
 
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <memory>
 #include <mutex>
--- a/include/gentianloom/platform/HttpCall.h
+++ b/include/gentianloom/external/HttpCall.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLOOM_PLATFORM_HTTP_CALL_H
-#define GENTIANLOOM_PLATFORM_HTTP_CALL_H
+#ifndef GENTIANLOOM_EXTERNAL_HTTP_CALL_H
+#define GENTIANLOOM_EXTERNAL_HTTP_CALL_H
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
--- a/include/gentianloom/platform/InstanceList.h
+++ b/include/gentianloom/external/InstanceList.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLOOM_PLATFORM_INSTANCE_LIST_H
-#define GENTIANLOOM_PLATFORM_INSTANCE_LIST_H
+#ifndef GENTIANLOOM_EXTERNAL_INSTANCE_LIST_H
+#define GENTIANLOOM_EXTERNAL_INSTANCE_LIST_H
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
--- a/include/gentianloom/platform/WeightStore.h
+++ b/include/gentianloom/external/WeightStore.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLOOM_PLATFORM_WEIGHT_STORE_H
-#define GENTIANLOOM_PLATFORM_WEIGHT_STORE_H
+#ifndef GENTIANLOOM_EXTERNAL_WEIGHT_STORE_H
+#define GENTIANLOOM_EXTERNAL_WEIGHT_STORE_H
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
--- a/include/gentianloom/membership/InstanceWatch.h
+++ b/include/gentianloom/membership/InstanceWatch.h
@@ -2,7 +2,7 @@
 #define GENTIANLOOM_MEMBERSHIP_INSTANCE_WATCH_H
 
 #include "gentianloom/base/Metrics.h"
-#include "gentianloom/platform/InstanceList.h"
+#include "gentianloom/external/InstanceList.h"
 
 #include <condition_variable>
 #include <functional>
--- a/include/gentianloom/membership/MemberRecords.h
+++ b/include/gentianloom/membership/MemberRecords.h
@@ -2,7 +2,7 @@
 #define GENTIANLOOM_MEMBERSHIP_MEMBER_RECORDS_H
 
 #include "gentianloom/membership/MembershipDuty.h"
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 namespace gentianloom {
 
--- a/include/gentianloom/outcome/IntentAttempt.h
+++ b/include/gentianloom/outcome/IntentAttempt.h
@@ -2,7 +2,7 @@
 #define GENTIANLOOM_OUTCOME_INTENT_ATTEMPT_H
 
 #include "gentianloom/outcome/IntentRecord.h"
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <optional>
 
--- /dev/null
+++ b/include/gentianloom/relay/RelayParts.h
@@ -0,0 +1,34 @@
+#ifndef GENTIANLOOM_RELAY_RELAY_PARTS_H
+#define GENTIANLOOM_RELAY_RELAY_PARTS_H
+
+#include "gentianloom/base/Clock.h"
+#include "gentianloom/base/Metrics.h"
+#include "gentianloom/budget/RightsDuty.h"
+#include "gentianloom/outcome/RetryPolicy.h"
+#include "gentianloom/relay/ConnectionPool.h"
+#include "gentianloom/relay/RequestCodec.h"
+#include "gentianloom/routing/EndpointRegistry.h"
+#include "gentianloom/routing/RouteTable.h"
+
+namespace gentianloom {
+
+/// What all requests of one process share. Used on the event loop only.
+struct RelayParts
+{
+  net::Loop& mLoop;
+  const Clock& mClock;
+  Metrics& mMetrics;
+  const RequestCodec& mCodec;
+  std::string mZone;         ///< availability zone of this instance
+  RouteTable::Ptr mRoutes;   ///< configuration in force; null until one was read
+  EndpointRegistry mEndpoints{};
+  ConnectionPool mConnections;
+  RightsDuty& mRights;
+  RetryBudget mRetries;
+  bool mIsLeaving = false; ///< callers are told to close their connections
+  int mOpenRequests = 0;
+};
+
+} // namespace gentianloom
+
+#endif
--- a/include/gentianloom/report/Audit.h
+++ b/include/gentianloom/report/Audit.h
@@ -2,7 +2,7 @@
 #define GENTIANLOOM_REPORT_AUDIT_H
 
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <string>
 #include <string_view>
--- a/include/gentianloom/serving/EngineRequests.h
+++ b/include/gentianloom/serving/EngineRequests.h
@@ -1,7 +1,7 @@
 #ifndef GENTIANLOOM_SERVING_ENGINE_REQUESTS_H
 #define GENTIANLOOM_SERVING_ENGINE_REQUESTS_H
 
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 #include "gentianloom/serving/Exchange.h"
 
 namespace gentianloom {
--- a/include/gentianloom/serving/EngineStream.h
+++ b/include/gentianloom/serving/EngineStream.h
@@ -4,7 +4,7 @@
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
 #include "gentianloom/configuration/Model.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 #include "gentianloom/settings/Settings.h"
 
 #include <functional>
--- a/include/gentianloom/serving/ServiceRelay.h
+++ b/include/gentianloom/serving/ServiceRelay.h
@@ -1,7 +1,7 @@
 #ifndef GENTIANLOOM_SERVING_SERVICE_RELAY_H
 #define GENTIANLOOM_SERVING_SERVICE_RELAY_H
 
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 #include "gentianloom/serving/RelayParts.h"
 
 namespace Poco::Net {
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,22 +1,29 @@
 #include "gentianloom/base/Log.h"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
-#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <chrono>
-#include <iostream>
 
 namespace gentianloom {
 
 namespace {
 
+/// Lines that may be written at once after a quiet time, and lines a second after that.
+constexpr double kLinesAtOnce = 2'000;
+constexpr double kLinesPerSecond = 400;
+/// A pipe that is ready takes so many bytes without blocking (PIPE_BUF).
+constexpr std::size_t kMostLineBytes = 4'096;
+
 std::string& InstanceName()
 {
   static std::string sName = "gentianloom";
@@ -36,18 +43,88 @@
   return "info";
 }
 
+std::int64_t WallMillis()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+/**
+ * @brief Writes lines to standard output without ever blocking.
+ *
+ * Lines beyond the rate, or that a slow reader does not take, are dropped and counted; the count is
+ * written before the next line that gets through.
+ */
+class BoundedOutput final
+  : public boost::log::sinks::basic_formatted_sink_backend<char,
+                                                           boost::log::sinks::synchronized_feeding>
+{
+public:
+  void consume(const boost::log::record_view& /*aRecord*/, const string_type& aLine)
+  {
+    if (!TakeCredit() || !IsWritable()) {
+      ++mDropped;
+      return;
+    }
+    if (mDropped > 0) {
+      nlohmann::ordered_json line;
+      line["time_ms"] = WallMillis();
+      line["level"] = "warning";
+      line["instance"] = InstanceName();
+      line["component"] = "log";
+      line["change"] = "lines were dropped";
+      line["lines"] = std::to_string(mDropped);
+      mDropped = 0;
+      Write(line.dump());
+      if (!IsWritable()) {
+        ++mDropped;
+        return;
+      }
+    }
+    Write(aLine);
+  }
+
+private:
+  bool TakeCredit()
+  {
+    const auto now = std::chrono::steady_clock::now();
+    const double passed = std::chrono::duration<double>(now - mLast).count();
+    mLast = now;
+    mCredit = std::min(kLinesAtOnce, mCredit + passed * kLinesPerSecond);
+    if (mCredit < 1) {
+      return false;
+    }
+    mCredit -= 1;
+    return true;
+  }
+
+  static bool IsWritable()
+  {
+    pollfd out{ STDOUT_FILENO, POLLOUT, 0 };
+    return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+  }
+
+  void Write(std::string aLine)
+  {
+    aLine.resize(std::min(aLine.size(), kMostLineBytes - 1));
+    aLine += '\n';
+    const auto n = write(STDOUT_FILENO, aLine.data(), aLine.size());
+    mDropped += n == static_cast<ssize_t>(aLine.size()) ? 0 : 1;
+  }
+
+  double mCredit = kLinesAtOnce;
+  std::chrono::steady_clock::time_point mLast = std::chrono::steady_clock::now();
+  std::uint64_t mDropped = 0;
+};
+
 } // namespace
 
 void StartLog(std::string_view aInstance)
 {
   InstanceName() = std::string(aInstance);
-  using Backend = boost::log::sinks::text_ostream_backend;
-  auto backend = boost::make_shared<Backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
-  backend->auto_flush(true);
-  auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(backend);
-  sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
-  boost::log::core::get()->add_sink(sink);
+  using Sink = boost::log::sinks::synchronous_sink<BoundedOutput>;
+  boost::log::core::get()->add_sink(boost::make_shared<Sink>(boost::make_shared<BoundedOutput>()));
 }
 
 void LogChange(LogLevel aLevel,
@@ -57,15 +134,15 @@
 {
   static boost::log::sources::severity_logger_mt<LogLevel> sLogger;
   nlohmann::ordered_json line;
-  line["time_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
-                      std::chrono::system_clock::now().time_since_epoch())
-                      .count();
+  line["time_ms"] = WallMillis();
   line["level"] = ToString(aLevel);
   line["instance"] = InstanceName();
   line["component"] = aComponent;
   line["change"] = aText;
   for (const auto& [name, value] : aFields) {
-    line[std::string(name)] = value;
+    if (!value.empty()) {
+      line[std::string(name)] = value;
+    }
   }
   const auto text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
   BOOST_LOG_SEV(sLogger, aLevel) << text;
--- a/src/budget/LedgerPlan.cpp
+++ b/src/budget/LedgerPlan.cpp
@@ -81,6 +81,12 @@
   aPending.mBills = std::min(aState.mStaged.size(), kMostBillsPerWrite);
   for (std::size_t n = 0; n < aPending.mBills; ++n) {
     const auto& bill = aState.mStaged[n];
+    if (bill.mKey.empty()) {
+      // No other run can bill the same work, so nothing is kept of it but the sum.
+      aRecord.mBudgets[bill.mBudget].mHolders[mIncarnation].mSpent += bill.mTokens;
+      aPending.mBudgets[bill.mBudget];
+      continue;
+    }
     auto& known = aRecord.mBills[bill.mKey];
     if (known.mCommit == 0 && aRecord.mPruned > aState.mSeenCommit) {
       ++mUncheckedBills;
--- a/src/platform/EtcdStore.cpp
+++ b/src/external/EtcdStore.cpp
@@ -1,8 +1,8 @@
-#include "gentianloom/platform/EtcdStore.h"
+#include "gentianloom/external/EtcdStore.h"
 
 #include "gentianloom/base/Base64.h"
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/src/platform/HttpCall.cpp
+++ b/src/external/HttpCall.cpp
@@ -1,4 +1,4 @@
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/src/platform/HttpEngineControl.cpp
+++ b/src/external/HttpEngineControl.cpp
@@ -1,6 +1,6 @@
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/EngineControl.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/EngineControl.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <algorithm>
 
--- a/src/platform/HttpWeightStore.cpp
+++ b/src/external/HttpWeightStore.cpp
@@ -1,6 +1,6 @@
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/HttpCall.h"
-#include "gentianloom/platform/WeightStore.h"
+#include "gentianloom/external/HttpCall.h"
+#include "gentianloom/external/WeightStore.h"
 
 namespace gentianloom {
 
--- a/src/platform/InstanceList.cpp
+++ b/src/external/InstanceList.cpp
@@ -1,7 +1,7 @@
-#include "gentianloom/platform/InstanceList.h"
+#include "gentianloom/external/InstanceList.h"
 
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 namespace gentianloom {
 
--- /dev/null
+++ b/src/membership/InstanceDirectory.cpp
@@ -0,0 +1,114 @@
+#include "gentianloom/membership/InstanceDirectory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace gentianloom {
+
+namespace {
+
+/// Instances of a caller's availability zone that are enough to be offered alone.
+constexpr std::size_t kEnoughNear = 2;
+
+} // namespace
+
+std::string ToText(const InstanceRecord& aRecord)
+{
+  const nlohmann::json out = { { "name", aRecord.mName },
+                               { "incarnation", aRecord.mIncarnation },
+                               { "zone", aRecord.mZone },
+                               { "address", aRecord.mAddress },
+                               { "leaving", aRecord.mIsLeaving } };
+  return out.dump();
+}
+
+Result<InstanceRecord> ParseInstanceRecord(std::string_view aText)
+{
+  try {
+    const auto json = nlohmann::json::parse(aText);
+    InstanceRecord out;
+    out.mName = json.at("name").get<std::string>();
+    out.mIncarnation = json.at("incarnation").get<std::string>();
+    out.mZone = json.at("zone").get<std::string>();
+    out.mAddress = json.at("address").get<std::string>();
+    out.mIsLeaving = json.at("leaving").get<bool>();
+    return out;
+  } catch (const nlohmann::json::exception& ex) {
+    return MakeError(ErrorCode::MalformedJson, Step::RequestPlace, "key-value service", ex.what());
+  }
+}
+
+void InstanceDirectory::Put(InstanceRecord aRecord)
+{
+  auto& it = mEntries[aRecord.mName];
+  it = { std::move(aRecord), TimePoint::max() };
+}
+
+void InstanceDirectory::Remove(std::string_view aName, bool aAfterOutage, TimePoint aNow)
+{
+  const auto it = mEntries.find(aName);
+  if (it == mEntries.end()) {
+    return;
+  }
+  if (!aAfterOutage) {
+    mEntries.erase(it);
+  } else if (it->second.mMissingUntil == TimePoint::max()) {
+    it->second.mMissingUntil = aNow + kReturnTime;
+  }
+}
+
+void InstanceDirectory::Replace(std::vector<InstanceRecord> aRecords,
+                                bool aAfterOutage,
+                                TimePoint aNow)
+{
+  std::set<std::string> listed;
+  for (auto& it : aRecords) {
+    listed.insert(it.mName);
+    Put(std::move(it));
+  }
+  std::vector<std::string> missing;
+  for (const auto& [name, it] : mEntries) {
+    if (!listed.contains(name)) {
+      missing.push_back(name);
+    }
+  }
+  for (const auto& it : missing) {
+    Remove(it, aAfterOutage, aNow);
+  }
+}
+
+std::vector<std::string> InstanceDirectory::Offer(const InstanceRecord& aSelf,
+                                                  std::string_view aZone,
+                                                  TimePoint aNow) const
+{
+  std::vector<std::string> all;
+  std::vector<std::string> near;
+  const auto add = [&](const InstanceRecord& aRecord) {
+    if (aRecord.mIsLeaving) {
+      return;
+    }
+    all.push_back(aRecord.mAddress);
+    if (aRecord.mZone == aZone) {
+      near.push_back(aRecord.mAddress);
+    }
+  };
+  add(aSelf);
+  for (const auto& [name, it] : mEntries) {
+    if (name != aSelf.mName && aNow < it.mMissingUntil) {
+      add(it.mRecord);
+    }
+  }
+  auto& out = near.size() >= kEnoughNear ? near : all;
+  if (out.size() > kMostOffered) {
+    out.resize(kMostOffered);
+  }
+  return out;
+}
+
+std::size_t InstanceDirectory::Size(std::string_view aSelf) const
+{
+  return mEntries.size() + (mEntries.contains(aSelf) ? 0 : 1);
+}
+
+} // namespace gentianloom
--- /dev/null
+++ b/src/net/Channel.cpp
@@ -0,0 +1,209 @@
+#include "gentianloom/net/Channel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace gentianloom::net {
+
+namespace {
+
+/// Received bytes that may wait; beyond that the peer is slowed by its window.
+constexpr std::size_t kMostReceived = 128 * 1'024;
+/// Bytes of one read.
+constexpr std::size_t kReadBytes = 16 * 1'024;
+/// Time without acknowledgement of sent bytes after which the operating system gives up.
+constexpr unsigned kUserTimeoutMs = 4'000;
+/// Longest wait of a task that is notified anyway.
+constexpr Millis kIdleWait{ 3'600'000 };
+
+} // namespace
+
+Channel::Channel(Loop& aLoop, Socket aSocket, ChannelState aState)
+  : mLoop(aLoop)
+  , mSocket(std::move(aSocket))
+  , mState(aState)
+  , mRoom(aLoop)
+  , mWork(aLoop)
+{
+}
+
+Channel::~Channel() = default;
+
+Channel::Ptr Channel::Accepted(Loop& aLoop, Socket aSocket)
+{
+  Ptr out(new Channel(aLoop, std::move(aSocket), ChannelState::Open));
+  out->Prepare();
+  Start(aLoop, "channel.read", out->RunReads());
+  Start(aLoop, "channel.write", out->RunWrites());
+  return out;
+}
+
+Channel::Ptr Channel::Connect(Loop& aLoop, const Address& aAddress)
+{
+  Ptr out(new Channel(aLoop, Socket(aLoop), ChannelState::Connecting));
+  Start(aLoop, "channel.connect", out->RunConnect(aAddress));
+  return out;
+}
+
+void Channel::Prepare()
+{
+  boost::system::error_code ec;
+  mSocket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+  const unsigned ms = kUserTimeoutMs;
+  // Without the option a dead peer is noticed later, by the timeouts of each exchange.
+  (void)setsockopt(mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
+Task<void> Channel::RunConnect(Address aAddress)
+{
+  const auto self = shared_from_this();
+  boost::system::error_code ec;
+  co_await mSocket.async_connect(aAddress,
+                                 boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  if (mState != ChannelState::Connecting) {
+    co_return;
+  }
+  if (ec) {
+    Break();
+    co_return;
+  }
+  mState = ChannelState::Open;
+  Prepare();
+  Start(mLoop, "channel.read", RunReads());
+  Start(mLoop, "channel.write", RunWrites());
+  Notify();
+}
+
+Task<void> Channel::RunReads()
+{
+  const auto self = shared_from_this();
+  std::array<char, kReadBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  while (mState == ChannelState::Open) {
+    if (mReceived.size() >= kMostReceived) {
+      co_await mRoom.WaitFor(kIdleWait);
+      continue;
+    }
+    boost::system::error_code ec;
+    const auto n = co_await mSocket.async_read_some(
+      boost::asio::buffer(buf), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    if (mState != ChannelState::Open) {
+      co_return;
+    }
+    if (ec == boost::asio::error::eof) {
+      mState = ChannelState::Ended;
+      Notify();
+      mWork.Notify();
+      co_return;
+    }
+    if (ec) {
+      Break();
+      co_return;
+    }
+    mReceived.append(buf.data(), n);
+    Notify();
+  }
+}
+
+Task<void> Channel::RunWrites()
+{
+  const auto self = shared_from_this();
+  while (mState == ChannelState::Open || mState == ChannelState::Ended) {
+    if (mQueue.empty()) {
+      if (mCloseAfterSending) {
+        boost::system::error_code ec;
+        mSocket.shutdown(Socket::shutdown_send, ec);
+        if (ec || mState == ChannelState::Ended) {
+          Close();
+        }
+        co_return;
+      }
+      if (mState == ChannelState::Ended) {
+        co_return;
+      }
+      co_await mWork.WaitFor(kIdleWait);
+      continue;
+    }
+    const auto bytes = std::move(mQueue.front());
+    mQueue.pop_front();
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+      boost::system::error_code ec;
+      const auto n = co_await mSocket.async_write_some(
+        boost::asio::buffer(bytes.data() + done, bytes.size() - done),
+        boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+      if (mState == ChannelState::Broken) {
+        co_return;
+      }
+      if (ec) {
+        Break();
+        co_return;
+      }
+      done += n;
+      mSent += n;
+      mUnsent -= n;
+    }
+    Notify();
+  }
+}
+
+void Channel::Consume(std::size_t aBytes)
+{
+  mReceived.erase(0, aBytes);
+  mRoom.Notify();
+}
+
+void Channel::Send(std::string aBytes)
+{
+  mUnsent += aBytes.size();
+  mQueue.push_back(std::move(aBytes));
+  mWork.Notify();
+}
+
+void Channel::Notify()
+{
+  if (mListener) {
+    mListener->Notify();
+  }
+}
+
+void Channel::Break()
+{
+  boost::system::error_code ec;
+  mSocket.close(ec);
+  mState = ChannelState::Broken;
+  mRoom.Notify();
+  mWork.Notify();
+  Notify();
+}
+
+void Channel::Close()
+{
+  if (mState != ChannelState::Broken) {
+    Break();
+  }
+}
+
+void Channel::Reset()
+{
+  if (mState == ChannelState::Broken) {
+    return;
+  }
+  boost::system::error_code ec;
+  mSocket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+  Break();
+}
+
+void Channel::CloseAfterSending()
+{
+  mCloseAfterSending = true;
+  mWork.Notify();
+}
+
+} // namespace gentianloom::net
--- /dev/null
+++ b/src/net/HttpClient.cpp
@@ -0,0 +1,123 @@
+#include "gentianloom/net/HttpClient.h"
+
+#include "gentianloom/net/HttpParser.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace gentianloom::net {
+
+namespace {
+
+using CallResult = boost::outcome_v2::checked<HttpReply, HttpFailure>;
+
+/// Time that is left of a timeout.
+Micros Left(TimePoint aDeadline)
+{
+  return aDeadline - SystemClock().Now();
+}
+
+} // namespace
+
+HttpClient::HttpClient(Loop& aLoop, Channel::Address aServer, std::string aHostHeader)
+  : mLoop(aLoop)
+  , mServer(std::move(aServer))
+  , mHostHeader(std::move(aHostHeader))
+{
+}
+
+HttpClient::~HttpClient()
+{
+  for (const auto& it : mIdle) {
+    it->Close();
+  }
+}
+
+Channel::Ptr HttpClient::TakeIdle()
+{
+  while (!mIdle.empty()) {
+    auto out = std::move(mIdle.back());
+    mIdle.pop_back();
+    if (out->IsUsable() && out->Received().empty()) {
+      return out;
+    }
+    out->Close();
+  }
+  return nullptr;
+}
+
+Task<CallResult> HttpClient::Call(HttpCall aCall, Millis aTimeout)
+{
+  const auto deadline = SystemClock().Now() + aTimeout;
+  const auto signal = std::make_shared<Signal>(mLoop);
+  auto channel = TakeIdle();
+  if (!channel) {
+    channel = Channel::Connect(mLoop, mServer);
+  }
+  channel->SetListener(signal);
+  while (channel->State() == ChannelState::Connecting && Left(deadline) > Micros(0)) {
+    co_await signal->WaitFor(Left(deadline));
+  }
+  if (!channel->IsUsable()) {
+    channel->Close();
+    co_return HttpFailure::NotSent;
+  }
+  RequestHead head{ aCall.mMethod, aCall.mTarget, {}, true };
+  head.mHeaders.Add("Host", mHostHeader);
+  std::optional<std::size_t> size;
+  if (aCall.mMethod == "POST") {
+    head.mHeaders.Add("Content-Type", "application/json");
+    size = aCall.mBody.size();
+  }
+  channel->Send(RequestText(head, size) + aCall.mBody);
+  ResponseParser parser;
+  HttpReply reply;
+  while (parser.State() != ParseState::Done && parser.State() != ParseState::Failed) {
+    const auto used = parser.Put(channel->Received(), reply.mBody);
+    channel->Consume(used);
+    if (used > 0) {
+      continue;
+    }
+    if (channel->State() == ChannelState::Ended) {
+      parser.PutEnd();
+      continue;
+    }
+    if (channel->State() != ChannelState::Open || Left(deadline) <= Micros(0)) {
+      break;
+    }
+    co_await signal->WaitFor(Left(deadline));
+  }
+  channel->SetListener(nullptr);
+  if (parser.State() != ParseState::Done) {
+    channel->Close();
+    co_return HttpFailure::Lost;
+  }
+  reply.mStatus = parser.Head().mStatus;
+  if (parser.Head().mKeepAlive && channel->IsUsable() && channel->Received().empty()) {
+    mIdle.push_back(channel);
+  } else {
+    channel->Close();
+  }
+  co_return reply;
+}
+
+Result<Channel::Address> ParseEndpoint(std::string_view aText)
+{
+  const auto bad = [&] {
+    return MakeError(ErrorCode::BadSettings, Step::Settings, aText,
+                     "address \"" + std::string(aText) + "\" must be written as IP:PORT");
+  };
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return bad();
+  }
+  boost::system::error_code ec;
+  const auto ip = boost::asio::ip::make_address(std::string(aText.substr(0, colon)), ec);
+  const auto port = ParseNumber(aText.substr(colon + 1));
+  constexpr std::int64_t kMostPort = 65'535;
+  if (ec || !port || *port < 1 || *port > kMostPort) {
+    return bad();
+  }
+  return Channel::Address(ip, static_cast<unsigned short>(*port));
+}
+
+} // namespace gentianloom::net
--- /dev/null
+++ b/src/net/HttpParser.cpp
@@ -0,0 +1,260 @@
+#include "gentianloom/net/HttpParser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <limits>
+
+namespace gentianloom::net {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::const_buffer;
+using boost::beast::error_code;
+
+/// Body bytes that a response parser hands on at once.
+constexpr std::size_t kPieceBytes = 16 * 1'024;
+/// Largest head of a response.
+constexpr std::uint32_t kResponseHeadBytes = 64 * 1'024;
+
+/// Boost 1.74 takes an unset limit for a limit of nothing.
+constexpr auto kNoLimit = std::numeric_limits<std::uint64_t>::max();
+
+constexpr int kFirstFinalStatus = 200;
+
+std::string ToString(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+template<typename Fields>
+HeaderList HeadersOf(const Fields& aFields)
+{
+  HeaderList out;
+  for (const auto& it : aFields) {
+    out.Add(ToString(it.name_string()), ToString(it.value()));
+  }
+  return out;
+}
+
+/// Whether two readers could see different ends of the body, or no body at all.
+bool IsAmbiguous(const HeaderList& aHeaders)
+{
+  const auto lengths = aHeaders.Count("Content-Length");
+  const auto codings = aHeaders.Count("Transfer-Encoding");
+  if (lengths + codings > 1) {
+    return true;
+  }
+  return codings == 1 && !SameName(*aHeaders.Find("Transfer-Encoding"), "chunked");
+}
+
+bool IsPrintable(std::string_view aText)
+{
+  for (const auto it : aText) {
+    if (it <= ' ' || it > '~') {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+struct RequestParser::Impl
+{
+  http::request_parser<http::string_body> mParser;
+};
+
+RequestParser::RequestParser(const ParseLimits& aLimits)
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->mParser.header_limit(aLimits.mHeadBytes);
+  mImpl->mParser.body_limit(aLimits.mBodyBytes);
+  mImpl->mParser.eager(true);
+}
+
+RequestParser::~RequestParser() = default;
+
+void RequestParser::Fail(ParseFault aFault)
+{
+  mState = ParseState::Failed;
+  mFault = aFault;
+}
+
+std::size_t RequestParser::Put(std::string_view aBytes)
+{
+  std::size_t used = 0;
+  while (used < aBytes.size() && mState != ParseState::Done && mState != ParseState::Failed) {
+    error_code ec;
+    const auto n =
+      mImpl->mParser.put(const_buffer(aBytes.data() + used, aBytes.size() - used), ec);
+    used += n;
+    if (ec == http::error::need_more) {
+      ec = {};
+      if (n == 0 && aBytes.size() - used > 0 && !mImpl->mParser.is_header_done()) {
+        break; // an incomplete head: the parser wants all of it again with more bytes
+      }
+    }
+    if (ec) {
+      const bool isHead = ec == http::error::header_limit;
+      const bool isBody = ec == http::error::body_limit;
+      Fail(isHead ? ParseFault::HeadTooLarge
+                  : (isBody ? ParseFault::BodyTooLarge : ParseFault::Malformed));
+      break;
+    }
+    if (mState == ParseState::NeedMore && mImpl->mParser.is_header_done()) {
+      TakeHead();
+    }
+    if (mState != ParseState::Failed && mImpl->mParser.is_done()) {
+      mState = ParseState::Done;
+    }
+    if (n == 0) {
+      break;
+    }
+  }
+  return used;
+}
+
+void RequestParser::TakeHead()
+{
+  const auto& message = mImpl->mParser.get();
+  mHead.mMethod = ToString(message.method_string());
+  mHead.mTarget = ToString(message.target());
+  mHead.mHeaders = HeadersOf(message);
+  mHead.mKeepAlive = mImpl->mParser.keep_alive();
+  mState = ParseState::HeadDone;
+  const bool oneHost = mHead.mHeaders.Count("Host") == 1;
+  const bool isPath = mHead.mTarget.starts_with('/') && IsPrintable(mHead.mTarget);
+  if (IsAmbiguous(mHead.mHeaders) || !oneHost || !isPath) {
+    Fail(ParseFault::Malformed);
+  }
+}
+
+bool RequestParser::ExpectsContinue() const
+{
+  return mHead.mHeaders.HasToken("Expect", "100-continue");
+}
+
+bool RequestParser::HasBody() const
+{
+  return mImpl->mParser.chunked() || mHead.mHeaders.Find("Content-Length").has_value();
+}
+
+std::string RequestParser::TakeBody()
+{
+  return std::move(mImpl->mParser.get().body());
+}
+
+struct ResponseParser::Impl
+{
+  http::response_parser<http::buffer_body> mParser;
+};
+
+ResponseParser::ResponseParser(bool aHasNoBody)
+  : mHasNoBody(aHasNoBody)
+  , mImpl(std::make_unique<Impl>())
+{
+  mImpl->mParser.header_limit(kResponseHeadBytes);
+  mImpl->mParser.body_limit(kNoLimit);
+  mImpl->mParser.skip(aHasNoBody);
+}
+
+ResponseParser::~ResponseParser() = default;
+
+std::size_t ResponseParser::Put(std::string_view aBytes, std::string& aBody)
+{
+  std::size_t used = 0;
+  while (used < aBytes.size() && mState != ParseState::Done && mState != ParseState::Failed) {
+    if (mState == ParseState::HeadDone) {
+      const auto n = PutBody(aBytes.substr(used), aBody);
+      used += n;
+      if (n == 0) {
+        break;
+      }
+      continue;
+    }
+    error_code ec;
+    const auto n =
+      mImpl->mParser.put(const_buffer(aBytes.data() + used, aBytes.size() - used), ec);
+    used += n;
+    if (ec == http::error::need_more && n == 0) {
+      break;
+    }
+    if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
+      mState = ParseState::Failed;
+      break;
+    }
+    if (mImpl->mParser.is_header_done()) {
+      TakeHead();
+    }
+  }
+  return used;
+}
+
+void ResponseParser::TakeHead()
+{
+  auto& parser = mImpl->mParser;
+  const auto status = static_cast<int>(parser.get().result_int());
+  if (status < kFirstFinalStatus) {
+    mImpl = std::make_unique<Impl>();
+    mImpl->mParser.header_limit(kResponseHeadBytes);
+    mImpl->mParser.body_limit(kNoLimit);
+    mImpl->mParser.skip(mHasNoBody);
+    return;
+  }
+  mHead.mStatus = status;
+  mHead.mReason = ToString(parser.get().reason());
+  mHead.mHeaders = HeadersOf(parser.get());
+  mHead.mKeepAlive = parser.keep_alive();
+  mState = parser.is_done() ? ParseState::Done : ParseState::HeadDone;
+  if (IsAmbiguous(mHead.mHeaders)) {
+    mState = ParseState::Failed;
+    return;
+  }
+  const auto length = parser.content_length();
+  mLength = length ? *length : 0;
+  if (parser.chunked()) {
+    mFraming = Framing::Chunked;
+  } else if (length) {
+    mFraming = Framing::Length;
+  } else {
+    mFraming = parser.need_eof() ? Framing::UntilClose : Framing::None;
+  }
+}
+
+std::size_t ResponseParser::PutBody(std::string_view aBytes, std::string& aBody)
+{
+  auto& parser = mImpl->mParser;
+  std::array<char, kPieceBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  parser.get().body().data = buf.data();
+  parser.get().body().size = buf.size();
+  parser.get().body().more = true;
+  error_code ec;
+  const auto n = parser.put(const_buffer(aBytes.data(), aBytes.size()), ec);
+  aBody.append(buf.data(), buf.size() - parser.get().body().size);
+  if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
+    mState = ParseState::Failed;
+    return n;
+  }
+  if (parser.is_done()) {
+    mState = ParseState::Done;
+  }
+  return n;
+}
+
+void ResponseParser::PutEnd()
+{
+  if (mState == ParseState::Done || mState == ParseState::Failed) {
+    return;
+  }
+  error_code ec;
+  mImpl->mParser.put_eof(ec);
+  const bool whole = !ec && mState == ParseState::HeadDone && mImpl->mParser.is_done();
+  mState = whole ? ParseState::Done : ParseState::Failed;
+}
+
+} // namespace gentianloom::net
--- a/src/peer/PeerCall.cpp
+++ b/src/peer/PeerCall.cpp
@@ -1,7 +1,7 @@
 #include "gentianloom/peer/PeerCall.h"
 
 #include "gen-cpp/Peer.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
--- /dev/null
+++ b/src/routing/RouteTable.cpp
@@ -0,0 +1,76 @@
+#include "gentianloom/routing/RouteTable.h"
+
+#include <algorithm>
+
+namespace gentianloom {
+
+RouteTable::Ptr RouteTable::Create(RoutingConfiguration aConfiguration)
+{
+  return Ptr(new RouteTable(std::move(aConfiguration)));
+}
+
+RouteTable::RouteTable(RoutingConfiguration aConfiguration)
+  : mConfiguration(std::move(aConfiguration))
+{
+  for (const auto& it : mConfiguration.mRoutes) {
+    mByHost[it.mHost].try_emplace(it.mPrefix, &it);
+  }
+}
+
+const Route* RouteTable::Find(std::string_view aHost, std::string_view aPath) const
+{
+  const auto host = mByHost.find(aHost);
+  if (host == mByHost.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash: only those can match, the longest first.
+  for (auto end = aPath.rfind('/'); end != std::string_view::npos;) {
+    const auto it = host->second.find(aPath.substr(0, end + 1));
+    if (it != host->second.end()) {
+      return it->second;
+    }
+    end = end == 0 ? std::string_view::npos : aPath.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const Payer* RouteTable::PayerOf(std::string_view aKey) const
+{
+  const auto it = mConfiguration.mPayerOfKey.find(aKey);
+  return it == mConfiguration.mPayerOfKey.end() ? nullptr : &mConfiguration.mPayers[it->second];
+}
+
+const Payer* RouteTable::PayerNamed(std::string_view aName) const
+{
+  const auto& all = mConfiguration.mPayers;
+  const auto it =
+    std::find_if(all.begin(), all.end(), [&](const Payer& aPayer) { return aPayer.mName == aName; });
+  return it == all.end() ? nullptr : &*it;
+}
+
+const ServiceTarget* RouteTable::Service(const std::string& aName) const
+{
+  const auto it = mConfiguration.mServices.find(aName);
+  return it == mConfiguration.mServices.end() ? nullptr : &it->second;
+}
+
+const std::string& RouteTable::ChooseService(const Route& aRoute, std::uint64_t aDraw)
+{
+  std::int64_t total = 0;
+  for (const auto& it : aRoute.mServices) {
+    total += std::max<std::int64_t>(0, it.mWeight);
+  }
+  if (total <= 0) {
+    return aRoute.mServices.front().mService;
+  }
+  auto rest = static_cast<std::int64_t>(aDraw % static_cast<std::uint64_t>(total));
+  for (const auto& it : aRoute.mServices) {
+    rest -= std::max<std::int64_t>(0, it.mWeight);
+    if (rest < 0) {
+      return it.mService;
+    }
+  }
+  return aRoute.mServices.back().mService;
+}
+
+} // namespace gentianloom
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -1,7 +1,7 @@
 #include "gentianloom/settings/Settings.h"
 
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <fstream>
 #include <sstream>
--- a/tests/budget/World.h
+++ b/tests/budget/World.h
@@ -5,7 +5,7 @@
 
 #include "gentianloom/budget/BudgetView.h"
 #include "gentianloom/budget/Ledger.h"
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <array>
 #include <memory>
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,266 @@
+#!/usr/bin/env python3
+"""Small stand-in of the users' platform on loopback: its key-value store and its workers.
+
+Used by the process tests of the gateway. Prints one JSON line with its addresses, then serves until
+its standard input ends.
+"""
+import base64
+import json
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+
+class Store:
+    """Items, revisions and leases; every change wakes the waiting watches."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.items = {}
+        self.history = []
+        self.revision = 1
+        self.leases = {}
+        self.mode = "up"  # or "busy" (503), "silent" (no answer), "lost" (done, no answer)
+        self.calls = 0
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        item = {"key": key, "value": base64.b64encode(value).decode(), "rev": self.revision,
+                "created": created, "lease": lease}
+        self.items[key] = item
+        self.history.append(item)
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.history.append({"key": key, "rev": self.revision, "deleted": True})
+
+    def expire(self):
+        now = time.monotonic()
+        for lease in [it for it, (_, end) in self.leases.items() if end < now]:
+            del self.leases[lease]
+            for key in [k for k, it in self.items.items() if it["lease"] == lease]:
+                self.remove(key)
+
+    def commit(self, body):
+        for row in body["expected-rev"]:
+            if self.items.get(row["key"], {}).get("rev", 0) != row["rev"]:
+                keys = [it["key"] for it in body["expected-rev"]]
+                return 412, {"items": [self.items[k] for k in keys if k in self.items]}
+        for row in body["puts"]:
+            if row.get("lease") and row["lease"] not in self.leases:
+                return 404, {}
+        for row in body["puts"]:
+            self.put(row["key"], base64.b64decode(row["value"]), row.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        self.changed.notify_all()
+        return 200, {"rev": self.revision}
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def answer(self, status, body, headers=()):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+class StoreHandler(Handler):
+    def handle_call(self, method):
+        store = self.server.state
+        url = urlparse(self.path)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        body = self.body()
+        with store.changed:
+            store.calls += 1
+            if store.mode == "busy":
+                return self.answer(503, {})
+            if store.mode == "silent":
+                self.close_connection = True
+                time.sleep(1.5)
+                return None
+            store.expire()
+            status, out = self.route(store, method, url.path, query, body)
+            if store.mode == "lost" and method == "POST":
+                self.close_connection = True
+                return None
+        return self.answer(status, out)
+
+    def route(self, store, method, path, query, body):
+        if path == "/kv-range":
+            found = [store.items[k] for k in sorted(store.items) if k.startswith(query["prefix"])
+                     and k > query.get("after", "")]
+            page = found[:self.server.page]
+            return 200, {"items": page, "has-more": len(found) > len(page), "at": store.revision}
+        if path == "/kv-watch":
+            return self.watch(store, query)
+        if path == "/kv-txn":
+            return store.commit(json.loads(body))
+        if path == "/kv-lease":
+            ttl = json.loads(body)["ttl-ms"]
+            lease = store.revision * 1000 + len(store.leases) + 1
+            store.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+            return 200, {"lease": lease, "ttl-ms": ttl}
+        if path.startswith("/kv-keep/"):
+            lease = int(path.rsplit("/", 1)[1])
+            if lease not in store.leases:
+                return 404, {}
+            ttl = store.leases[lease][0]
+            store.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+            return 200, {"ttl-ms": ttl}
+        if path.startswith("/kv-lease-end/"):
+            store.leases.pop(int(path.rsplit("/", 1)[1]), None)
+            return 200, {}
+        return 404, {"method": method}
+
+    def watch(self, store, query):
+        after = int(query["after"])
+        if after < getattr(self.server, "oldest", 0):
+            return 410, {}
+        end = time.monotonic() + int(query["wait-ms"]) / 1000
+        while True:
+            store.expire()
+            events = [it for it in store.history
+                      if it["rev"] > after and it["key"].startswith(query["prefix"])]
+            left = end - time.monotonic()
+            if events or left <= 0 or store.mode != "up":
+                return 200, {"events": events, "at": store.revision}
+            store.changed.wait(min(left, 0.1))
+
+    def do_GET(self):
+        self.handle_call("GET")
+
+    def do_POST(self):
+        self.handle_call("POST")
+
+    def do_DELETE(self):
+        self.handle_call("DELETE")
+
+
+class Worker:
+    """One worker; `mode` decides how it answers, `seen` holds the requests that it ran."""
+
+    def __init__(self, name):
+        self.name = name
+        self.mode = "good"
+        self.events = 5
+        self.pause = 0.02
+        self.seen = []
+
+
+class WorkerHandler(Handler):
+    def serve(self):
+        worker = self.server.state
+        body = self.body()
+        attempt = self.headers.get("X-Attempt-Id", "")
+        common = [("X-Attempt-Id", attempt), ("X-Instance-Load", "1,0,8")]
+        if self.headers.get("X-Expect-Instance") != worker.name:
+            return self.answer(421, b"", common + [("X-Instance-Id", worker.name)])
+        if worker.mode == "full":
+            return self.answer(503, b"", common + [("X-Not-Executed", "1")])
+        worker.seen.append({"path": self.path, "headers": dict(self.headers.items()),
+                            "body": body.decode("latin-1")})
+        if worker.mode == "reset":
+            self.close_connection = True
+            return None
+        if worker.mode == "unproved":
+            return self.answer(200, b"x", common)
+        if worker.mode == "foreign":
+            return self.answer(200, b"x", [("X-Attempt-Id", "other"), ("X-Server-Signature", "s")])
+        if worker.mode == "mute":
+            time.sleep(3)
+            self.close_connection = True
+            return None
+        common.append(("X-Server-Signature", "sig-" + attempt))
+        if "X-Token-Usage" not in self.headers:
+            return self.answer(200, b"whole answer", common)
+        return self.stream(worker, common)
+
+    def stream(self, worker, headers):
+        self.send_response(200)
+        for name, value in headers + [("Content-Type", "text/event-stream"),
+                                      ("Transfer-Encoding", "chunked")]:
+            self.send_header(name, value)
+        self.end_headers()
+        first = int(self.headers.get("Last-Event-Id", 0)) + 1
+        for n in range(first, worker.events + 1):
+            if worker.mode == "breaks" and n == 3:
+                self.wfile.write(b"9\r\nid: 3\ndat\r\n")
+                self.close_connection = True
+                return
+            event = f"id: {n}\ndata: token {n}\n\n".encode()
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.flush()
+            time.sleep(worker.pause)
+        self.wfile.write(b"0\r\n\r\n")
+
+    do_GET = do_POST = serve
+
+
+class Control(Handler):
+    """Calls of the tests: change modes, write items, read what workers saw."""
+
+    def do_POST(self):
+        order = json.loads(self.body())
+        world = self.server.state
+        store = world["store"]
+        with store.changed:
+            if "store_mode" in order:
+                store.mode = order["store_mode"]
+            if "put" in order:
+                store.put(order["put"], json.dumps(order["value"]).encode())
+            if "remove" in order:
+                store.remove(order["remove"])
+            if order.get("forget_history"):
+                world["store_server"].oldest = store.revision
+            if "worker" in order:
+                vars(world["workers"][order["worker"]]).update(order["set"])
+            store.changed.notify_all()
+            out = {"seen": {k: it.seen for k, it in world["workers"].items()},
+                   "calls": store.calls,
+                   "items": {k: base64.b64decode(it["value"]).decode()
+                             for k, it in store.items.items()}}
+        self.answer(200, out)
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    page = 500
+
+
+def start(handler, state):
+    server = Server(("127.0.0.1", 0), handler)
+    server.state = state
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server, "127.0.0.1:%d" % server.server_address[1]
+
+
+def main():
+    names = sys.argv[1:] or ["w1", "w2"]
+    store = Store()
+    workers = {it: Worker(it) for it in names}
+    store_server, store_address = start(StoreHandler, store)
+    addresses = {it: start(WorkerHandler, workers[it])[1] for it in names}
+    world = {"store": store, "workers": workers, "store_server": store_server}
+    _, control = start(Control, world)
+    print(json.dumps({"store": store_address, "workers": addresses, "control": control}),
+          flush=True)
+    sys.stdin.read()
+
+
+main()
--- a/tests/standin/MemoryStore.h
+++ b/tests/standin/MemoryStore.h
@@ -1,7 +1,7 @@
 #ifndef GENTIANLOOM_TESTS_STANDIN_MEMORY_STORE_H
 #define GENTIANLOOM_TESTS_STANDIN_MEMORY_STORE_H
 
-#include "gentianloom/platform/KeyValueStore.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <condition_variable>
 #include <deque>
--- a/tests/standin/RelayRole.cpp
+++ b/tests/standin/RelayRole.cpp
@@ -1,6 +1,6 @@
 #include "StandinServer.h"
 
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -2,7 +2,7 @@
 #define GENTIANLOOM_TESTS_SUPPORT_FLEET_H
 
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/platform/HttpCall.h"
+#include "gentianloom/external/HttpCall.h"
 
 #include <functional>
 #include <string>
