--- a/include/gentianloom/budget/GrantPolicy.h
+++ b/include/gentianloom/budget/GrantPolicy.h
@@ -25,6 +25,12 @@
 public:
   virtual ~GrantPolicy() = default;
 
+  /// @brief Time constant of the demand estimate, seconds.
+  double DemandMemory() const { return mDemandMemory; }
+
+  /// @brief Rights for so many seconds of demand are never given back.
+  double KeptSeconds() const { return mKeptSeconds; }
+
   /// @brief Tokens that the router should have free after a refill.
   virtual Tokens Target(const GrantInput& aInput) const = 0;
 
@@ -33,6 +39,10 @@
    * @param aSettings `policy` is `fixed`, `demand` or `shrinking`
    */
   static std::unique_ptr<GrantPolicy> Create(const BudgetSettings& aSettings);
+
+private:
+  double mDemandMemory = 0;
+  double mKeptSeconds = 0;
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/budget/Holding.h
+++ b/include/gentianloom/budget/Holding.h
@@ -57,8 +57,8 @@
   /// @brief Whether a further draw may serve what waits.
   bool MayDraw() const;
 
-  /// @brief Brings the demand estimate up to date.
-  void Tick(TimePoint aNow);
+  /// @brief Brings the demand estimate up to date. @param aMemory its time constant, seconds
+  void Tick(TimePoint aNow, double aMemory);
 
   GrantInput Input() const;
 
--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -23,6 +23,7 @@
   Millis mLeaveTime{ 8'000 };    ///< a process that was told to stop is killed after this time
   Millis mAddressLife{ 1'000 };  ///< how long callers keep an answer with addresses
   double mRetryShare = 0.2;      ///< retries of the whole fleet for each request
+  Millis mRightsWindow{ 10'000 }; ///< rights are held for so long a demand
   double mRetrySlack = 20;       ///< retries of the whole fleet beyond the share, in one window
 };
 
--- a/src/budget/GrantPolicy.cpp
+++ b/src/budget/GrantPolicy.cpp
@@ -57,13 +57,18 @@
 
 std::unique_ptr<GrantPolicy> GrantPolicy::Create(const BudgetSettings& aSettings)
 {
+  const auto seconds = [](Millis aTime) { return std::chrono::duration<double>(aTime).count(); };
+  std::unique_ptr<GrantPolicy> out;
   if (aSettings.mPolicy == "fixed") {
-    return std::make_unique<FixedPolicy>(aSettings.mFixedTokens);
+    out = std::make_unique<FixedPolicy>(aSettings.mFixedTokens);
+  } else if (aSettings.mPolicy == "demand") {
+    out = std::make_unique<DemandPolicy>(aSettings.mDemandWindow);
+  } else {
+    out = std::make_unique<ShrinkingPolicy>(aSettings.mDemandWindow);
   }
-  if (aSettings.mPolicy == "demand") {
-    return std::make_unique<DemandPolicy>(aSettings.mDemandWindow);
-  }
-  return std::make_unique<ShrinkingPolicy>(aSettings.mDemandWindow);
+  out->mDemandMemory = seconds(aSettings.mDemandMemory);
+  out->mKeptSeconds = seconds(aSettings.mKeptTime);
+  return out;
 }
 
 } // namespace gentianloom
--- a/src/budget/Holding.cpp
+++ b/src/budget/Holding.cpp
@@ -7,16 +7,12 @@
 
 namespace {
 
-/// Time constant of the demand estimate, seconds.
-constexpr double kDemandMemory = 60.0;
 /// A young estimate is raised as if it were at least this part of the memory old.
 constexpr double kLeastWeight = 0.15;
 /// Demand below this counts as none, tokens a second.
 constexpr double kNoDemand = 0.5;
 /// Rights above this many times the target are given back.
 constexpr Tokens kExcessFactor = 2;
-/// Rights for so many seconds of demand are never given back.
-constexpr double kKeptSeconds = 5.0;
 
 } // namespace
 
@@ -42,13 +38,13 @@
   return !mRevoked && (!mLooked || mLeftSeen >= mWantedMost - Free());
 }
 
-void Holding::Tick(TimePoint aNow)
+void Holding::Tick(TimePoint aNow, double aMemory)
 {
   const double passed = std::chrono::duration<double>(aNow - mTicked).count();
   if (passed <= 0) {
     return;
   }
-  const double weight = std::exp(-passed / kDemandMemory);
+  const double weight = std::exp(-passed / aMemory);
   mDemand = weight * mDemand + (1.0 - weight) * static_cast<double>(mTaken) / passed;
   mWeight = weight * mWeight + (1.0 - weight);
   mTaken = 0;
@@ -87,7 +83,7 @@
   auto input = Input();
   input.mLeft = std::max<Tokens>(0, aLeft);
   const auto kept = std::max(
-    { aPolicy.Target(input), static_cast<Tokens>(input.mDemand * kKeptSeconds), mLargest });
+    { aPolicy.Target(input), static_cast<Tokens>(input.mDemand * aPolicy.KeptSeconds()), mLargest });
   const auto idle = free > kExcessFactor * kept ? free - kept : 0;
   return std::max<Tokens>({ 0, overdrawn, idle });
 }
--- a/src/budget/Ledger.cpp
+++ b/src/budget/Ledger.cpp
@@ -125,7 +125,7 @@
     const bool quiet = aNow - state.mReported >= kReportEvery;
     for (const auto& name : state.mBudgets) {
       auto& it = mHoldings.at(name);
-      it.Tick(aNow);
+      it.Tick(aNow, mPolicy.DemandMemory());
       const bool acts = it.mChanged || it.IsLow(mPolicy) || it.Excess(mPolicy, it.mLeftSeen) > 0;
       due = due || ((acts || (quiet && it.mGranted != it.mReturned)) && !it.mRevoked);
     }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -35,11 +35,13 @@
 constexpr Millis kCloseTime{ 1'000 };
 constexpr Millis kLeavePoll{ 50 };
 
-BudgetSettings RightsSettings()
+BudgetSettings RightsSettings(const GatewaySettings& aSettings)
 {
   BudgetSettings out;
   out.mPolicy = "shrinking";
-  out.mDemandWindow = Millis(3'000);
+  out.mDemandWindow = aSettings.mRightsWindow;
+  out.mDemandMemory = Millis(8'000);
+  out.mKeptTime = Millis(0);
   out.mCommitInterval = Millis(500);
   return out;
 }
@@ -60,7 +62,7 @@
   , mRights(
       aLoop,
       aStore,
-      RightsSettings(),
+      RightsSettings(mSettings),
       mSelf.mIncarnation,
       { [this](const std::string& aName) {
          const auto* payer = mParts.mRoutes ? mParts.mRoutes->PayerNamed(aName) : nullptr;
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -125,6 +125,8 @@
   it.mLeaveTime = MillisOf(leave * kMillisPerSecond);
   const auto life = reader.Number("address_life_s", 1, 0.1, kMostSeconds);
   it.mAddressLife = MillisOf(life * kMillisPerSecond);
+  const auto window = reader.Number("rights_window_s", 10, 0.1, kMostSeconds);
+  it.mRightsWindow = MillisOf(window * kMillisPerSecond);
   it.mRetryShare = reader.Number("retry_share", it.mRetryShare, 0, 10);
   it.mRetrySlack = reader.Number("retry_slack", it.mRetrySlack, 0, 1e9);
   return out;
