--- a/include/gentianloom/budget/GrantPolicy.h
+++ b/include/gentianloom/budget/GrantPolicy.h
@@ -15,8 +15,18 @@
   double mDemand = 0;  ///< tokens a second that this router reserved lately
   Tokens mLargest = 0; ///< largest reservation lately
   int mHolders = 1;    ///< incarnations that hold rights of the budget, this one included
+  Tokens mFree = 0;      ///< held and not used
+  double mObserved = 0;  ///< how much of the demand estimate's memory was observed, 0 to 1
+  double mSteadyFor = 0; ///< seconds since the key-value service last failed to answer
 };
 
+/**
+ * @brief Tokens that a random demand most likely does not exceed.
+ * @param aDemand mean demand, tokens a second
+ * @param aLargest largest request: few large requests vary more than many small ones
+ */
+Tokens TokensFor(double aDemand, double aSeconds, Tokens aLargest);
+
 /**
  * @brief Decides how much of a budget a router holds in advance. Pure.
  */
@@ -31,6 +41,12 @@
   /// @brief Rights for so many seconds of demand are never given back.
   double KeptSeconds() const { return mKeptSeconds; }
 
+  /// @brief Longest time before what was used is written.
+  Millis ChargeInterval() const { return mChargeInterval; }
+
+  /// @brief Part of the target below which a refill is due.
+  virtual double RefillBelow() const { return 0.5; }
+
   /// @brief Tokens that the router should have free after a refill.
   virtual Tokens Target(const GrantInput& aInput) const = 0;
 
@@ -43,6 +59,7 @@
 private:
   double mDemandMemory = 0;
   double mKeptSeconds = 0;
+  Millis mChargeInterval{ 0 };
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/budget/Holding.h
+++ b/include/gentianloom/budget/Holding.h
@@ -38,6 +38,7 @@
   double mWeight = 0; ///< share of the estimate's memory that was observed, 0 to 1
   Tokens mLargest = 0;
   Tokens mTaken = 0; ///< since mTicked
+  double mSteadyFor = 0; ///< see GrantInput
   TimePoint mTicked{};
 
   // Requests that wait.
@@ -54,6 +55,9 @@
   Tokens Received() const;
   Tokens Free() const;
 
+  /// @brief Tokens used or set aside for requests in flight, since the incarnation started.
+  Tokens Used() const { return mSpent + mStaged + mReserved; }
+
   /// @brief Whether a further draw may serve what waits.
   bool MayDraw() const;
 
--- a/include/gentianloom/budget/Ledger.h
+++ b/include/gentianloom/budget/Ledger.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -61,8 +62,20 @@
 
   const std::string& Incarnation() const { return mIncarnation; }
 
-  /// @brief Sets tokens aside; an answer of Wait notes the want.
-  ReserveAnswer Reserve(const std::string& aBudget, Tokens aTokens, TimePoint aNow);
+  /// @brief Notes for how many seconds the key-value service has answered without a failure.
+  void SetSteadyFor(double aSeconds);
+
+  /// @brief Notes that rights of a budget will be needed, before any request asks for them.
+  void Hold(const std::string& aBudget, TimePoint aNow);
+
+  /**
+   * @brief Sets tokens aside; an answer of Wait notes the want.
+   * @param aRoom tokens that may be used now, if that is less than what is free
+   */
+  ReserveAnswer Reserve(const std::string& aBudget,
+                        Tokens aTokens,
+                        TimePoint aNow,
+                        Tokens aRoom = std::numeric_limits<Tokens>::max());
 
   /// @brief Frees a reservation and stages the bill of what was used, at most the reservation.
   void Settle(Bill aBill, Tokens aReserved);
@@ -168,6 +181,7 @@
   std::string mIncarnation;
   const GrantPolicy& mPolicy;
   std::int64_t mNextBatch = 0;
+  bool mHasDemand = false; ///< whether any request has asked for rights yet
   std::map<std::string, Holding> mHoldings;
   std::map<int, ShardState> mShards;
   std::set<std::string> mAsked;
--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/budget/Ledger.h"
+#include "gentianloom/budget/UsageCaps.h"
 #include "gentianloom/budget/WritePacer.h"
 #include "gentianloom/external/AsyncStore.h"
 #include "gentianloom/net/Signal.h"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,13 +22,23 @@
 {
   std::function<StatedBudget(const std::string&)> mStated; ///< what the configuration states
   std::function<std::size_t()> mInstances;                 ///< routers that draw as well
+  std::function<std::vector<std::string>()> mBudgets;      ///< budgets that callers may draw on
+};
+
+/// Who draws: one incarnation of one instance.
+struct RightsOwner
+{
+  std::string mInstance;    ///< name that at most one living process has
+  std::string mIncarnation; ///< never used before
+  std::string mBoot;        ///< boot of the machine; empty: not known
 };
 
 /**
  * @brief Keeps one process's ledger and runs its rounds with the key-value service.
  *
  * A round writes by compare-and-swap on the records that this process knows; only a conflict or a
- * lost answer costs a read. Runs on the event loop.
+ * lost answer costs a read. Before the first round the rights of predecessors on this instance are
+ * closed. Runs on the event loop.
  */
 class RightsDuty
 {
@@ -34,12 +46,12 @@
   RightsDuty(net::Loop& aLoop,
              AsyncStore& aStore,
              const BudgetSettings& aSettings,
-             std::string aIncarnation,
+             RightsOwner aOwner,
              RightsLinks aLinks,
              const Clock& aClock,
              Metrics& aMetrics);
 
-  /// @brief Starts the rounds.
+  /// @brief Starts the rounds. Called once this process holds the instance's address.
   void Start();
 
   /// @brief Returns all rights, for a process that leaves. Ends when done or out of time.
@@ -72,29 +84,66 @@
     ShardRecord mRecord;
   };
 
+  /// What is known of this instance's usage report in the key-value service.
+  struct KnownReport
+  {
+    Revision mRevision = 0;
+    std::optional<UsageReport> mReport;
+  };
+
+  /// One transaction with what it changes.
+  struct Planned
+  {
+    struct Shard
+    {
+      std::int64_t mBatch = 0;
+      ShardRecord mRecord;
+    };
+    Transaction mTransaction;
+    std::map<int, Shard> mShards;
+    UsageReport mReport;
+  };
+
   net::Task<void> Run();
   net::Task<void> RunRound();
+  net::Task<bool> TakeOver();
+  net::Task<void> Refresh();
   net::Task<bool> Write(std::set<int> aShards, bool aClosing);
-  net::Task<bool> ReadAll(std::set<int> aShards);
-  bool Remember(int aShard, const KeyValue& aEntry);
+  net::Task<bool> ReadAll();
+  Planned Plan(const std::set<int>& aShards, bool aClosing);
+  void AddReport(Transaction& aTransaction, const UsageReport& aReport) const;
+  bool OnAnswer(Planned& aPlanned, const AsyncCommitAnswer& aAnswer);
+  void OnConflict(const std::vector<KeyValue>& aCurrent);
+  bool Remember(const KeyValue& aEntry);
+  KnownShard& Shard(int aShard) { return mKnown[aShard]; }
   void NoteStore(bool aWorks, const std::string& aWhy);
   void EndRound();
+  void LogHoldings() const;
 
   net::Loop& mLoop;
   AsyncStore& mStore;
   BudgetSettings mSettings;
-  std::string mIncarnation;
+  RightsOwner mOwner;
   RightsLinks mLinks;
   const Clock& mClock;
   Metrics& mMetrics;
   std::unique_ptr<GrantPolicy> mPolicy;
   Ledger mLedger;
+  UsageCaps mCaps;
   WritePacer mPacer;
   net::Signal mWake;
   bool mIsUrgent = false;
   bool mIsClosing = false;
+  bool mIsRunning = false;
+  bool mIsReplaced = false; ///< another incarnation has taken over this instance's name
+  TimePoint mStartedAt{};
+  TimePoint mFailedAt{};    ///< when the key-value service last failed to answer
+  TimePoint mRefreshedAt{};
+  TimePoint mRoundAt{}; ///< start of the last round
   std::uint64_t mRounds = 0;
+  bool mIsKnown = false; ///< whether the members below are up to date as far as this process knows
   std::map<int, KnownShard> mKnown;
+  KnownReport mKnownReport;
   std::vector<std::weak_ptr<net::Signal>> mWaiters;
 };
 
--- /dev/null
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -0,0 +1,98 @@
+#ifndef GENTIANLOOM_BUDGET_USAGE_CAPS_H
+#define GENTIANLOOM_BUDGET_USAGE_CAPS_H
+
+#include "gentianloom/base/Clock.h"
+#include "gentianloom/budget/Holding.h"
+#include "gentianloom/budget/Record.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace gentianloom {
+
+/**
+ * @brief What an incarnation has stated about its use of rights, in a key of its instance.
+ *
+ * Until mOpensAfter has passed since mReportedAt without another report, the incarnation uses no
+ * more of a budget than its cap. What it holds beyond is a reserve for outages of the key-value
+ * service.
+ */
+struct UsageReport
+{
+  std::string mIncarnation;
+  std::string mBoot;         ///< identifies the boot of the machine; its clock counts from there
+  Millis mReportedAt{ 0 };   ///< clock of the machine that also counts suspension
+  Millis mOpensAfter{ 0 };   ///< time without a report after which the reserve is open
+  std::map<std::string, Tokens> mCaps; ///< by budget
+};
+
+/// @brief Key of an instance's report in the key-value service.
+std::string UsageReportKey(std::string_view aInstance);
+
+/// @brief Writes a report for storing.
+std::string ToText(const UsageReport& aReport);
+
+/// @brief Reads a stored report. @return ErrorCode::MalformedJson if it is none
+Result<UsageReport> ParseUsageReport(std::string_view aText);
+
+/**
+ * @brief Whether a predecessor on the same machine ended before its reserve opened.
+ * @param aStartedAt when this incarnation took the address that only one process can hold
+ */
+bool EndedWithinCaps(const UsageReport& aPredecessor, std::string_view aBoot, Millis aStartedAt);
+
+/**
+ * @brief Closes the rights of a predecessor that has ended: what it may have used counts as spent.
+ *
+ * @param aIsWithinCaps see EndedWithinCaps(); if not, all that it held counts as spent
+ * @return tokens that are free again
+ */
+Tokens FoldPredecessor(ShardRecord& aShard, const UsageReport& aPredecessor, bool aIsWithinCaps);
+
+/// Times of usage reports.
+struct UsageCapSettings
+{
+  Millis mOpensAfter{ 2'500 };  ///< time without a report after which the reserve is open
+  Millis mReportEvery{ 1'000 }; ///< a report is made at least this often
+  Millis mHeadroom{ 3'500 };    ///< demand that a cap leaves room for
+};
+
+/**
+ * @brief Decides how much of its rights an incarnation may use now, and what it reports. Pure.
+ */
+class UsageCaps
+{
+public:
+  UsageCaps(std::string aIncarnation, std::string aBoot, const UsageCapSettings& aSettings);
+
+  /// @brief Tokens of a budget that may be used before the next report; Tokens::max if open.
+  Tokens Room(const std::string& aBudget, const Holding& aHolding, TimePoint aNow) const;
+
+  /// @brief Whether a report is due.
+  bool IsDue(const std::map<std::string, Holding>& aHoldings, TimePoint aNow) const;
+
+  /// @brief Makes the next report; until its fate is known it counts where that is the safe side.
+  UsageReport Plan(const std::map<std::string, Holding>& aHoldings, TimePoint aNow);
+
+  void OnTook(const UsageReport& aReport);   ///< the report is stored
+  void OnDidNot(const UsageReport& aReport); ///< it is not and cannot come later
+
+  /// @brief Whether the key-value service was out of reach for so long that the reserve is open.
+  bool IsOpen(TimePoint aNow) const;
+
+private:
+  Tokens CapFor(const Holding& aHolding) const;
+
+  std::string mIncarnation;
+  std::string mBoot;
+  UsageCapSettings mSettings;
+  bool mHasReported = false;
+  UsageReport mReport;              ///< last one that is known to be stored
+  std::deque<Millis> mUnresolved;   ///< times of reports that may be stored
+};
+
+} // namespace gentianloom
+
+#endif
--- a/include/gentianloom/budget/WritePacer.h
+++ b/include/gentianloom/budget/WritePacer.h
@@ -13,7 +13,10 @@
 class WritePacer
 {
 public:
-  explicit WritePacer(Millis aInterval);
+  /// Longest back-off where none is stated.
+  static constexpr Millis kLongestBackOff{ 10'000 };
+
+  explicit WritePacer(Millis aInterval, Millis aLongestBackOff = kLongestBackOff);
 
   /// @brief Sets the time between writes, for example when the fleet grows.
   void SetInterval(Millis aInterval);
@@ -36,6 +39,7 @@
   double CreditAt(TimePoint aNow) const;
 
   Millis mInterval;
+  Millis mLongestBackOff;
   double mCredit; ///< writes that may be made at mLast
   TimePoint mLast{};
   TimePoint mNotBefore{};
--- a/include/gentianloom/external/AsyncStore.h
+++ b/include/gentianloom/external/AsyncStore.h
@@ -37,6 +37,9 @@
   /// @brief Reads all keys with a prefix. The revision is that of the first page.
   virtual net::Task<Result<RangeAnswer>> Range(std::string aPrefix) = 0;
 
+  /// @brief As Range(), but cheap and perhaps seconds old: for hints that a transaction checks.
+  virtual net::Task<Result<RangeAnswer>> RangeStale(std::string aPrefix) = 0;
+
   /// @brief Commits a transaction.
   virtual net::Task<AsyncCommitAnswer> Commit(Transaction aTransaction) = 0;
 
--- a/include/gentianloom/net/HttpClient.h
+++ b/include/gentianloom/net/HttpClient.h
@@ -48,6 +48,7 @@
 
 private:
   Channel::Ptr TakeIdle();
+  void CloseIdle();
 
   Loop& mLoop;
   Channel::Address mServer;
--- a/include/gentianloom/routing/RouteTable.h
+++ b/include/gentianloom/routing/RouteTable.h
@@ -117,6 +117,9 @@
   /// @brief Organisation by name; null if it is not configured.
   const Payer* PayerNamed(std::string_view aName) const;
 
+  /// @brief Names of the organisations with a prepaid total.
+  std::vector<std::string> LimitedPayers() const;
+
   /// @brief Service by name; null if it is not configured.
   const ServiceTarget* Service(const std::string& aName) const;
 
--- a/src/budget/Holding.cpp
+++ b/src/budget/Holding.cpp
@@ -56,7 +56,13 @@
 
 GrantInput Holding::Input() const
 {
-  return { mLeftSeen, mDemand / std::max(kLeastWeight, mWeight), mLargest, mHoldersSeen };
+  return { mLeftSeen,
+           mDemand / std::max(kLeastWeight, mWeight),
+           mLargest,
+           mHoldersSeen,
+           std::max<Tokens>(0, Free()),
+           mWeight,
+           mSteadyFor };
 }
 
 Tokens Holding::Draw(const GrantPolicy& aPolicy, Tokens aLeft) const
@@ -65,9 +71,9 @@
   input.mLeft = aLeft;
   const auto target = aPolicy.Target(input);
   const auto free = Free();
-  // What waits is drawn in any case; more only when half of the target is used up.
+  // What waits is drawn in any case; more only when part of the target is used up.
   Tokens more = std::max<Tokens>(0, mWanted - free);
-  if (free - mWanted < target / 2) {
+  if (static_cast<double>(free - mWanted) < static_cast<double>(target) * aPolicy.RefillBelow()) {
     more = std::max(more, target + mWanted - free);
   }
   return std::clamp<Tokens>(more, 0, std::max<Tokens>(0, aLeft));
@@ -90,7 +96,9 @@
 
 bool Holding::IsLow(const GrantPolicy& aPolicy) const
 {
-  return mWanted > 0 || (mLeftSeen > 0 && Free() < aPolicy.Target(Input()) / 2);
+  const auto target = static_cast<double>(aPolicy.Target(Input()));
+  return mWanted > 0 ||
+         (mLeftSeen > 0 && static_cast<double>(Free()) < target * aPolicy.RefillBelow());
 }
 
 } // namespace gentianloom
--- a/src/budget/Ledger.cpp
+++ b/src/budget/Ledger.cpp
@@ -34,7 +34,27 @@
   return it->second;
 }
 
-ReserveAnswer Ledger::Reserve(const std::string& aBudget, Tokens aTokens, TimePoint aNow)
+void Ledger::SetSteadyFor(double aSeconds)
+{
+  for (auto& [name, it] : mHoldings) {
+    it.mSteadyFor = aSeconds;
+  }
+}
+
+void Ledger::Hold(const std::string& aBudget, TimePoint aNow)
+{
+  const bool isNew = !mHoldings.contains(aBudget);
+  auto& it = Of(aBudget);
+  if (isNew) {
+    it.mChanged = true;
+    it.mTicked = aNow;
+  }
+}
+
+ReserveAnswer Ledger::Reserve(const std::string& aBudget,
+                              Tokens aTokens,
+                              TimePoint aNow,
+                              Tokens aRoom)
 {
   if (mStagedBills >= kMostStaged) {
     return ReserveAnswer::Unavailable;
@@ -43,8 +63,9 @@
   if (it.mTicked == TimePoint{}) {
     it.mTicked = aNow;
   }
+  mHasDemand = true;
   it.mLargest = std::max(it.mLargest, aTokens);
-  if (it.Free() >= aTokens) {
+  if (it.Free() >= aTokens && aRoom >= aTokens) {
     it.mReserved += aTokens;
     it.mTaken += aTokens;
     return ReserveAnswer::Reserved;
@@ -121,11 +142,16 @@
 {
   std::set<int> out;
   for (auto& [shard, state] : mShards) {
-    bool due = !state.mStaged.empty() || !state.mPending.empty();
+    const bool charges = aNow - state.mReported >= mPolicy.ChargeInterval();
+    bool due = (!state.mStaged.empty() && charges) || !state.mPending.empty();
     const bool quiet = aNow - state.mReported >= kReportEvery;
     for (const auto& name : state.mBudgets) {
       auto& it = mHoldings.at(name);
-      it.Tick(aNow, mPolicy.DemandMemory());
+      if (mHasDemand) {
+        it.Tick(aNow, mPolicy.DemandMemory());
+      } else {
+        it.mTicked = aNow; // before the first request of all nothing is learnt about demand
+      }
       const bool acts = it.mChanged || it.IsLow(mPolicy) || it.Excess(mPolicy, it.mLeftSeen) > 0;
       due = due || ((acts || (quiet && it.mGranted != it.mReturned)) && !it.mRevoked);
     }
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -10,12 +10,25 @@
 
 namespace {
 
-/// Shards in one transaction: each takes a condition and a write of the most that one may have.
-constexpr std::size_t kMostShards = 16;
+/// Shards in one transaction, beside the usage report: each takes a condition and a write of the
+/// 32 entries that one may have.
+constexpr std::size_t kMostShards = 15;
 /// Tries of one round against conflicts.
 constexpr int kMostConflicts = 4;
 /// Pause between tries, so that two routers do not conflict again and again.
 constexpr Micros kConflictPause{ 4'000 };
+/// Pause before rights of a predecessor are looked at again.
+constexpr Millis kTakeOverPause{ 60 };
+/// How often what is left of all budgets is looked at.
+constexpr Millis kRefreshEvery{ 1'000 };
+/// Pause between tries to return all rights.
+constexpr Millis kClosePause{ 20 };
+/// A process that starts has seen no outage: it counts as steady for so long.
+constexpr Millis kSteadyAtStart{ 10'000 };
+/// Longest pause before the key-value service is tried again.
+constexpr Millis kLongestBackOff{ 300 };
+/// Time between rounds that no request waits for.
+constexpr Millis kQuietEvery{ 1'000 };
 /// Longest sleep between rounds.
 constexpr Millis kMostSleep{ 1'000 };
 /// Common start of the keys of all shards.
@@ -51,26 +64,30 @@
 RightsDuty::RightsDuty(net::Loop& aLoop,
                        AsyncStore& aStore,
                        const BudgetSettings& aSettings,
-                       std::string aIncarnation,
+                       RightsOwner aOwner,
                        RightsLinks aLinks,
                        const Clock& aClock,
                        Metrics& aMetrics)
   : mLoop(aLoop)
   , mStore(aStore)
   , mSettings(aSettings)
-  , mIncarnation(std::move(aIncarnation))
+  , mOwner(std::move(aOwner))
   , mLinks(std::move(aLinks))
   , mClock(aClock)
   , mMetrics(aMetrics)
   , mPolicy(GrantPolicy::Create(aSettings))
-  , mLedger(mIncarnation, *mPolicy)
-  , mPacer(aSettings.mCommitInterval)
+  , mLedger(mOwner.mIncarnation, *mPolicy)
+  , mCaps(mOwner.mIncarnation, mOwner.mBoot, UsageCapSettings{})
+  , mPacer(aSettings.mCommitInterval, kLongestBackOff)
   , mWake(aLoop)
 {
 }
 
 void RightsDuty::Start()
 {
+  mStartedAt = mClock.Now();
+  mFailedAt = mStartedAt - kSteadyAtStart;
+  mIsRunning = true;
   net::Start(mLoop, "rights", Run());
 }
 
@@ -78,11 +95,19 @@
                                   Tokens aTokens,
                                   const std::shared_ptr<net::Signal>& aWaiter)
 {
-  const auto answer = mLedger.Reserve(aBudget, aTokens, mClock.Now());
+  const auto now = mClock.Now();
+  if (mIsReplaced || mIsClosing) {
+    return ReserveAnswer::Unavailable;
+  }
+  const auto holding = mLedger.Holdings().find(aBudget);
+  const auto room = holding == mLedger.Holdings().end()
+                      ? Tokens{ 0 }
+                      : mCaps.Room(aBudget, holding->second, now);
+  const auto answer = mLedger.Reserve(aBudget, aTokens, now, room);
   if (answer == ReserveAnswer::Wait) {
     if (mPacer.IsAway()) {
-      // Nothing can be drawn; what this process holds does not cover it.
-      mLedger.RefuseWants(aBudget, mClock.Now(), false);
+      // Nothing can be drawn; what this process may use does not cover it.
+      mLedger.RefuseWants(aBudget, now, false);
       return ReserveAnswer::Unavailable;
     }
     mIsUrgent = true;
@@ -101,25 +126,86 @@
 
 net::Task<void> RightsDuty::Run()
 {
-  while (!mIsClosing) {
+  bool isTaken = false;
+  while (!mIsClosing && !isTaken) {
+    isTaken = co_await TakeOver();
+    if (!isTaken) {
+      co_await net::Signal::Sleep(mLoop, std::chrono::duration_cast<Micros>(kTakeOverPause));
+    }
+  }
+  while (!mIsClosing && !mIsReplaced) {
     mPacer.SetInterval(FleetInterval(mSettings.mCommitInterval, mLinks.mInstances()));
     const auto now = mClock.Now();
-    const auto at = mPacer.NextWrite(now, mIsUrgent);
+    auto at = mPacer.NextWrite(now, true);
+    if (!mIsUrgent && !mPacer.IsAway()) {
+      at = std::max(at, mRoundAt + kQuietEvery);
+    }
     if (at > now) {
       co_await mWake.WaitFor(std::min<Micros>(at - now, kMostSleep));
       continue;
     }
     mIsUrgent = false;
+    mRoundAt = now;
     co_await RunRound();
   }
+  mIsRunning = false;
+}
+
+net::Task<bool> RightsDuty::TakeOver()
+{
+  const bool isRead = co_await ReadAll();
+  if (!isRead) {
+    co_return false;
+  }
+  const auto& report = mKnownReport.mReport;
+  if (!report || report->mIncarnation == mOwner.mIncarnation) {
+    co_return true;
+  }
+  const auto startedAt = std::chrono::duration_cast<Millis>(mStartedAt.time_since_epoch());
+  const bool isWithinCaps = EndedWithinCaps(*report, mOwner.mBoot, startedAt);
+  Transaction transaction;
+  Tokens freed = 0;
+  bool isLast = true;
+  for (auto& [shard, known] : mKnown) {
+    if (!known.mRecord.mWriters.contains(report->mIncarnation)) {
+      continue;
+    }
+    if (transaction.mWrites.size() >= kMostShards) {
+      isLast = false;
+      break;
+    }
+    freed += FoldPredecessor(known.mRecord, *report, isWithinCaps);
+    ++known.mRecord.mCommits;
+    transaction.mCompares.push_back({ ShardKey(shard), known.mRevision });
+    transaction.mWrites.push_back({ ShardKey(shard), ShardText(known.mRecord) });
+  }
+  if (isLast) {
+    AddReport(transaction, mCaps.Plan(mLedger.Holdings(), mClock.Now()));
+  }
+  LogChange(LogLevel::Info, "budget", "the rights of a predecessor are closed",
+            { { "predecessor", report->mIncarnation },
+              { "within_caps", isWithinCaps ? "yes" : "no" },
+              { "ran_for_ms", std::to_string((startedAt - report->mReportedAt).count()) },
+              { "freed", std::to_string(freed) } });
+  const auto answer = co_await mStore.Commit(std::move(transaction));
+  // Whatever came of it is read again: the predecessor's report stays until all is closed.
+  mIsKnown = false;
+  NoteStore(answer.mCommit.mEffect == Effect::TookEffect || answer.mCommit.mConflict,
+            answer.mCommit.mError.mText);
+  co_return false;
 }
 
 net::Task<void> RightsDuty::RunRound()
 {
-  const auto due = mLedger.DueShards(mClock.Now());
-  if (due.empty()) {
-    mPacer.OnWrite(mClock.Now()); // look again after an interval
-  } else {
+  const auto now = mClock.Now();
+  for (const auto& it : mLinks.mBudgets()) {
+    mLedger.Hold(it, now);
+  }
+  mLedger.SetSteadyFor(std::chrono::duration<double>(now - mFailedAt).count());
+  co_await Refresh();
+  const auto due = mLedger.DueShards(now);
+  const bool reportIsDue = !mLedger.Holdings().empty() && mCaps.IsDue(mLedger.Holdings(), now);
+  if (!due.empty() || reportIsDue) {
     co_await Write(due, false);
   }
   EndRound();
@@ -142,100 +228,134 @@
   }
 }
 
-bool RightsDuty::Remember(int aShard, const KeyValue& aEntry)
+bool RightsDuty::Remember(const KeyValue& aEntry)
 {
+  if (aEntry.mKey == UsageReportKey(mOwner.mInstance)) {
+    auto report = ParseUsageReport(aEntry.mValue);
+    mKnownReport.mRevision = aEntry.mModRevision;
+    mKnownReport.mReport.reset();
+    if (report) {
+      mKnownReport.mReport = std::move(report.value());
+    }
+    return report.has_value();
+  }
+  const auto shard = ShardOfKey(aEntry.mKey);
+  if (!shard) {
+    return true;
+  }
   auto record = ParseShard(aEntry.mValue);
   if (!record) {
     LogChange(LogLevel::Error, "budget", "a stored shard cannot be read; its budgets are not sold",
               { { "key", aEntry.mKey }, { "why", ToString(record.error()) } });
     return false;
   }
-  mKnown[aShard] = { aEntry.mModRevision, std::move(record.value()) };
+  mKnown[*shard] = { aEntry.mModRevision, std::move(record.value()) };
   return true;
 }
 
-net::Task<bool> RightsDuty::ReadAll(std::set<int> aShards)
+net::Task<bool> RightsDuty::ReadAll()
 {
-  std::string prefix(kShardPrefix);
-  const auto range = co_await mStore.Range(std::move(prefix));
-  if (!range) {
-    NoteStore(false, ToString(range.error()));
+  std::string shardPrefix(kShardPrefix);
+  const auto shards = co_await mStore.Range(std::move(shardPrefix));
+  if (!shards) {
+    NoteStore(false, ToString(shards.error()));
+    co_return false;
+  }
+  auto reportKey = UsageReportKey(mOwner.mInstance);
+  const auto reports = co_await mStore.Range(std::move(reportKey));
+  if (!reports) {
+    NoteStore(false, ToString(reports.error()));
     co_return false;
   }
+  mKnown.clear();
+  mKnownReport = {};
+  bool isGood = true;
+  for (const auto& it : shards.value().mEntries) {
+    isGood = Remember(it) && isGood;
+  }
+  for (const auto& it : reports.value().mEntries) {
+    isGood = Remember(it) && isGood;
+  }
+  mIsKnown = isGood;
+  co_return isGood;
+}
+
+void RightsDuty::AddReport(Transaction& aTransaction, const UsageReport& aReport) const
+{
+  const auto key = UsageReportKey(mOwner.mInstance);
+  aTransaction.mCompares.push_back({ key, mKnownReport.mRevision });
+  aTransaction.mWrites.push_back({ key, ToText(aReport) });
+}
+
+RightsDuty::Planned RightsDuty::Plan(const std::set<int>& aShards, bool aClosing)
+{
+  const PlanInput input{ mClock.Now(), mClock.WallTime(), mLinks.mStated, aClosing };
+  Planned out;
   for (const auto it : aShards) {
-    mKnown[it] = {};
+    const auto& known = Shard(it);
+    if (!mLedger.Learn(it, known.mRecord) || mLedger.IsClosed(it)) {
+      continue;
+    }
+    auto record = known.mRecord;
+    const auto batch = mLedger.Plan(it, record, input);
+    out.mTransaction.mCompares.push_back({ ShardKey(it), known.mRevision });
+    out.mTransaction.mWrites.push_back({ ShardKey(it), ShardText(record) });
+    out.mShards[it] = { batch, std::move(record) };
+  }
+  out.mReport = mCaps.Plan(mLedger.Holdings(), input.mNow);
+  AddReport(out.mTransaction, out.mReport);
+  return out;
+}
+
+/// Learns how much is left of budgets that this process has no reason to write itself.
+net::Task<void> RightsDuty::Refresh()
+{
+  const auto now = mClock.Now();
+  if (now - mRefreshedAt < kRefreshEvery || mPacer.IsAway() || !mIsKnown) {
+    co_return;
+  }
+  mRefreshedAt = now;
+  std::string prefix(kShardPrefix);
+  const auto range = co_await mStore.RangeStale(std::move(prefix));
+  if (!range) {
+    co_return; // the next write notices an outage
   }
   for (const auto& it : range.value().mEntries) {
     const auto shard = ShardOfKey(it.mKey);
-    if (shard && !Remember(*shard, it)) {
-      co_return false;
+    if (!shard || Shard(*shard).mRevision >= it.mModRevision) {
+      continue;
+    }
+    if (Remember(it)) {
+      mLedger.Learn(*shard, Shard(*shard).mRecord);
     }
   }
-  co_return true;
 }
 
 net::Task<bool> RightsDuty::Write(std::set<int> aShards, bool aClosing)
 {
   aShards = FirstOf(aShards, kMostShards);
   for (int n = 0; n < kMostConflicts; ++n) {
-    const bool areKnown = std::all_of(
-      aShards.begin(), aShards.end(), [this](int it) { return mKnown.contains(it); });
-    if (!areKnown) {
-      const bool isRead = co_await ReadAll(aShards);
+    if (!mIsKnown) {
+      const bool isRead = co_await ReadAll();
       if (!isRead) {
         co_return false;
       }
     }
-    PlanInput input{ mClock.Now(), mClock.WallTime(), mLinks.mStated, aClosing };
-    Transaction transaction;
-    std::map<int, std::pair<std::int64_t, ShardRecord>> planned;
-    for (const auto it : aShards) {
-      auto& known = mKnown[it];
-      if (!mLedger.Learn(it, known.mRecord) || mLedger.IsClosed(it)) {
-        continue;
-      }
-      auto record = known.mRecord;
-      const auto batch = mLedger.Plan(it, record, input);
-      transaction.mCompares.push_back({ ShardKey(it), known.mRevision });
-      transaction.mWrites.push_back({ ShardKey(it), ShardText(record) });
-      planned[it] = { batch, std::move(record) };
-    }
-    if (planned.empty()) {
-      co_return true;
+    const auto& stored = mKnownReport.mReport;
+    if (stored && stored->mIncarnation != mOwner.mIncarnation) {
+      mIsReplaced = true;
+      LogChange(LogLevel::Error, "budget", "another process has this instance's name; selling ends",
+                { { "incarnation", stored->mIncarnation } });
+      co_return false;
     }
+    auto planned = Plan(aShards, aClosing);
     mPacer.OnWrite(mClock.Now());
     mMetrics.CounterOf("gentianloom_budget_writes_total").Add();
+    auto transaction = planned.mTransaction;
     const auto answer = co_await mStore.Commit(std::move(transaction));
-    if (answer.mCommit.mEffect == Effect::Unknown) {
-      // The next round reads whether it took effect.
-      mKnown.clear();
-      NoteStore(false, ToString(answer.mCommit.mError));
-      co_return false;
-    }
-    const bool took = answer.mCommit.mEffect == Effect::TookEffect;
-    for (auto& [shard, it] : planned) {
-      took ? mLedger.OnTook(shard, it.first) : mLedger.OnDidNot(shard, it.first);
-      if (took) {
-        mKnown[shard] = { answer.mCommit.mRevision, std::move(it.second) };
-      }
-    }
-    if (took) {
-      NoteStore(true, "");
-      co_return true;
-    }
-    if (!answer.mCommit.mConflict) {
-      NoteStore(false, ToString(answer.mCommit.mError));
-      co_return false;
-    }
-    mMetrics.CounterOf("gentianloom_budget_conflicts_total").Add();
-    for (const auto& it : answer.mCurrent) {
-      const auto shard = ShardOfKey(it.mKey);
-      if (shard) {
-        Remember(*shard, it);
-      }
-    }
-    if (answer.mCurrent.empty()) {
-      mKnown.clear();
+    const bool isOver = OnAnswer(planned, answer);
+    if (isOver) {
+      co_return answer.mCommit.mEffect == Effect::TookEffect;
     }
     co_await net::Signal::Sleep(
       mLoop, std::chrono::duration_cast<Micros>(kConflictPause * (1 + n) * Jitter()));
@@ -243,6 +363,47 @@
   co_return false;
 }
 
+/// Takes the answer to a transaction. Returns whether the round is over.
+bool RightsDuty::OnAnswer(Planned& aPlanned, const AsyncCommitAnswer& aAnswer)
+{
+  if (aAnswer.mCommit.mEffect == Effect::Unknown) {
+    // The next round reads whether it took effect.
+    mIsKnown = false;
+    NoteStore(false, ToString(aAnswer.mCommit.mError));
+    return true;
+  }
+  const bool took = aAnswer.mCommit.mEffect == Effect::TookEffect;
+  for (auto& [shard, it] : aPlanned.mShards) {
+    took ? mLedger.OnTook(shard, it.mBatch) : mLedger.OnDidNot(shard, it.mBatch);
+    if (took) {
+      mKnown[shard] = { aAnswer.mCommit.mRevision, std::move(it.mRecord) };
+    }
+  }
+  if (took) {
+    mCaps.OnTook(aPlanned.mReport);
+    mKnownReport = { aAnswer.mCommit.mRevision, aPlanned.mReport };
+    NoteStore(true, "");
+    LogHoldings();
+    return true;
+  }
+  mCaps.OnDidNot(aPlanned.mReport);
+  if (!aAnswer.mCommit.mConflict) {
+    NoteStore(false, ToString(aAnswer.mCommit.mError));
+    return true;
+  }
+  mMetrics.CounterOf("gentianloom_budget_conflicts_total").Add();
+  OnConflict(aAnswer.mCurrent);
+  return false;
+}
+
+void RightsDuty::OnConflict(const std::vector<KeyValue>& aCurrent)
+{
+  mIsKnown = !aCurrent.empty();
+  for (const auto& it : aCurrent) {
+    mIsKnown = Remember(it) && mIsKnown;
+  }
+}
+
 void RightsDuty::NoteStore(bool aWorks, const std::string& aWhy)
 {
   if (aWorks == mPacer.IsAway()) {
@@ -255,14 +416,30 @@
     mPacer.OnSuccess();
     return;
   }
+  mFailedAt = mClock.Now();
   mMetrics.CounterOf("gentianloom_budget_commit_failures_total").Add();
   mPacer.OnFailure(mClock.Now(), Jitter());
 }
 
+void RightsDuty::LogHoldings() const
+{
+  std::string text;
+  for (const auto& [name, it] : mLedger.Holdings()) {
+    text += text.empty() ? "" : ", ";
+    text += name + " granted=" + std::to_string(it.mGranted - it.mReturned) +
+            " spent=" + std::to_string(it.mSpent) + " free=" + std::to_string(it.Free()) +
+            " left=" + std::to_string(it.mLeftSeen);
+  }
+  LogChange(LogLevel::Info, "budget", "rights were written", { { "budgets", text } });
+}
+
 net::Task<void> RightsDuty::Close(TimePoint aDeadline)
 {
   mIsClosing = true;
   mWake.Notify();
+  while (mIsRunning && mClock.Now() < aDeadline) {
+    co_await net::Signal::Sleep(mLoop, kClosePause);
+  }
   while (mClock.Now() < aDeadline) {
     const auto open = mLedger.OpenShards();
     if (open.empty()) {
@@ -270,12 +447,12 @@
     }
     const bool isWritten = co_await Write(open, true);
     if (!isWritten) {
-      co_await net::Signal::Sleep(mLoop, Millis(100));
+      co_await net::Signal::Sleep(mLoop, kClosePause);
     }
   }
   LogChange(LogLevel::Error, "budget",
             "the rest could not be returned; it stays in doubt until an operator releases it",
-            { { "incarnation", mIncarnation } });
+            { { "incarnation", mOwner.mIncarnation } });
 }
 
 } // namespace gentianloom
--- /dev/null
+++ b/src/budget/UsageCaps.cpp
@@ -0,0 +1,171 @@
+#include "gentianloom/budget/UsageCaps.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace gentianloom {
+
+namespace {
+
+/// Of what is free at least this part is within the cap, for requests that come without notice.
+constexpr Tokens kLeastShare = 4;
+
+Millis MillisOf(TimePoint aTime)
+{
+  return std::chrono::duration_cast<Millis>(aTime.time_since_epoch());
+}
+
+double SecondsOf(Millis aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+std::string UsageReportKey(std::string_view aInstance)
+{
+  return "/gentianloom/usage/" + std::string(aInstance);
+}
+
+std::string ToText(const UsageReport& aReport)
+{
+  const nlohmann::json out = { { "incarnation", aReport.mIncarnation },
+                               { "boot", aReport.mBoot },
+                               { "reported_at_ms", aReport.mReportedAt.count() },
+                               { "opens_after_ms", aReport.mOpensAfter.count() },
+                               { "caps", aReport.mCaps } };
+  return out.dump();
+}
+
+Result<UsageReport> ParseUsageReport(std::string_view aText)
+{
+  try {
+    const auto json = nlohmann::json::parse(aText);
+    UsageReport out;
+    out.mIncarnation = json.at("incarnation").get<std::string>();
+    out.mBoot = json.at("boot").get<std::string>();
+    out.mReportedAt = Millis(json.at("reported_at_ms").get<std::int64_t>());
+    out.mOpensAfter = Millis(json.at("opens_after_ms").get<std::int64_t>());
+    out.mCaps = json.at("caps").get<std::map<std::string, Tokens>>();
+    return out;
+  } catch (const nlohmann::json::exception& ex) {
+    return MakeError(ErrorCode::MalformedJson, Step::GrantRead, "key-value service", ex.what());
+  }
+}
+
+bool EndedWithinCaps(const UsageReport& aPredecessor, std::string_view aBoot, Millis aStartedAt)
+{
+  const auto ranFor = aStartedAt - aPredecessor.mReportedAt;
+  return !aBoot.empty() && aPredecessor.mBoot == aBoot && ranFor >= Millis(0) &&
+         ranFor <= aPredecessor.mOpensAfter;
+}
+
+Tokens FoldPredecessor(ShardRecord& aShard, const UsageReport& aPredecessor, bool aIsWithinCaps)
+{
+  Tokens freed = 0;
+  for (auto& [name, budget] : aShard.mBudgets) {
+    const auto found = budget.mHolders.find(aPredecessor.mIncarnation);
+    if (found == budget.mHolders.end()) {
+      continue;
+    }
+    auto& holder = found->second;
+    if (!holder.mReceived.empty() || holder.mGiven != 0) {
+      continue; // rights that came from or went to peers need an operator's look
+    }
+    if (aIsWithinCaps) {
+      const auto cap = aPredecessor.mCaps.find(name);
+      const auto used = cap == aPredecessor.mCaps.end() ? Tokens{ 0 } : cap->second;
+      const auto kept = std::min(holder.Net(), std::max(used, holder.mSpent));
+      freed += holder.Net() - kept;
+      holder.mReturned = holder.mGranted - kept;
+    }
+    holder.mSpent = holder.Net();
+    budget.Fold(aPredecessor.mIncarnation);
+  }
+  aShard.mWriters.erase(aPredecessor.mIncarnation);
+  return freed;
+}
+
+UsageCaps::UsageCaps(std::string aIncarnation, std::string aBoot, const UsageCapSettings& aSettings)
+  : mIncarnation(std::move(aIncarnation))
+  , mBoot(std::move(aBoot))
+  , mSettings(aSettings)
+{
+}
+
+bool UsageCaps::IsOpen(TimePoint aNow) const
+{
+  if (!mHasReported) {
+    return false;
+  }
+  // A report that may be stored is the one by which a successor would judge.
+  auto last = mReport.mReportedAt;
+  for (const auto it : mUnresolved) {
+    last = std::max(last, it);
+  }
+  return MillisOf(aNow) > last + mSettings.mOpensAfter;
+}
+
+Tokens UsageCaps::Room(const std::string& aBudget, const Holding& aHolding, TimePoint aNow) const
+{
+  if (IsOpen(aNow)) {
+    return std::numeric_limits<Tokens>::max();
+  }
+  const auto it = mReport.mCaps.find(aBudget);
+  return it == mReport.mCaps.end() ? 0 : std::max<Tokens>(0, it->second - aHolding.Used());
+}
+
+Tokens UsageCaps::CapFor(const Holding& aHolding) const
+{
+  const auto input = aHolding.Input();
+  const auto demand = TokensFor(input.mDemand, SecondsOf(mSettings.mHeadroom), input.mLargest);
+  const auto free = std::max<Tokens>(0, aHolding.Free());
+  const auto room = std::max({ demand, 2 * aHolding.mLargest, free / kLeastShare }) + aHolding.mWanted;
+  return aHolding.Used() + std::min(room, free);
+}
+
+bool UsageCaps::IsDue(const std::map<std::string, Holding>& aHoldings, TimePoint aNow) const
+{
+  if (!mHasReported || MillisOf(aNow) - mReport.mReportedAt >= mSettings.mReportEvery) {
+    return true;
+  }
+  return std::any_of(aHoldings.begin(), aHoldings.end(), [&](const auto& it) {
+    const auto room = Room(it.first, it.second, aNow);
+    const auto wanted = CapFor(it.second) - it.second.Used();
+    return room < wanted / 2;
+  });
+}
+
+UsageReport UsageCaps::Plan(const std::map<std::string, Holding>& aHoldings, TimePoint aNow)
+{
+  UsageReport out;
+  out.mIncarnation = mIncarnation;
+  out.mBoot = mBoot;
+  out.mReportedAt = MillisOf(aNow);
+  out.mOpensAfter = mSettings.mOpensAfter;
+  for (const auto& [name, it] : aHoldings) {
+    const auto known = mReport.mCaps.find(name);
+    const auto before = known == mReport.mCaps.end() ? Tokens{ 0 } : known->second;
+    // What is used by now may be above the cap, if the reserve was open.
+    out.mCaps[name] = std::max({ before, it.Used(), CapFor(it) });
+  }
+  mUnresolved.push_back(out.mReportedAt);
+  return out;
+}
+
+void UsageCaps::OnTook(const UsageReport& aReport)
+{
+  mHasReported = true;
+  mReport = aReport;
+  // Later writes are conditional on this one's predecessors: older unresolved ones cannot come.
+  std::erase_if(mUnresolved, [&](Millis it) { return it <= aReport.mReportedAt; });
+}
+
+void UsageCaps::OnDidNot(const UsageReport& aReport)
+{
+  std::erase(mUnresolved, aReport.mReportedAt);
+}
+
+} // namespace gentianloom
--- a/src/budget/WritePacer.cpp
+++ b/src/budget/WritePacer.cpp
@@ -12,13 +12,13 @@
 constexpr std::int64_t kFleetWrites = 250;
 /// Intervals between writes that no request waits for; the rest is kept for urgent ones.
 constexpr int kQuietIntervals = 2;
-constexpr Millis kLongestBackOff{ 10'000 };
 constexpr int kMostDoublings = 6;
 
 } // namespace
 
-WritePacer::WritePacer(Millis aInterval)
+WritePacer::WritePacer(Millis aInterval, Millis aLongestBackOff)
   : mInterval(aInterval)
+  , mLongestBackOff(aLongestBackOff)
   , mCredit(kUrgentWrites)
 {
 }
@@ -62,7 +62,7 @@
 void WritePacer::OnFailure(TimePoint aNow, double aJitter)
 {
   const auto doublings = std::min(mFailures++, kMostDoublings);
-  const auto wait = std::min<Millis>(mInterval * (std::int64_t{ 1 } << doublings), kLongestBackOff);
+  const auto wait = std::min<Millis>(mInterval * (std::int64_t{ 1 } << doublings), mLongestBackOff);
   mNotBefore = aNow + std::chrono::duration_cast<Micros>(wait * (0.5 + 0.5 * aJitter));
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 
 namespace gentianloom {
 
@@ -35,14 +36,24 @@
 constexpr Millis kCloseTime{ 1'000 };
 constexpr Millis kLeavePoll{ 50 };
 
+/// Identifier of the machine's boot; empty if the system states none.
+std::string ReadBootId()
+{
+  std::ifstream in("/proc/sys/kernel/random/boot_id");
+  std::string out;
+  std::getline(in, out);
+  return out;
+}
+
 BudgetSettings RightsSettings(const GatewaySettings& aSettings)
 {
   BudgetSettings out;
-  out.mPolicy = "shrinking";
+  out.mPolicy = "outage";
   out.mDemandWindow = aSettings.mRightsWindow;
   out.mDemandMemory = Millis(8'000);
   out.mKeptTime = Millis(0);
-  out.mCommitInterval = Millis(500);
+  out.mCommitInterval = Millis(60);
+  out.mChargeInterval = Millis(4'000);
   return out;
 }
 
@@ -63,14 +74,15 @@
       aLoop,
       aStore,
       RightsSettings(mSettings),
-      mSelf.mIncarnation,
+      { mSelf.mName, mSelf.mIncarnation, ReadBootId() },
       { [this](const std::string& aName) {
          const auto* payer = mParts.mRoutes ? mParts.mRoutes->PayerNamed(aName) : nullptr;
          return payer == nullptr || !payer->mPrepaid
                   ? StatedBudget{}
                   : StatedBudget{ *payer->mPrepaid, mParts.mRoutes->Version() };
        },
-        [this] { return mInstances.Size(mSelf.mName); } },
+        [this] { return mInstances.Size(mSelf.mName); },
+        [this] { return mParts.mRoutes ? mParts.mRoutes->LimitedPayers() : std::vector<std::string>(); } },
       aClock,
       mMetrics)
   , mParts{ aLoop,
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -26,10 +26,16 @@
 }
 
 HttpClient::~HttpClient()
+{
+  CloseIdle();
+}
+
+void HttpClient::CloseIdle()
 {
   for (const auto& it : mIdle) {
     it->Close();
   }
+  mIdle.clear();
 }
 
 Channel::Ptr HttpClient::TakeIdle()
@@ -89,6 +95,7 @@
   channel->SetListener(nullptr);
   if (parser.State() != ParseState::Done) {
     channel->Close();
+    CloseIdle(); // they may have fallen silent as well
     co_return HttpFailure::Lost;
   }
   reply.mStatus = parser.Head().mStatus;
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -48,6 +48,17 @@
   return it == all.end() ? nullptr : &*it;
 }
 
+std::vector<std::string> RouteTable::LimitedPayers() const
+{
+  std::vector<std::string> out;
+  for (const auto& it : mConfiguration.mPayers) {
+    if (it.mPrepaid) {
+      out.push_back(it.mName);
+    }
+  }
+  return out;
+}
+
 const ServiceTarget* RouteTable::Service(const std::string& aName) const
 {
   const auto it = mConfiguration.mServices.find(aName);
