--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "gentianloom/gateway/CallerServer.h"
 #include "gentianloom/gateway/Deployment.h"
 #include "gentianloom/gateway/GatewaySettings.h"
+#include "gentianloom/gateway/LoadNews.h"
 #include "gentianloom/gateway/StoreFollower.h"
 #include "gentianloom/membership/InstanceDirectory.h"
 #include "gentianloom/net/HttpService.h"
@@ -59,6 +60,7 @@
   InstanceDirectory mInstances;
   RightsDuty mRights;
   RelayParts mParts;
+  LoadNews mLoadNews;
   CallerServer mCallers;
   StoreFollower mConfigurationFollower;
   StoreFollower mEndpointFollower;
--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -19,6 +19,7 @@
   std::string mReadinessAddress; ///< IP:PORT
   std::string mDirectoryAddress; ///< where callers ask for addresses, IP:PORT
   std::string mMetricsAddress;   ///< IP:PORT; empty: metrics are not served
+  std::string mPeerAddress;      ///< for news of load between instances, IP:PORT; empty: none
   std::string mStoreAddress;     ///< key-value service, IP:PORT
   Millis mLeaveTime{ 8'000 };    ///< a process that was told to stop is killed after this time
   Millis mAddressLife{ 1'000 };  ///< how long callers keep an answer with addresses
--- a/include/gentianloom/membership/InstanceDirectory.h
+++ b/include/gentianloom/membership/InstanceDirectory.h
@@ -18,6 +18,7 @@
   std::string mIncarnation;
   std::string mZone;
   std::string mAddress; ///< where callers connect, IP:PORT
+  std::string mPeerAddress; ///< where other instances send news of load, IP:PORT; empty: nowhere
   bool mIsLeaving = false;
 
   bool operator==(const InstanceRecord&) const = default;
@@ -58,6 +59,9 @@
                                  std::string_view aZone,
                                  TimePoint aNow) const;
 
+  /// @brief Addresses for news of load of all other instances.
+  std::vector<std::string> PeerAddresses(std::string_view aSelf) const;
+
   /// @brief Instances known, this one included.
   std::size_t Size(std::string_view aSelf) const;
 
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -75,6 +75,7 @@
   void PassEvents();
   void Finish(AttemptEnd aEnd, bool aProvedNotRun, std::string aWhy);
   void Release();
+  void NotePendingChange() const;
   bool IsStream() const { return mRequest.mRoute.mKind == RouteKind::Streaming; }
   bool MustFinish() const { return mRequest.mRoute.mKind == RouteKind::AtMostOnce; }
   Micros TimeLeft() const;
--- a/include/gentianloom/relay/RelayParts.h
+++ b/include/gentianloom/relay/RelayParts.h
@@ -10,6 +10,8 @@
 #include "gentianloom/routing/EndpointRegistry.h"
 #include "gentianloom/routing/RouteTable.h"
 
+#include <functional>
+
 namespace gentianloom {
 
 /// What all requests of one process share. Used on the event loop only.
@@ -25,6 +27,7 @@
   ConnectionPool mConnections;
   RightsDuty& mRights;
   RetryBudget mRetries;
+  std::function<void()> mOnPendingChange{}; ///< called when prompts are sent or begin to be answered
   bool mIsLeaving = false; ///< callers are told to close their connections
   int mOpenRequests = 0;
 };
--- a/include/gentianloom/routing/EndpointChooser.h
+++ b/include/gentianloom/routing/EndpointChooser.h
@@ -25,6 +25,8 @@
   EndpointRegistry::Ptr mEndpoint; ///< null: none can be used
   std::int64_t mCachedTokens = 0;
   std::int64_t mPrefillTokens = 0; ///< tokens of the prompt that it has to read
+  std::int64_t mPending = 0;       ///< prompt tokens that this process sent there before
+  double mRunning = 0;             ///< requests there, see EndpointLoad::Running()
   double mCost = 0;                ///< see the chooser that made it
 };
 
--- a/include/gentianloom/routing/EndpointLoad.h
+++ b/include/gentianloom/routing/EndpointLoad.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
 #include <span>
+#include <string>
 #include <unordered_map>
 
 namespace gentianloom {
@@ -81,8 +83,8 @@
   /// @brief Notes a request that is sent. @return handle for the calls below
   WorkId OnSent(std::int64_t aPrefillTokens, TimePoint aNow);
 
-  /// @brief Notes the first event or the head of the answer.
-  void OnStarted(WorkId aWork);
+  /// @brief Notes the first event of the answer. @return whether it is the first one
+  bool OnStarted(WorkId aWork);
 
   /// @brief Notes the end of a request, however it ended.
   void OnEnded(WorkId aWork);
@@ -96,6 +98,12 @@
   /// @brief Learns how long an answer took against what was to be expected.
   void OnLatency(double aRatio, TimePoint aNow);
 
+  /// @brief Takes what another instance says that it has pending here. @param aPeer its incarnation
+  void OnPeerPending(const std::string& aPeer, std::int64_t aTokens, TimePoint aNow);
+
+  /// @brief Prompt tokens that other instances sent and whose first event has not come.
+  std::int64_t PeersPending(TimePoint aNow) const;
+
   std::int64_t InFlight() const { return static_cast<std::int64_t>(mWork.size()); }
 
   /// @brief Prompt tokens sent by this process whose first event has not come.
@@ -120,6 +128,12 @@
   std::unordered_map<WorkId, SentWork> mWork;
   WorkId mNextWork = 0;
   std::int64_t mPendingPrefill = 0;
+  struct PeerPending
+  {
+    std::int64_t mTokens = 0;
+    TimePoint mAt{};
+  };
+  std::map<std::string, PeerPending> mPeers;
   LoadFigures mFigures;
   std::int64_t mOwnAtFigures = 0;
   TimePoint mFiguresAt{};
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -80,6 +80,9 @@
   /// @brief Endpoints of a service that take work; missing ones only if nothing else is listed.
   std::vector<Ptr> Usable(std::string_view aService) const;
 
+  /// @brief All endpoints, by their name.
+  const std::map<std::string, Ptr, std::less<>>& All() const { return mEndpoints; }
+
   std::size_t Size() const { return mEndpoints.size(); }
 
 private:
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -17,9 +17,9 @@
 constexpr int kUnavailable = 503;
 
 /// Longest wait of one watch; bounds how long a silent connection goes unnoticed.
-constexpr Millis kWatchWait{ 1'200 };
+constexpr Millis kWatchWait{ 2'200 };
 /// As above for the list of instances, which is not urgent.
-constexpr Millis kInstanceWatchWait{ 5'000 };
+constexpr Millis kInstanceWatchWait{ 8'000 };
 /// Life of the lease of an instance's key, and how often it is renewed.
 constexpr Millis kLeaseLife{ 3'000 };
 constexpr Millis kLeaseRenewal{ 1'000 };
@@ -69,7 +69,8 @@
   , mDeployment(aDeployment)
   , mStore(aStore)
   , mClock(aClock)
-  , mSelf{ mSettings.mInstance, MakeId("run"), mSettings.mZone, mSettings.mCallerAddress, false }
+  , mSelf{ mSettings.mInstance, MakeId("run"), mSettings.mZone, mSettings.mCallerAddress,
+           mSettings.mPeerAddress, false }
   , mRights(
       aLoop,
       aStore,
@@ -96,6 +97,13 @@
             mRights,
             RetryBudget(mSettings.mRetryShare * kRetryCaution,
                         mSettings.mRetrySlack * kRetryCaution / kRetryInstances) }
+  , mLoadNews(
+      aLoop,
+      mSelf.mIncarnation,
+      [this] { return mInstances.PeerAddresses(mSelf.mName); },
+      mParts.mEndpoints,
+      aClock,
+      mMetrics)
   , mCallers(mParts)
   , mConfigurationFollower(
       aLoop,
@@ -192,6 +200,10 @@
   }
   BOOST_OUTCOME_TRY(mCallers.Start(callers.value()));
   BOOST_OUTCOME_TRY(ServeSmallCalls());
+  if (!mSettings.mPeerAddress.empty()) {
+    BOOST_OUTCOME_TRY(mLoadNews.Start(mSettings.mPeerAddress));
+    mParts.mOnPendingChange = [this] { mLoadNews.OnChange(); };
+  }
   mConfigurationFollower.Start();
   mEndpointFollower.Start();
   mInstanceFollower.Start();
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -118,6 +118,9 @@
   it.mReadinessAddress = reader.Address("readiness_address");
   it.mDirectoryAddress = reader.Address("directory_address");
   it.mStoreAddress = reader.Address("store_address");
+  if (json.contains("peer_address")) {
+    it.mPeerAddress = reader.Address("peer_address");
+  }
   if (json.contains("metrics_address")) {
     it.mMetricsAddress = reader.Address("metrics_address");
   }
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -19,6 +19,7 @@
                                { "incarnation", aRecord.mIncarnation },
                                { "zone", aRecord.mZone },
                                { "address", aRecord.mAddress },
+                               { "peer_address", aRecord.mPeerAddress },
                                { "leaving", aRecord.mIsLeaving } };
   return out.dump();
 }
@@ -32,6 +33,7 @@
     out.mIncarnation = json.at("incarnation").get<std::string>();
     out.mZone = json.at("zone").get<std::string>();
     out.mAddress = json.at("address").get<std::string>();
+    out.mPeerAddress = json.at("peer_address").get<std::string>();
     out.mIsLeaving = json.at("leaving").get<bool>();
     return out;
   } catch (const nlohmann::json::exception& ex) {
@@ -106,6 +108,17 @@
   return out;
 }
 
+std::vector<std::string> InstanceDirectory::PeerAddresses(std::string_view aSelf) const
+{
+  std::vector<std::string> out;
+  for (const auto& [name, it] : mEntries) {
+    if (name != aSelf && !it.mRecord.mPeerAddress.empty()) {
+      out.push_back(it.mRecord.mPeerAddress);
+    }
+  }
+  return out;
+}
+
 std::size_t InstanceDirectory::Size(std::string_view aSelf) const
 {
   return mEntries.size() + (mEntries.contains(aSelf) ? 0 : 1);
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -10,6 +10,9 @@
 
 using CallResult = boost::outcome_v2::checked<HttpReply, HttpFailure>;
 
+/// Longest time to make a connection; a later try may find the path restored.
+constexpr Millis kConnectTime{ 500 };
+
 /// Time that is left of a timeout.
 Micros Left(TimePoint aDeadline)
 {
@@ -60,8 +63,9 @@
     channel = Channel::Connect(mLoop, mServer);
   }
   channel->SetListener(signal);
-  while (channel->State() == ChannelState::Connecting && Left(deadline) > Micros(0)) {
-    co_await signal->WaitFor(Left(deadline));
+  const auto connectBy = std::min(deadline, SystemClock().Now() + kConnectTime);
+  while (channel->State() == ChannelState::Connecting && Left(connectBy) > Micros(0)) {
+    co_await signal->WaitFor(Left(connectBy));
   }
   if (!channel->IsUsable()) {
     channel->Close();
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -50,6 +50,7 @@
 EndpointAttempt::~EndpointAttempt()
 {
   mEndpoint->mLoad.OnEnded(mWork);
+  NotePendingChange();
   Release();
 }
 
@@ -58,6 +59,13 @@
   return mRequest.mDeadline + kDeadlineGrace - mParts.mClock.Now();
 }
 
+void EndpointAttempt::NotePendingChange() const
+{
+  if (mParts.mOnPendingChange && IsStream()) {
+    mParts.mOnPendingChange();
+  }
+}
+
 net::Task<AttemptResult> EndpointAttempt::Run()
 {
   const bool isOpen = co_await Open();
@@ -133,6 +141,7 @@
   mHasSent = true;
   mSentAt = mParts.mClock.Now();
   mEndpoint->mLoad.Cache().Touch(mRequest.mCaller.mParts);
+  NotePendingChange();
 }
 
 net::Task<void> EndpointAttempt::Receive()
@@ -260,7 +269,9 @@
     mProgress.mFirstAt = mParts.mClock.Now();
     mCaller.BeginStream(CallerHead());
   }
-  mEndpoint->mLoad.OnStarted(mWork);
+  if (mEndpoint->mLoad.OnStarted(mWork)) {
+    NotePendingChange();
+  }
   mCaller.SendPart(part);
 }
 
--- a/src/relay/Exchange.cpp
+++ b/src/relay/Exchange.cpp
@@ -328,6 +328,8 @@
               { "entry_age_ms", endpoint ? MillisText(now - endpoint->mSeenAt) : "" },
               { "prompt", Number(mRequest.mPromptTokens.value_or(0)) },
               { "cached", Number(mChoice.mCachedTokens) },
+              { "pending", Number(mChoice.mPending) },
+              { "running", Number(static_cast<std::int64_t>(mChoice.mRunning)) },
               { "cost", Number(static_cast<std::int64_t>(mChoice.mCost)) },
               { "attempts", Number(static_cast<std::int64_t>(mTried.size())) },
               { "end", mTried.empty() ? "" : std::string(ToString(mLast.mEnd)) },
--- a/src/routing/EndpointChooser.cpp
+++ b/src/routing/EndpointChooser.cpp
@@ -76,14 +76,15 @@
     const auto& it = order[n].second;
     const auto cached = std::min(prompt, it->mLoad.Cache().CachedTokens(aRequest.mParts));
     const auto rank = static_cast<double>(std::min(n, kOwners));
-    double cost = static_cast<double>(it->mLoad.PendingPrefill() + prompt - cached);
+    const auto pending = it->mLoad.PendingPrefill() + it->mLoad.PeersPending(aNow);
+    double cost = static_cast<double>(pending + prompt - cached);
     cost += kTokensPerRequest * it->mLoad.Running(aNow) * it->mLoad.Slowness(aNow);
     cost += kRankTokens * rank;
     cost += it->mEntry.mZone == aRequest.mZone ? 0 : kFarTokens;
     cost += it->mLoad.Running(aNow) >= static_cast<double>(aEngine.mSlots) ? kLastChoice / 2 : 0;
     cost += LastChoiceCost(aRequest, *it, aNow);
     if (cost < best.mCost) {
-      best = { it, cached, prompt - cached, cost };
+      best = { it, cached, prompt - cached, pending, it->mLoad.Running(aNow), cost };
     }
   }
   return best;
@@ -104,7 +105,7 @@
     cost += LastChoiceCost(aRequest, *it, aNow);
     const auto draw = Mix(aRequest.mDraw, StableHash(it->mEntry.mId));
     if (cost < best.mCost || (cost == best.mCost && draw > bestDraw)) {
-      best = { it, 0, 0, cost };
+      best = { it, 0, 0, 0, it->mLoad.Running(aNow), cost };
       bestDraw = draw;
     }
   }
--- a/src/routing/EndpointLoad.cpp
+++ b/src/routing/EndpointLoad.cpp
@@ -9,6 +9,8 @@
 
 /// Figures that are older say nothing any more.
 constexpr Millis kFiguresLife{ 2'000 };
+/// News of a peer that is older says nothing any more; peers repeat theirs more often.
+constexpr Millis kPeerNewsLife{ 500 };
 /// Failures in a row that suspend an endpoint.
 constexpr int kFailuresToSuspend = 3;
 /// Weight of one outcome in the recent share of failures.
@@ -74,13 +76,15 @@
   return mNextWork;
 }
 
-void EndpointLoad::OnStarted(WorkId aWork)
+bool EndpointLoad::OnStarted(WorkId aWork)
 {
   const auto it = mWork.find(aWork);
-  if (it != mWork.end() && !it->second.mHasStarted) {
-    it->second.mHasStarted = true;
-    mPendingPrefill -= it->second.mPrefillTokens;
+  if (it == mWork.end() || it->second.mHasStarted) {
+    return false;
   }
+  it->second.mHasStarted = true;
+  mPendingPrefill -= it->second.mPrefillTokens;
+  return true;
 }
 
 void EndpointLoad::OnEnded(WorkId aWork)
@@ -96,6 +100,24 @@
   mFiguresAt = aNow;
 }
 
+void EndpointLoad::OnPeerPending(const std::string& aPeer, std::int64_t aTokens, TimePoint aNow)
+{
+  if (aTokens > 0) {
+    mPeers[aPeer] = { aTokens, aNow };
+  } else {
+    mPeers.erase(aPeer);
+  }
+}
+
+std::int64_t EndpointLoad::PeersPending(TimePoint aNow) const
+{
+  std::int64_t out = 0;
+  for (const auto& [peer, it] : mPeers) {
+    out += aNow - it.mAt < kPeerNewsLife ? it.mTokens : 0;
+  }
+  return out;
+}
+
 void EndpointLoad::OnOutcome(bool aFailed, TimePoint aNow)
 {
   mFailures = (1 - kOutcomeWeight) * mFailures + (aFailed ? kOutcomeWeight : 0);
