--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -75,6 +75,7 @@
   void PassEvents();
   void Finish(AttemptEnd aEnd, bool aProvedNotRun, std::string aWhy);
   void Release();
+  void OnFirstEvent();
   void NotePendingChange() const;
   bool IsStream() const { return mRequest.mRoute.mKind == RouteKind::Streaming; }
   bool MustFinish() const { return mRequest.mRoute.mKind == RouteKind::AtMostOnce; }
@@ -87,6 +88,7 @@
   CallerSide& mCaller;
   StreamProgress& mProgress;
   std::shared_ptr<net::Signal> mSignal;
+  double mTokensBefore; ///< prompt tokens that the endpoint reads before the first event
   EndpointLoad::WorkId mWork;
   net::Channel::Ptr mChannel;
   std::size_t mSentBefore = 0;  ///< bytes that earlier requests sent on the connection
--- a/include/gentianloom/relay/RelayParts.h
+++ b/include/gentianloom/relay/RelayParts.h
@@ -8,9 +8,12 @@
 #include "gentianloom/relay/ConnectionPool.h"
 #include "gentianloom/relay/RequestCodec.h"
 #include "gentianloom/routing/EndpointRegistry.h"
+#include "gentianloom/routing/FirstTokenModel.h"
 #include "gentianloom/routing/RouteTable.h"
 
 #include <functional>
+#include <map>
+#include <string>
 
 namespace gentianloom {
 
@@ -24,6 +27,7 @@
   std::string mZone;         ///< availability zone of this instance
   RouteTable::Ptr mRoutes;   ///< configuration in force; null until one was read
   EndpointRegistry mEndpoints{};
+  std::map<std::string, FirstTokenModel> mFirstTokens{}; ///< by service
   ConnectionPool mConnections;
   RightsDuty& mRights;
   RetryBudget mRetries;
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -42,6 +42,7 @@
   , mCaller(aCaller)
   , mProgress(aProgress)
   , mSignal(std::move(aSignal))
+  , mTokensBefore(static_cast<double>(aChoice.mPending + aChoice.mPrefillTokens))
   , mWork(mEndpoint->mLoad.OnSent(aChoice.mPrefillTokens, aParts.mClock.Now()))
   , mParser(aRequest.mHead.mMethod == "HEAD")
 {
@@ -59,6 +60,19 @@
   return mRequest.mDeadline + kDeadlineGrace - mParts.mClock.Now();
 }
 
+void EndpointAttempt::OnFirstEvent()
+{
+  if (!mEndpoint->mLoad.OnStarted(mWork)) {
+    return;
+  }
+  NotePendingChange();
+  const auto took = std::chrono::duration<double, std::milli>(mParts.mClock.Now() - mSentAt);
+  auto& model = mParts.mFirstTokens[mEndpoint->mEntry.mService];
+  const double predicted = model.Predict(mTokensBefore);
+  mEndpoint->mLoad.OnLatency(took.count() / predicted, mParts.mClock.Now());
+  model.Learn(mTokensBefore, took.count());
+}
+
 void EndpointAttempt::NotePendingChange() const
 {
   if (mParts.mOnPendingChange && IsStream()) {
@@ -269,9 +283,7 @@
     mProgress.mFirstAt = mParts.mClock.Now();
     mCaller.BeginStream(CallerHead());
   }
-  if (mEndpoint->mLoad.OnStarted(mWork)) {
-    NotePendingChange();
-  }
+  OnFirstEvent();
   mCaller.SendPart(part);
 }
 
--- a/src/relay/Exchange.cpp
+++ b/src/relay/Exchange.cpp
@@ -185,13 +185,14 @@
   request.mDraw = StableHash(mRequest.mId);
   request.mZone = mParts.mZone;
   request.mParts = mRequest.mParts;
+  request.mTarget = mRoute->mLatencyTarget;
   request.mTried = mTried;
   const auto* service = mRoutes->Service(mService);
   if (service != nullptr && service->mEngine) {
     for (const auto& it : usable) {
       it->mLoad.Cache().SetCapacity(service->mEngine->mCacheTokens);
     }
-    return ChooseEngine(request, usable, *service->mEngine, now);
+    return ChooseEngine(request, usable, *service->mEngine, mParts.mFirstTokens[mService], now);
   }
   return ChoosePlain(request, usable, now);
 }
@@ -330,6 +331,7 @@
               { "cached", Number(mChoice.mCachedTokens) },
               { "pending", Number(mChoice.mPending) },
               { "running", Number(static_cast<std::int64_t>(mChoice.mRunning)) },
+              { "predicted_ms", Number(static_cast<std::int64_t>(mChoice.mPredicted)) },
               { "cost", Number(static_cast<std::int64_t>(mChoice.mCost)) },
               { "attempts", Number(static_cast<std::int64_t>(mTried.size())) },
               { "end", mTried.empty() ? "" : std::string(ToString(mLast.mEnd)) },
--- a/src/routing/EndpointChooser.cpp
+++ b/src/routing/EndpointChooser.cpp
@@ -9,14 +9,20 @@
 
 namespace {
 
-/// Endpoints of the rendezvous order that share the work of one prompt part.
-constexpr std::size_t kOwners = 2;
-/// Tokens of prompt that weigh as much as one more running request.
-constexpr double kTokensPerRequest = 400;
-/// Cost of leaving the own availability zone, in prompt tokens.
-constexpr double kFarTokens = 300;
-/// Cost of each place further back in the rendezvous order, in prompt tokens.
-constexpr double kRankTokens = 1'500;
+/// Share of the tokens before a request's own part that the first endpoint of the rendezvous order
+/// probably holds, where this process has not sent them itself.
+constexpr double kProbablyHeld = 0.9;
+/// Weight of reading tokens anew that another endpoint holds: it also delays what comes after.
+constexpr double kReadAgainWeight = 2;
+/// Part of the target that a prediction may use; beyond it each millisecond weighs kLateWeight more.
+constexpr double kTargetShare = 0.7;
+constexpr double kLateWeight = 3;
+/// Cost of each further request on an endpoint, milliseconds.
+constexpr double kRequestMillis = 1;
+/// Cost of leaving the own availability zone, milliseconds.
+constexpr double kFarMillis = 8;
+/// Cost of each place further back in the rendezvous order, milliseconds.
+constexpr double kRankMillis = 4;
 /// Added to the load of endpoints that are used as a last choice only.
 constexpr double kLastChoice = 1e9;
 /// Slots of a plain endpoint that does not state them.
@@ -51,17 +57,37 @@
   return n == 0 ? aRequest.mDraw : aRequest.mParts[n >= 2 ? n - 2 : 0].mId;
 }
 
+/// Tokens of a prompt.
+struct PromptTokens
+{
+  std::int64_t mAll = 0;
+  std::int64_t mShared = 0; ///< all but the last part, which is the request's own
+};
+
+PromptTokens TokensOf(std::span<const PromptPart> aParts)
+{
+  PromptTokens out;
+  for (const auto& it : aParts) {
+    out.mShared = out.mAll;
+    out.mAll += it.mTokens;
+  }
+  return out;
+}
+
+double MillisOf(Millis aTime)
+{
+  return static_cast<double>(aTime.count());
+}
+
 } // namespace
 
 PlacementChoice ChooseEngine(const PlacementRequest& aRequest,
                              std::span<const EndpointRegistry::Ptr> aEndpoints,
                              const EngineSpec& aEngine,
+                             const FirstTokenModel& aModel,
                              TimePoint aNow)
 {
-  std::int64_t prompt = 0;
-  for (const auto& it : aRequest.mParts) {
-    prompt += it.mTokens;
-  }
+  const auto tokens = TokensOf(aRequest.mParts);
   const auto part = SharedPart(aRequest);
   std::vector<std::pair<std::uint64_t, EndpointRegistry::Ptr>> order;
   for (const auto& it : aEndpoints) {
@@ -74,17 +100,32 @@
   best.mCost = std::numeric_limits<double>::max();
   for (std::size_t n = 0; n < order.size(); ++n) {
     const auto& it = order[n].second;
-    const auto cached = std::min(prompt, it->mLoad.Cache().CachedTokens(aRequest.mParts));
-    const auto rank = static_cast<double>(std::min(n, kOwners));
-    const auto pending = it->mLoad.PendingPrefill() + it->mLoad.PeersPending(aNow);
-    double cost = static_cast<double>(pending + prompt - cached);
-    cost += kTokensPerRequest * it->mLoad.Running(aNow) * it->mLoad.Slowness(aNow);
-    cost += kRankTokens * rank;
-    cost += it->mEntry.mZone == aRequest.mZone ? 0 : kFarTokens;
-    cost += it->mLoad.Running(aNow) >= static_cast<double>(aEngine.mSlots) ? kLastChoice / 2 : 0;
+    const auto& load = it->mLoad;
+    double cached = static_cast<double>(load.Cache().CachedTokens(aRequest.mParts));
+    if (n == 0) {
+      cached = std::max(cached, kProbablyHeld * static_cast<double>(tokens.mShared));
+    }
+    const double prefill = std::max(0.0, static_cast<double>(tokens.mAll) - cached);
+    const auto pending = load.PendingPrefill() + load.PeersPending(aNow);
+    const double slowness = load.Slowness(aNow);
+    const double predicted =
+      aModel.Predict(static_cast<double>(pending) + prefill) * slowness +
+      kRequestMillis * load.Running(aNow);
+    const double readAgain = std::max(0.0, static_cast<double>(tokens.mShared) - cached);
+    double cost = predicted + kReadAgainWeight * aModel.ReadTime(readAgain);
+    cost += kLateWeight * std::max(0.0, predicted - kTargetShare * MillisOf(aRequest.mTarget));
+    cost += kRankMillis * static_cast<double>(n);
+    cost += it->mEntry.mZone == aRequest.mZone ? 0 : kFarMillis;
+    cost += load.Running(aNow) >= static_cast<double>(aEngine.mSlots) ? kLastChoice / 2 : 0;
     cost += LastChoiceCost(aRequest, *it, aNow);
     if (cost < best.mCost) {
-      best = { it, cached, prompt - cached, pending, it->mLoad.Running(aNow), cost };
+      best.mEndpoint = it;
+      best.mCachedTokens = static_cast<std::int64_t>(cached);
+      best.mPrefillTokens = static_cast<std::int64_t>(prefill);
+      best.mPending = pending;
+      best.mRunning = load.Running(aNow);
+      best.mPredicted = predicted;
+      best.mCost = cost;
     }
   }
   return best;
@@ -105,7 +146,7 @@
     cost += LastChoiceCost(aRequest, *it, aNow);
     const auto draw = Mix(aRequest.mDraw, StableHash(it->mEntry.mId));
     if (cost < best.mCost || (cost == best.mCost && draw > bestDraw)) {
-      best = { it, 0, 0, 0, it->mLoad.Running(aNow), cost };
+      best = { it, 0, 0, 0, it->mLoad.Running(aNow), 0, cost };
       bestDraw = draw;
     }
   }
