--- a/include/gentianloom/budget/Holding.h
+++ b/include/gentianloom/budget/Holding.h
@@ -23,6 +23,7 @@
   Tokens mSpent = 0;
   // Local.
   Tokens mReturning = 0; ///< deducted, return under way
+  Tokens mDrawing = 0;   ///< draw under way; not to be sold yet
   Tokens mStaged = 0;    ///< used, bill under way
   Tokens mReserved = 0;  ///< set aside for requests in flight
   Tokens mGiven = 0;     ///< given to peers
--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -54,6 +54,9 @@
   /// @brief Starts the rounds. Called once this process holds the instance's address.
   void Start();
 
+  /// @brief Lets a round begin soon, for example after a change of the configuration.
+  void Wake();
+
   /// @brief Returns all rights, for a process that leaves. Ends when done or out of time.
   net::Task<void> Close(TimePoint aDeadline);
 
--- a/src/budget/LedgerPlan.cpp
+++ b/src/budget/LedgerPlan.cpp
@@ -122,6 +122,7 @@
     const auto left = budget.Left();
     const auto more = holding.Draw(mPolicy, left);
     entry.mGranted += more;
+    holding.mDrawing = more;
     back += more > 0 ? 0 : holding.Excess(mPolicy, left);
   }
   holding.mReturning = back;
@@ -194,6 +195,7 @@
   for (const auto& name : aState.mBudgets) {
     auto& holding = mHoldings.at(name);
     holding.mReturning = 0;
+    holding.mDrawing = 0;
     for (const auto& pending : aState.mPending) {
       const auto it = pending.mBudgets.find(name);
       if (it != pending.mBudgets.end()) {
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -91,6 +91,12 @@
   net::Start(mLoop, "rights", Run());
 }
 
+void RightsDuty::Wake()
+{
+  mIsUrgent = true;
+  mWake.Notify();
+}
+
 ReserveAnswer RightsDuty::Reserve(const std::string& aBudget,
                                   Tokens aTokens,
                                   const std::shared_ptr<net::Signal>& aWaiter)
@@ -110,9 +116,8 @@
       mLedger.RefuseWants(aBudget, now, false);
       return ReserveAnswer::Unavailable;
     }
-    mIsUrgent = true;
     mWaiters.push_back(aWaiter);
-    mWake.Notify();
+    Wake();
   }
   return answer == ReserveAnswer::Exhausted && mPacer.IsAway() ? ReserveAnswer::Unavailable
                                                                : answer;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -264,6 +264,7 @@
   }
   mParts.mRoutes = RouteTable::Create(std::move(decoded.value()));
   mMetrics.GaugeOf("gentianloom_configuration_version").Set(version);
+  mRights.Wake();
   LogChange(LogLevel::Info, "configuration", "a version is in force",
             { { "version", std::to_string(version) },
               { "before", std::to_string(known) },
--- /dev/null
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -0,0 +1,85 @@
+#include "gentianloom/gateway/GatewaySettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace gentianloom {
+
+namespace {
+
+nlohmann::json Good()
+{
+  return { { "instance", "i" },
+           { "availability_zone", "z" },
+           { "caller_address", "10.0.0.1:1" },
+           { "readiness_address", "10.0.0.1:2" },
+           { "directory_address", "10.0.0.1:3" },
+           { "store_address", "10.0.0.2:4" } };
+}
+
+} // namespace
+
+class GatewaySettingsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GatewaySettingsTest);
+  CPPUNIT_TEST(TestGood);
+  CPPUNIT_TEST(TestWrong);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestGood()
+  {
+    auto json = Good();
+    json["leave_time_s"] = "9.5"; // a template fills in texts
+    json["retry_share"] = "";     // and leaves them empty where the platform states nothing
+    json["retry_slack"] = 52;
+    json["not_known_here"] = 1;
+    const auto parsed = ParseGatewaySettings("// a comment\n" + json.dump(), "file");
+    CPPUNIT_ASSERT(parsed.mErrors.empty());
+    CPPUNIT_ASSERT(parsed.mSettings.mLeaveTime == Millis(9'500));
+    CPPUNIT_ASSERT_EQUAL(0.2, parsed.mSettings.mRetryShare);
+    CPPUNIT_ASSERT_EQUAL(52.0, parsed.mSettings.mRetrySlack);
+  }
+
+  void TestWrong()
+  {
+    struct Row
+    {
+      std::string mKey;
+      nlohmann::json mValue; // null: the key is left out
+      ErrorCode mCode;
+    };
+    const Row rows[] = { { "instance", nullptr, ErrorCode::MissingKey },
+                         { "instance", 4, ErrorCode::WrongType },
+                         { "instance", "", ErrorCode::WrongType },
+                         { "caller_address", "10.0.0.1", ErrorCode::OutOfRange },
+                         { "store_address", "store:80", ErrorCode::OutOfRange },
+                         { "metrics_address", "10.0.0.1:x", ErrorCode::OutOfRange },
+                         { "leave_time_s", "soon", ErrorCode::WrongType },
+                         { "leave_time_s", 0, ErrorCode::OutOfRange },
+                         { "rights_window_s", -1, ErrorCode::OutOfRange } };
+    for (const auto& row : rows) {
+      auto json = Good();
+      json.erase(row.mKey);
+      if (!row.mValue.is_null()) {
+        json[row.mKey] = row.mValue;
+      }
+      const auto parsed = ParseGatewaySettings(json.dump(), "file");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mKey, std::size_t{ 1 }, parsed.mErrors.size());
+      const auto& error = parsed.mErrors.front();
+      CPPUNIT_ASSERT_MESSAGE(row.mKey, error.mCode == row.mCode);
+      CPPUNIT_ASSERT_MESSAGE("names place and key",
+                             error.mText.starts_with("file: \"" + row.mKey + "\""));
+    }
+    CPPUNIT_ASSERT(ParseGatewaySettings("{", "file").mErrors.front().mCode ==
+                   ErrorCode::MalformedJson);
+    CPPUNIT_ASSERT(ParseGatewaySettings("[]", "file").mErrors.front().mCode ==
+                   ErrorCode::WrongType);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
+
+} // namespace gentianloom
--- /dev/null
+++ b/tests/net/HttpHeadTest.cpp
@@ -0,0 +1,69 @@
+#include "gentianloom/net/HttpClient.h"
+#include "gentianloom/net/HttpHead.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace gentianloom::net {
+
+class HttpHeadTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HttpHeadTest);
+  CPPUNIT_TEST(TestHopByHop);
+  CPPUNIT_TEST(TestTexts);
+  CPPUNIT_TEST(TestAddresses);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestHopByHop()
+  {
+    HeaderList list;
+    for (const auto& name : { "Connection", "keep-alive", "X-Named", "TE", "X-Kept", "Upgrade" }) {
+      list.Add(name, SameName(name, "Connection") ? "close, x-named" : "1");
+    }
+    CPPUNIT_ASSERT(list.HasToken("connection", "CLOSE"));
+    CPPUNIT_ASSERT(!list.HasToken("connection", "clos"));
+    list.RemoveHopByHop();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, list.Lines().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("X-Kept"), list.Lines().front().first);
+  }
+
+  void TestTexts()
+  {
+    RequestHead request{ "POST", "/a", {}, true };
+    request.mHeaders.Add("Host", "h");
+    request.mHeaders.Add("Content-Length", "99");
+    request.mHeaders.Add("Transfer-Encoding", "chunked");
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"),
+      RequestText(request, 0));
+    CPPUNIT_ASSERT_EQUAL(std::string("POST /a HTTP/1.1\r\nHost: h\r\n\r\n"),
+                         RequestText(request, std::nullopt));
+    const ResponseHead response{ 200, "OK", {}, true };
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+                         ResponseText(response, Framing::Chunked, 0));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n"),
+                         ResponseText(response, Framing::Length, 7));
+    CPPUNIT_ASSERT_EQUAL(std::string("10\r\n0123456789abcdef\r\n"), ChunkText("0123456789abcdef"));
+  }
+
+  void TestAddresses()
+  {
+    struct Row
+    {
+      std::string mText;
+      bool mIsGood;
+    };
+    const Row rows[] = { { "10.1.0.40:8227", true }, { "10.1.0.40", false }, { "", false },
+                         { "10.1.0.40:0", false },   { "10.1.0.40:65536", false },
+                         { "host:80", false },       { "10.1.0.40:8x", false } };
+    for (const auto& row : rows) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mText, row.mIsGood, ParseEndpoint(row.mText).has_value());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpHeadTest);
+
+} // namespace gentianloom::net
--- /dev/null
+++ b/tests/net/HttpParserTest.cpp
@@ -0,0 +1,180 @@
+#include "gentianloom/net/HttpParser.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace gentianloom::net {
+
+class HttpParserTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HttpParserTest);
+  CPPUNIT_TEST(TestRequests);
+  CPPUNIT_TEST(TestRequestsInPieces);
+  CPPUNIT_TEST(TestLimits);
+  CPPUNIT_TEST(TestResponses);
+  CPPUNIT_TEST(TestInterimResponse);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestRequests()
+  {
+    struct Row
+    {
+      std::string mName;
+      std::string mBytes;
+      ParseState mState;
+      std::string mBody;
+      std::size_t mLeft; // bytes that belong to the next request
+    };
+    const Row rows[] = {
+      { "no body", "GET /a/b HTTP/1.1\r\nHost: h\r\n\r\n", ParseState::Done, "", 0 },
+      { "length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", ParseState::Done,
+        "abc", 0 },
+      { "chunks",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0"
+        "\r\n\r\n",
+        ParseState::Done, "abcde", 0 },
+      { "next request behind",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /", ParseState::Done, "abc",
+        5 },
+      { "incomplete body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabc",
+        ParseState::HeadDone, "", 0 },
+      { "both framings",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        ParseState::Failed, "", 0 },
+      { "two lengths",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        ParseState::Failed, "", 0 },
+      { "the same length twice",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        ParseState::Failed, "", 0 },
+      { "negative length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -3\r\n\r\nabc",
+        ParseState::Failed, "", 0 },
+      { "another coding",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        ParseState::Failed, "", 0 },
+      { "identity coding", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: identity\r\n\r\n",
+        ParseState::Failed, "", 0 },
+      { "odd chunk size",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n",
+        ParseState::Failed, "", 0 },
+      { "bare line feeds", "GET /a HTTP/1.1\nHost: h\n\n", ParseState::Failed, "", 0 },
+      { "space before the colon", "GET /a HTTP/1.1\r\nHost : h\r\n\r\n", ParseState::Failed, "", 0 },
+      { "no host", "GET /a HTTP/1.1\r\nA: b\r\n\r\n", ParseState::Failed, "", 0 },
+      { "two hosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", ParseState::Failed, "", 0 },
+      { "absolute target", "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n", ParseState::Failed, "", 0 },
+      { "not HTTP", "hello\r\n\r\n", ParseState::Failed, "", 0 },
+    };
+    for (const auto& row : rows) {
+      RequestParser parser({});
+      const auto used = parser.Put(row.mBytes);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mName, static_cast<int>(row.mState), static_cast<int>(parser.State()));
+      if (row.mState != ParseState::Done) {
+        continue;
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mLeft, row.mBytes.size() - used);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mBody, parser.TakeBody());
+    }
+  }
+
+  void TestRequestsInPieces()
+  {
+    const std::string bytes = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-One: 1\r\nTransfer-Encoding: "
+                              "chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+    for (std::size_t step = 1; step < 8; ++step) {
+      RequestParser parser({});
+      std::string waiting;
+      for (std::size_t n = 0; n < bytes.size(); n += step) {
+        waiting += bytes.substr(n, step);
+        waiting.erase(0, parser.Put(waiting));
+      }
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(ParseState::Done), static_cast<int>(parser.State()));
+      CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d"), parser.Head().mTarget);
+      CPPUNIT_ASSERT(parser.Head().mHeaders.Find("x-one") == "1");
+      CPPUNIT_ASSERT_EQUAL(std::string("abcd"), parser.TakeBody());
+    }
+  }
+
+  void TestLimits()
+  {
+    RequestParser longHead({ 64, 100 });
+    longHead.Put("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ParseState::Failed), static_cast<int>(longHead.State()));
+    CPPUNIT_ASSERT(longHead.Fault() == ParseFault::HeadTooLarge);
+    // A body that is announced as too large is refused before it comes.
+    RequestParser longBody({ 1'000, 100 });
+    longBody.Put("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99000000000\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ParseState::Failed), static_cast<int>(longBody.State()));
+    CPPUNIT_ASSERT(longBody.Fault() == ParseFault::BodyTooLarge);
+  }
+
+  void TestResponses()
+  {
+    struct Row
+    {
+      std::string mName;
+      std::string mBytes;
+      bool mEnds; // the connection ends in order afterwards
+      ParseState mState;
+      Framing mFraming;
+      std::string mBody;
+      std::size_t mLeft;
+    };
+    const Row rows[] = {
+      { "length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false, ParseState::Done,
+        Framing::Length, "hello", 0 },
+      { "bytes behind", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP", false,
+        ParseState::Done, Framing::Length, "hello", 4 },
+      { "empty", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", false, ParseState::Done,
+        Framing::Length, "", 0 },
+      { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        false, ParseState::Done, Framing::Chunked, "hello", 0 },
+      { "cut length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", true,
+        ParseState::Failed, Framing::Length, "hello", 0 },
+      { "cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", true,
+        ParseState::Failed, Framing::Chunked, "hello", 0 },
+      { "until the end", "HTTP/1.1 200 OK\r\n\r\nhello", true, ParseState::Done,
+        Framing::UntilClose, "hello", 0 },
+      { "end not seen", "HTTP/1.1 200 OK\r\n\r\nhello", false, ParseState::HeadDone,
+        Framing::UntilClose, "hello", 0 },
+      { "both framings",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello", false,
+        ParseState::Failed, Framing::None, "", 0 },
+      { "not HTTP", "hello there\r\n\r\n", false, ParseState::Failed, Framing::None, "", 0 },
+    };
+    for (const auto& row : rows) {
+      ResponseParser parser;
+      std::string body;
+      const auto used = parser.Put(row.mBytes, body);
+      if (row.mEnds) {
+        parser.PutEnd();
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mName, static_cast<int>(row.mState), static_cast<int>(parser.State()));
+      if (row.mFraming != Framing::None) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mBody, body);
+        CPPUNIT_ASSERT_MESSAGE(row.mName, row.mFraming == parser.BodyFraming());
+      }
+      if (row.mState == ParseState::Done) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mLeft, row.mBytes.size() - used);
+      }
+    }
+  }
+
+  void TestInterimResponse()
+  {
+    ResponseParser parser;
+    std::string body;
+    parser.Put("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", body);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ParseState::Done), static_cast<int>(parser.State()));
+    CPPUNIT_ASSERT_EQUAL(200, parser.Head().mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), body);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpParserTest);
+
+} // namespace gentianloom::net
--- /dev/null
+++ b/tests/platform/WireCodecTest.cpp
@@ -0,0 +1,142 @@
+#include "platform/WireCodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace gentianloom::platform {
+
+namespace {
+
+net::RequestHead Head(std::initializer_list<std::pair<std::string, std::string>> aHeaders)
+{
+  net::RequestHead out{ "POST", "/a/b?c=/d", {}, true };
+  for (const auto& [name, value] : aHeaders) {
+    out.mHeaders.Add(name, value);
+  }
+  return out;
+}
+
+} // namespace
+
+class WireCodecTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(WireCodecTest);
+  CPPUNIT_TEST(TestDecode);
+  CPPUNIT_TEST(TestUnreadable);
+  CPPUNIT_TEST(TestNothingForgedPasses);
+  CPPUNIT_TEST(TestAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestDecode()
+  {
+    const auto request = mCodec
+                           .Decode(Head({ { "Host", "H.example:80" },
+                                          { "X-Attempt-Id", "9c41" },
+                                          { "X-Token-Usage", "1460,80" },
+                                          { "X-Prompt-Prefix", "5c1e07a2:800,e4402b7d:660" },
+                                          { "X-Deadline-Ms", "15000" },
+                                          { "X-Credential", "key" },
+                                          { "Last-Event-Id", "7" } }))
+                           .value();
+    CPPUNIT_ASSERT_EQUAL(std::string("h.example"), request.mHost);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b"), request.mPath);
+    CPPUNIT_ASSERT_EQUAL(std::string("9c41"), request.mId);
+    CPPUNIT_ASSERT_EQUAL(std::string("key"), request.mKey);
+    CPPUNIT_ASSERT(request.mPatience == Millis(15'000));
+    CPPUNIT_ASSERT(request.mPromptTokens == 1'460 && request.mMostOutputTokens == 80);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, request.mParts.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0x5c1e07a2 }, request.mParts[0].mId);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 660 }, request.mParts[1].mTokens);
+    CPPUNIT_ASSERT(request.mResumeAfter == 7);
+  }
+
+  void TestUnreadable()
+  {
+    struct Row
+    {
+      std::string mName;
+      std::string mValue;
+    };
+    const Row rows[] = { { "X-Token-Usage", "1" },        { "X-Token-Usage", "1,-2" },
+                         { "X-Token-Usage", "a,b" },      { "X-Prompt-Prefix", "zz:1" },
+                         { "X-Prompt-Prefix", "1" },      { "X-Prompt-Prefix", "1:-4" },
+                         { "X-Deadline-Ms", "soon" },     { "X-Deadline-Ms", "-1" },
+                         { "X-Attempt-Id", "a second" } };
+    for (const auto& row : rows) {
+      const auto head = Head({ { "X-Attempt-Id", "1" }, { row.mName, row.mValue } });
+      CPPUNIT_ASSERT_MESSAGE(row.mName + " " + row.mValue, !mCodec.Decode(head));
+    }
+    CPPUNIT_ASSERT_MESSAGE("no id", !mCodec.Decode(Head({ { "Host", "h" } })));
+  }
+
+  // What only a router may set never comes from a caller, whatever the case of its name.
+  void TestNothingForgedPasses()
+  {
+    const auto head = Head({ { "X-Attempt-Id", "9c41" },       { "X-Credential", "key" },
+                             { "x-tenant-id", "forged" },      { "X-EXPECT-INSTANCE", "forged" },
+                             { "X-Hold", "forged" },           { "X-Pin-Ms", "1" },
+                             { "X-Kv-Backup", "1.2.3.4:5" },   { "Kv-From", "1.2.3.4:5/x" },
+                             { "Kv-Fetch", "1.2.3.4:5" },      { "X-Request-Urgency", "0" },
+                             { "X-Expect-Version", "3" },      { "Connection", "X-Secret" },
+                             { "X-Secret", "1" },              { "X-Model", "m" },
+                             { "X-Deadline-Ms", "99999" } });
+    const auto out = mCodec.Encode(head, { "i-1", Millis(1'234), "org", std::nullopt, 5 });
+    struct Row
+    {
+      std::string mName;
+      std::optional<std::string> mValue;
+    };
+    const Row rows[] = { { "X-Attempt-Id", "9c41" },          { "X-Model", "m" },
+                         { "X-Tenant-Id", "org" },            { "X-Expect-Instance", "i-1" },
+                         { "X-Deadline-Ms", "1234" },         { "Last-Event-Id", "5" },
+                         { "X-Credential", std::nullopt },    { "X-Hold", std::nullopt },
+                         { "X-Pin-Ms", std::nullopt },        { "X-Kv-Backup", std::nullopt },
+                         { "Kv-From", std::nullopt },         { "Kv-Fetch", std::nullopt },
+                         { "X-Secret", std::nullopt },        { "X-Request-Urgency", std::nullopt },
+                         { "X-Expect-Version", std::nullopt } };
+    for (const auto& row : rows) {
+      const auto found = out.mHeaders.Find(row.mName);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mValue.has_value(), found.has_value());
+      if (row.mValue) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, *row.mValue, std::string(*found));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, std::size_t{ 1 }, out.mHeaders.Count(row.mName));
+      }
+    }
+    // An anonymous request bears no organisation, not even a forged one.
+    const auto anonymous = mCodec.Encode(head, { "i-1", Millis(1), "", std::nullopt, {} });
+    CPPUNIT_ASSERT(!anonymous.mHeaders.Find("X-Tenant-Id"));
+  }
+
+  void TestAnswers()
+  {
+    CallerRequest request;
+    request.mId = "9c41";
+    net::ResponseHead head{ 200, "OK", {}, true };
+    head.mHeaders.Add("X-Attempt-Id", "9c41");
+    head.mHeaders.Add("X-Server-Signature", "s");
+    head.mHeaders.Add("X-Instance-Load", "3,1,8");
+    head.mHeaders.Add("Keep-Alive", "max=5, timeout=4");
+    const auto good = mCodec.DecodeAnswer(head, request);
+    CPPUNIT_ASSERT(good.mIsForRequest && good.mHasProof && !good.mDidNotRun && !good.mIsOther);
+    CPPUNIT_ASSERT(good.mLoad && good.mLoad->mRunning == 3 && good.mLoad->mSlots == 8);
+    CPPUNIT_ASSERT(good.mIdleTime == Millis(4'000));
+    request.mId = "other";
+    CPPUNIT_ASSERT(!mCodec.DecodeAnswer(head, request).mIsForRequest);
+    net::ResponseHead refused{ 503, "Full", {}, true };
+    refused.mHeaders.Add("X-Not-Executed", "1");
+    CPPUNIT_ASSERT(mCodec.DecodeAnswer(refused, request).mDidNotRun);
+    const net::ResponseHead unproved{ 503, "Full", {}, true };
+    CPPUNIT_ASSERT(!mCodec.DecodeAnswer(unproved, request).mDidNotRun);
+    const net::ResponseHead misdirected{ 421, "Misdirected", {}, true };
+    CPPUNIT_ASSERT(mCodec.DecodeAnswer(misdirected, request).mIsOther);
+  }
+
+private:
+  WireCodec mCodec;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WireCodecTest);
+
+} // namespace gentianloom::platform
--- /dev/null
+++ b/tests/platform/WireDeploymentTest.cpp
@@ -0,0 +1,111 @@
+#include "platform/WireDeployment.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace gentianloom::platform {
+
+class WireDeploymentTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(WireDeploymentTest);
+  CPPUNIT_TEST(TestConfiguration);
+  CPPUNIT_TEST(TestBadConfigurations);
+  CPPUNIT_TEST(TestEndpoints);
+  CPPUNIT_TEST(TestAddresses);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestConfiguration()
+  {
+    const auto decoded = mDeployment.DecodeConfiguration(R"({"version":7,"routes":[
+      {"name":"r","host":"h","prefix":"/a/","kind":"streaming","timeout-ms":12000,
+       "target-latency-ms":300,"priority":2,"service":"s","max-attempts":2,"session-affinity":true,
+       "resumable":true,"target-gap-ms":200},
+      {"name":"q","host":"h","prefix":"/b/","kind":"of-tomorrow","timeout-ms":1000,
+       "backends":[{"service":"s","weight":90},{"service":"t","weight":10}]}],
+      "services":[{"name":"s","engine":{"slots":64,"kv-capacity-tokens":5000,"stride":5}},
+       {"name":"t"}],
+      "limits":{"max-header-bytes":100,"max-body-bytes":200,"header-timeout-ms":3,
+       "idle-timeout-ms":4},
+      "tenants":[{"name":"o","api-keys":["k"],"priority":1,"prepaid":900},
+       {"name":"p","api-keys":[]}]})");
+    const auto& it = decoded.value();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 7 }, it.mVersion);
+    CPPUNIT_ASSERT(it.mRoutes[0].mKind == RouteKind::Streaming && it.mRoutes[0].mIsResumable);
+    CPPUNIT_ASSERT(it.mRoutes[0].mTimeout == Millis(12'000));
+    CPPUNIT_ASSERT_MESSAGE("a kind that is not known must not repeat",
+                           it.mRoutes[1].mKind == RouteKind::AtMostOnce);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, it.mRoutes[1].mServices.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 5 }, it.mServices.at("s").mEngine->mTokensPerEvent);
+    CPPUNIT_ASSERT(!it.mServices.at("t").mEngine);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 200 }, it.mLimits.mBodyBytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, it.mPayerOfKey.at("k"));
+    CPPUNIT_ASSERT(it.mPayers[0].mPrepaid == 900 && !it.mPayers[1].mPrepaid);
+  }
+
+  void TestBadConfigurations()
+  {
+    for (const auto* text : { "", "[]", "{}", R"({"version":1,"routes":[{}],"services":[]})",
+                              R"({"version":"x","routes":[],"services":[]})" }) {
+      CPPUNIT_ASSERT_MESSAGE(text, !mDeployment.DecodeConfiguration(text));
+    }
+  }
+
+  // Entries may come from other writers: what cannot be read names no endpoint.
+  void TestEndpoints()
+  {
+    const std::string good =
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1","slots":64,)"
+      R"("state":"ready","cold-remaining-ms":0,"sequence":4,"born":99})";
+    const auto entry = mDeployment.DecodeEndpoint("i-1", good).value();
+    CPPUNIT_ASSERT(entry.mId == "i-1" && !entry.mIsLeaving && entry.mStartedAt == 99);
+    const auto with = [&good](const std::string& aFrom, const std::string& aTo) {
+      auto out = good;
+      return out.replace(out.find(aFrom), aFrom.size(), aTo);
+    };
+    CPPUNIT_ASSERT(
+      mDeployment.DecodeEndpoint("i-1", with("ready", "draining")).value().mIsLeaving);
+    const std::string bad[] = { "",
+                                "\xff\xfe",
+                                "[]",
+                                "{}",
+                                with("\"ready\"", "\"asleep\""),
+                                with("\"ready\"", "4"),
+                                with("10.1.2.3:80", "nowhere"),
+                                with("64", "\"many\""),
+                                with("\"s\"", "\"\""),
+                                with("\"zone\"", "\"area\"") };
+    for (const auto& it : bad) {
+      CPPUNIT_ASSERT_MESSAGE(it, !mDeployment.DecodeEndpoint("i-1", it));
+    }
+  }
+
+  void TestAddresses()
+  {
+    struct Row
+    {
+      std::string mTarget;
+      std::string mZone;
+    };
+    const Row rows[] = { { "/resolve?name=h&region=r&zone=z-a", "z-a" },
+                         { "/resolve?zone=z&name=h", "z" },
+                         { "/resolve?name=zone=q", "" },
+                         { "/resolve", "" },
+                         { "/resolve?", "" } };
+    for (const auto& row : rows) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mTarget, row.mZone, mDeployment.DecodeAddressQuery(row.mTarget));
+    }
+    const std::string list[] = { "10.0.0.1:1" };
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"addresses":["10.0.0.1:1"],"ttl-s":1.5})"),
+                         mDeployment.EncodeAddresses(list, Millis(1'500)));
+  }
+
+private:
+  WireDeployment mDeployment;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WireDeploymentTest);
+
+} // namespace gentianloom::platform
--- /dev/null
+++ b/tests/routing/EndpointChooserTest.cpp
@@ -0,0 +1,257 @@
+#include "gentianloom/routing/EndpointChooser.h"
+
+#include "gentianloom/routing/PlacementPolicy.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace gentianloom {
+
+namespace {
+
+constexpr double kTokensPerMilli = 60;
+constexpr double kBaseMillis = 40;
+
+std::vector<EndpointRegistry::Ptr> MakeEndpoints(int aCount)
+{
+  std::vector<EndpointRegistry::Ptr> out;
+  for (int n = 0; n < aCount; ++n) {
+    auto it = std::make_shared<Endpoint>();
+    it->mEntry.mId = "e" + std::to_string(n);
+    it->mEntry.mZone = n % 2 == 0 ? "near" : "far";
+    it->mEntry.mSlots = 6;
+    it->mLoad.Cache().SetCapacity(500'000);
+    out.push_back(std::move(it));
+  }
+  return out;
+}
+
+FirstTokenModel LearntModel()
+{
+  FirstTokenModel out;
+  for (int n = 0; n < 100; ++n) {
+    const double tokens = 100.0 * n;
+    out.Learn(tokens, kBaseMillis + tokens / kTokensPerMilli);
+  }
+  return out;
+}
+
+/// One arrival of the replayed load.
+struct Arrival
+{
+  double mAtMillis = 0;
+  std::vector<PromptPart> mParts;
+  Millis mTarget{ 0 };
+};
+
+/// Engines that read prompts one after another and keep the shared parts that they have read.
+struct Replay
+{
+  explicit Replay(int aEngines)
+    : mFreeAt(static_cast<std::size_t>(aEngines))
+    , mHeld(static_cast<std::size_t>(aEngines))
+  {
+  }
+
+  /// Serves one arrival on an engine; returns the time to its first event.
+  double Serve(const Arrival& aArrival, std::size_t aEngine)
+  {
+    std::int64_t toRead = aArrival.mParts.back().mTokens;
+    for (std::size_t n = 0; n + 1 < aArrival.mParts.size(); ++n) {
+      if (mHeld[aEngine].insert({ aArrival.mParts[n].mId, true }).second) {
+        toRead += aArrival.mParts[n].mTokens;
+        mReadAgain += mEver.insert({ aArrival.mParts[n].mId, true }).second
+                        ? 0
+                        : aArrival.mParts[n].mTokens;
+      }
+    }
+    auto& freeAt = mFreeAt[aEngine];
+    freeAt = std::max(freeAt, aArrival.mAtMillis) + static_cast<double>(toRead) / kTokensPerMilli;
+    const double first = freeAt + kBaseMillis - aArrival.mAtMillis;
+    mLate += first > static_cast<double>(aArrival.mTarget.count()) ? 1 : 0;
+    return first;
+  }
+
+  std::vector<double> mFreeAt;
+  std::vector<std::map<std::uint64_t, bool>> mHeld;
+  std::map<std::uint64_t, bool> mEver;
+  std::int64_t mReadAgain = 0;
+  int mLate = 0;
+};
+
+/// Many short prompts and a few that are twenty times longer, which share long parts.
+std::vector<Arrival> MixedLoad()
+{
+  RandomSource random(7);
+  std::uniform_real_distribution<double> unit(0, 1);
+  std::vector<Arrival> out;
+  double at = 0;
+  for (int n = 0; n < 3'000; ++n) {
+    at += -std::log(1 - unit(random)) * 9.0;
+    Arrival it;
+    it.mAtMillis = at;
+    const auto subject = static_cast<std::uint64_t>(unit(random) * 40);
+    if (unit(random) < 0.25) {
+      it.mParts = { { 1, 500 }, { 1'000 + subject, 4'900 }, { 10'000ULL + n, 6'600 } };
+      it.mTarget = Millis(800);
+    } else {
+      it.mParts = { { 2, 120 }, { 2'000 + subject, 80 }, { 10'000ULL + n, 430 } };
+      it.mTarget = Millis(300);
+    }
+    out.push_back(std::move(it));
+  }
+  return out;
+}
+
+} // namespace
+
+class EndpointChooserTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EndpointChooserTest);
+  CPPUNIT_TEST(TestSharedPartsMeet);
+  CPPUNIT_TEST(TestBusyHolderIsLeft);
+  CPPUNIT_TEST(TestLastChoices);
+  CPPUNIT_TEST(TestPlain);
+  CPPUNIT_TEST(TestReplayOfMixedLoad);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestSharedPartsMeet()
+  {
+    const auto endpoints = MakeEndpoints(6);
+    std::map<std::string, int> chosen;
+    for (std::uint64_t n = 0; n < 20; ++n) {
+      const PromptPart parts[] = { { 1, 500 }, { 77, 4'000 }, { 100 + n, 1'000 } };
+      ++chosen[Choose(endpoints, parts, 800).mEndpoint->mEntry.mId];
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, chosen.size());
+    for (std::uint64_t n = 0; n < 200; ++n) {
+      const PromptPart parts[] = { { 1, 500 }, { 5'000 + n, 4'000 }, { 100 + n, 1'000 } };
+      ++chosen[Choose(endpoints, parts, 800).mEndpoint->mEntry.mId];
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("parts spread over all", endpoints.size(), chosen.size());
+  }
+
+  void TestBusyHolderIsLeft()
+  {
+    const auto endpoints = MakeEndpoints(6);
+    const PromptPart parts[] = { { 1, 100 }, { 77, 100 }, { 9, 400 } };
+    const auto holder = Choose(endpoints, parts, 300).mEndpoint;
+    // A peer's long prompt waits there: the first event would come after about a second.
+    holder->mLoad.OnPeerPending("peer", 60'000, mNow);
+    const auto other = Choose(endpoints, parts, 300).mEndpoint;
+    CPPUNIT_ASSERT(other != holder);
+    // The news is old, or the peer says that the prompt was read.
+    CPPUNIT_ASSERT(Choose(endpoints, parts, 300, mNow + Millis(600)).mEndpoint == holder);
+    holder->mLoad.OnPeerPending("peer", 0, mNow);
+    CPPUNIT_ASSERT(Choose(endpoints, parts, 300).mEndpoint == holder);
+    // Own prompts count until their first event.
+    const auto work = holder->mLoad.OnSent(60'000, mNow);
+    CPPUNIT_ASSERT(Choose(endpoints, parts, 300).mEndpoint != holder);
+    CPPUNIT_ASSERT(holder->mLoad.OnStarted(work));
+    CPPUNIT_ASSERT(!holder->mLoad.OnStarted(work));
+    CPPUNIT_ASSERT(Choose(endpoints, parts, 300).mEndpoint == holder);
+  }
+
+  void TestLastChoices()
+  {
+    const auto endpoints = MakeEndpoints(2);
+    const PromptPart parts[] = { { 1, 100 }, { 77, 100 }, { 9, 400 } };
+    const auto first = Choose(endpoints, parts, 300).mEndpoint;
+    for (int n = 0; n < 3; ++n) {
+      first->mLoad.OnOutcome(true, mNow);
+    }
+    CPPUNIT_ASSERT(first->mLoad.IsSuspended(mNow));
+    const auto second = Choose(endpoints, parts, 300).mEndpoint;
+    CPPUNIT_ASSERT(second != first);
+    CPPUNIT_ASSERT(Choose(endpoints, parts, 300, mNow + Millis(1'000)).mEndpoint == first);
+    const std::string tried[] = { second->mEntry.mId };
+    CPPUNIT_ASSERT(Choose(endpoints, parts, 300, mNow, tried).mEndpoint == first);
+    CPPUNIT_ASSERT(Choose({}, parts, 300).mEndpoint == nullptr);
+  }
+
+  void TestPlain()
+  {
+    const auto endpoints = MakeEndpoints(4);
+    PlacementRequest request;
+    request.mZone = "near";
+    std::map<std::string, int> chosen;
+    for (std::uint64_t n = 0; n < 24; ++n) {
+      request.mDraw = n;
+      const auto it = ChoosePlain(request, endpoints, mNow).mEndpoint;
+      it->mLoad.OnSent(0, mNow);
+      ++chosen[it->mEntry.mId];
+    }
+    // All slots are taken evenly but for the head start of the own availability zone.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, chosen.size());
+    CPPUNIT_ASSERT(chosen["e0"] >= chosen["e1"] && chosen["e0"] - chosen["e1"] <= 3);
+  }
+
+  // The load that made short requests late: with each placement's own view of what waits, fewer
+  // answers are late and far less is read again than by turns or by the shared part alone.
+  void TestReplayOfMixedLoad()
+  {
+    constexpr int kEngines = 6;
+    const auto load = MixedLoad();
+    Replay turns(kEngines);
+    Replay byPart(kEngines);
+    Replay chosen(kEngines);
+    const auto endpoints = MakeEndpoints(kEngines);
+    const auto model = LearntModel();
+    std::vector<std::pair<double, std::function<void()>>> ends;
+    for (std::size_t n = 0; n < load.size(); ++n) {
+      const auto& it = load[n];
+      turns.Serve(it, n % kEngines);
+      byPart.Serve(it, it.mParts[it.mParts.size() - 2].mId % kEngines);
+      const auto now = mNow + Micros(static_cast<std::int64_t>(it.mAtMillis * 1'000));
+      std::erase_if(ends, [&it](auto& aEnd) {
+        const bool isOver = aEnd.first <= it.mAtMillis;
+        if (isOver) {
+          aEnd.second();
+        }
+        return isOver;
+      });
+      PlacementRequest request;
+      request.mZone = "near";
+      request.mParts = it.mParts;
+      request.mTarget = it.mTarget;
+      const auto choice = ChooseEngine(request, endpoints, { 64, 500'000, 5 }, model, now);
+      const auto engine = static_cast<std::size_t>(std::stoi(choice.mEndpoint->mEntry.mId.substr(1)));
+      auto& endpointLoad = choice.mEndpoint->mLoad;
+      const auto work = endpointLoad.OnSent(choice.mPrefillTokens, now);
+      endpointLoad.Cache().Touch(it.mParts);
+      const double first = chosen.Serve(it, engine);
+      ends.emplace_back(it.mAtMillis + first, [&endpointLoad, work] { endpointLoad.OnEnded(work); });
+    }
+    CPPUNIT_ASSERT(chosen.mLate * 4 < turns.mLate);
+    CPPUNIT_ASSERT(chosen.mLate * 2 < byPart.mLate);
+    CPPUNIT_ASSERT(chosen.mReadAgain * 2 < turns.mReadAgain);
+  }
+
+private:
+  PlacementChoice Choose(std::span<const EndpointRegistry::Ptr> aEndpoints,
+                         std::span<const PromptPart> aParts,
+                         int aTargetMillis,
+                         std::optional<TimePoint> aNow = std::nullopt,
+                         std::span<const std::string> aTried = {})
+  {
+    PlacementRequest request;
+    request.mZone = "near";
+    request.mParts = aParts;
+    request.mTarget = Millis(aTargetMillis);
+    request.mTried = aTried;
+    return ChooseEngine(
+      request, aEndpoints, { 64, 500'000, 5 }, LearntModel(), aNow.value_or(mNow));
+  }
+
+  TimePoint mNow{ std::chrono::hours(1) };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointChooserTest);
+
+} // namespace gentianloom
--- /dev/null
+++ b/tests/routing/EndpointLoadTest.cpp
@@ -0,0 +1,108 @@
+#include "gentianloom/routing/EndpointLoad.h"
+#include "gentianloom/routing/FirstTokenModel.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace gentianloom {
+
+class EndpointLoadTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EndpointLoadTest);
+  CPPUNIT_TEST(TestCache);
+  CPPUNIT_TEST(TestFigures);
+  CPPUNIT_TEST(TestSuspension);
+  CPPUNIT_TEST(TestSlowness);
+  CPPUNIT_TEST(TestFirstTokenModel);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestCache()
+  {
+    PromptCacheEstimate cache(1'000);
+    const PromptPart one[] = { { 1, 100 }, { 2, 300 }, { 3, 50 } };
+    const PromptPart sameBegin[] = { { 1, 100 }, { 2, 300 }, { 4, 50 } };
+    const PromptPart sameMiddle[] = { { 9, 100 }, { 2, 300 }, { 3, 50 } };
+    cache.Touch(one);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 450 }, cache.CachedTokens(one));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 400 }, cache.CachedTokens(sameBegin));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "a part counts only with all before it", std::int64_t{ 0 }, cache.CachedTokens(sameMiddle));
+    const PromptPart large[] = { { 7, 900 } };
+    cache.Touch(large);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 900 }, cache.CachedTokens(large));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the oldest yields", std::int64_t{ 0 }, cache.CachedTokens(one));
+    cache.Clear();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, cache.CachedTokens(large));
+  }
+
+  void TestFigures()
+  {
+    EndpointLoad load;
+    const auto first = load.OnSent(100, mNow);
+    load.OnSent(200, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 300 }, load.PendingPrefill());
+    load.OnFigures({ 5, 2, 64 }, mNow);
+    CPPUNIT_ASSERT_EQUAL(7.0, load.Running(mNow));
+    load.OnEnded(first);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 200 }, load.PendingPrefill());
+    CPPUNIT_ASSERT_EQUAL(6.0, load.Running(mNow));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("old figures", 1.0, load.Running(mNow + Millis(2'001)));
+  }
+
+  void TestSuspension()
+  {
+    struct Row
+    {
+      std::string mOutcomes; // F: failed, g: good
+      bool mIsSuspended;
+    };
+    const Row rows[] = { { "FF", false },      { "FFF", true },     { "FFgF", false },
+                         { "gggggggg", false }, { "FFgFF", true }, { "FgFgFgFgFgFgFF", true } };
+    for (const auto& row : rows) {
+      EndpointLoad load;
+      for (const auto it : row.mOutcomes) {
+        load.OnOutcome(it == 'F', mNow);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mOutcomes, row.mIsSuspended, load.IsSuspended(mNow));
+      CPPUNIT_ASSERT(!load.IsSuspended(mNow + Millis(1'000)));
+    }
+  }
+
+  void TestSlowness()
+  {
+    EndpointLoad load;
+    for (int n = 0; n < 50; ++n) {
+      load.OnLatency(8, mNow);
+    }
+    CPPUNIT_ASSERT(load.Slowness(mNow) > 7);
+    CPPUNIT_ASSERT_MESSAGE("forgotten without news", load.Slowness(mNow + Millis(20'000)) < 1.1);
+  }
+
+  void TestFirstTokenModel()
+  {
+    FirstTokenModel model;
+    CPPUNIT_ASSERT(model.Predict(0) > 0);
+    for (int n = 0; n < 200; ++n) {
+      const double tokens = 50.0 * (n % 40);
+      model.Learn(tokens, 30 + tokens / 50);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(30 + 200, model.Predict(10'000), 2);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(20, model.ReadTime(1'000), 0.5);
+    model.Learn(10, 60'000); // a failing endpoint teaches nothing
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(30 + 200, model.Predict(10'000), 2);
+    for (int n = 0; n < 2'000; ++n) {
+      const double tokens = 50.0 * (n % 40);
+      model.Learn(tokens, 60 + tokens / 25);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE("follows a change", 60 + 400, model.Predict(10'000), 8);
+  }
+
+private:
+  TimePoint mNow{ std::chrono::hours(1) };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointLoadTest);
+
+} // namespace gentianloom
--- /dev/null
+++ b/tests/support/MemoryAsyncStore.h
@@ -0,0 +1,143 @@
+#ifndef GENTIANLOOM_SUPPORT_MEMORY_ASYNC_STORE_H
+#define GENTIANLOOM_SUPPORT_MEMORY_ASYNC_STORE_H
+
+#include "gentianloom/external/AsyncStore.h"
+#include "gentianloom/net/Signal.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gentianloom {
+
+/// How a MemoryAsyncStore answers.
+enum class StoreMode
+{
+  Up,
+  Down,   ///< no call has an effect
+  Lost,   ///< writes take effect and are not answered
+  Forgot  ///< watches are told that the history is gone, once
+};
+
+/**
+ * @brief An AsyncStore in memory that answers at once, for tests on a loop.
+ */
+class MemoryAsyncStore final : public AsyncStore
+{
+public:
+  net::Task<Result<RangeAnswer>> Range(std::string aPrefix) override
+  {
+    ++mRanges;
+    if (mMode == StoreMode::Down) {
+      co_return Failure();
+    }
+    RangeAnswer out;
+    out.mRevision = mRevision;
+    for (const auto& [key, it] : mItems) {
+      if (key.starts_with(aPrefix)) {
+        out.mEntries.push_back(it);
+      }
+    }
+    co_return out;
+  }
+
+  net::Task<Result<RangeAnswer>> RangeStale(std::string aPrefix) override
+  {
+    return Range(std::move(aPrefix));
+  }
+
+  net::Task<AsyncCommitAnswer> Commit(Transaction aTransaction) override
+  {
+    ++mCommits;
+    AsyncCommitAnswer out;
+    out.mCommit.mEffect = Effect::DidNot;
+    out.mCommit.mError = Failure();
+    if (mMode == StoreMode::Down) {
+      co_return out;
+    }
+    for (const auto& it : aTransaction.mCompares) {
+      const auto found = mItems.find(it.mKey);
+      const auto revision = found == mItems.end() ? 0 : found->second.mModRevision;
+      out.mCommit.mConflict = out.mCommit.mConflict || revision != it.mModRevision;
+    }
+    if (out.mCommit.mConflict) {
+      for (const auto& it : aTransaction.mCompares) {
+        const auto found = mItems.find(it.mKey);
+        if (found != mItems.end()) {
+          out.mCurrent.push_back(found->second);
+        }
+      }
+      co_return out;
+    }
+    for (const auto& it : aTransaction.mWrites) {
+      Put(it.mKey, it.mValue);
+    }
+    out.mCommit.mEffect = mMode == StoreMode::Lost ? Effect::Unknown : Effect::TookEffect;
+    out.mCommit.mRevision = mRevision;
+    co_return out;
+  }
+
+  net::Task<Result<WatchAnswer>> Watch(std::string aPrefix, Revision aAfter, Millis) override
+  {
+    ++mWatches;
+    if (mMode == StoreMode::Down) {
+      co_return Failure();
+    }
+    WatchAnswer out;
+    out.mIsTooOld = mMode == StoreMode::Forgot;
+    if (out.mIsTooOld) {
+      mMode = StoreMode::Up;
+    }
+    out.mRevision = mRevision;
+    for (const auto& it : mHistory) {
+      if (it.mEntry.mModRevision > aAfter && it.mEntry.mKey.starts_with(aPrefix)) {
+        out.mEvents.push_back(it);
+      }
+    }
+    if (out.mEvents.empty() && mLoop != nullptr) {
+      co_await net::Signal::Sleep(*mLoop, Millis(1));
+    }
+    co_return out;
+  }
+
+  net::Task<Result<LeaseId>> GrantLease(Millis) override { co_return LeaseId{ 1 }; }
+  net::Task<Result<bool>> RenewLease(LeaseId) override { co_return true; }
+  net::Task<Result<void>> EndLease(LeaseId) override { co_return success(); }
+
+  void Put(const std::string& aKey, const std::string& aValue)
+  {
+    ++mRevision;
+    auto& it = mItems[aKey];
+    it.mCreateRevision = it.mKey.empty() ? mRevision : it.mCreateRevision;
+    it.mKey = aKey;
+    it.mValue = aValue;
+    it.mModRevision = mRevision;
+    mHistory.push_back({ it, false });
+  }
+
+  void Remove(const std::string& aKey)
+  {
+    ++mRevision;
+    mItems.erase(aKey);
+    mHistory.push_back({ { aKey, "", 0, mRevision, 0 }, true });
+  }
+
+  net::Loop* mLoop = nullptr; ///< if set, a watch without events takes a millisecond
+  StoreMode mMode = StoreMode::Up;
+  std::map<std::string, KeyValue> mItems;
+  std::vector<WatchEvent> mHistory;
+  Revision mRevision = 1;
+  int mRanges = 0;
+  int mCommits = 0;
+  int mWatches = 0;
+
+private:
+  static Error Failure()
+  {
+    return MakeError(ErrorCode::PlatformUnavailable, Step::GrantRead, "store", "down");
+  }
+};
+
+} // namespace gentianloom
+
+#endif
