--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -29,6 +29,8 @@
 constexpr Millis kLongestBackOff{ 300 };
 /// Time between rounds that no request waits for.
 constexpr Millis kQuietEvery{ 1'000 };
+/// Shortest pause between rounds.
+constexpr Millis kLeastPause{ 1 };
 /// Longest sleep between rounds.
 constexpr Millis kMostSleep{ 1'000 };
 /// Common start of the keys of all shards.
@@ -152,6 +154,8 @@
     mIsUrgent = false;
     mRoundAt = now;
     co_await RunRound();
+    // A round that had nothing to write must not keep other work of the loop waiting.
+    co_await net::Signal::Sleep(mLoop, kLeastPause);
   }
   mIsRunning = false;
 }
@@ -195,9 +199,13 @@
   const auto answer = co_await mStore.Commit(std::move(transaction));
   // Whatever came of it is read again: the predecessor's report stays until all is closed.
   mIsKnown = false;
-  NoteStore(answer.mCommit.mEffect == Effect::TookEffect || answer.mCommit.mConflict,
-            answer.mCommit.mError.mText);
-  co_return false;
+  const bool took = answer.mCommit.mEffect == Effect::TookEffect;
+  NoteStore(took || answer.mCommit.mConflict, answer.mCommit.mError.mText);
+  if (!took) {
+    co_return false;
+  }
+  const bool isOver = co_await TakeOver();
+  co_return isOver;
 }
 
 net::Task<void> RightsDuty::RunRound()
--- a/src/net/HttpParser.cpp
+++ b/src/net/HttpParser.cpp
@@ -251,6 +251,10 @@
   if (mState == ParseState::Done || mState == ParseState::Failed) {
     return;
   }
+  if (mState == ParseState::NeedMore) {
+    mState = ParseState::Failed; // no head came; the library's parser must not be told of the end
+    return;
+  }
   error_code ec;
   mImpl->mParser.put_eof(ec);
   const bool whole = !ec && mState == ParseState::HeadDone && mImpl->mParser.is_done();
--- a/tests/net/HttpParserTest.cpp
+++ b/tests/net/HttpParserTest.cpp
@@ -143,6 +143,8 @@
       { "both framings",
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello", false,
         ParseState::Failed, Framing::None, "", 0 },
+      { "nothing at all", "", true, ParseState::Failed, Framing::None, "", 0 },
+      { "cut head", "HTTP/1.1 200 OK\r\nConte", true, ParseState::Failed, Framing::None, "", 0 },
       { "not HTTP", "hello there\r\n\r\n", false, ParseState::Failed, Framing::None, "", 0 },
     };
     for (const auto& row : rows) {
