--- a/include/gentianloom/budget/BudgetDuty.h
+++ b/include/gentianloom/budget/BudgetDuty.h
@@ -6,8 +6,8 @@
 #include "gentianloom/budget/Ledger.h"
 #include "gentianloom/budget/WritePacer.h"
 #include "gentianloom/configuration/Accepted.h"
-#include "gentianloom/peer/Handlers.h"
 #include "gentianloom/external/KeyValueStore.h"
+#include "gentianloom/peer/Handlers.h"
 #include "gentianloom/settings/Settings.h"
 
 #include <atomic>
--- a/include/gentianloom/budget/GrantPolicy.h
+++ b/include/gentianloom/budget/GrantPolicy.h
@@ -11,10 +11,10 @@
 /// What a policy may look at.
 struct GrantInput
 {
-  Tokens mLeft = 0;    ///< granted to nobody, by the record just read
-  double mDemand = 0;  ///< tokens a second that this router reserved lately
-  Tokens mLargest = 0; ///< largest reservation lately
-  int mHolders = 1;    ///< incarnations that hold rights of the budget, this one included
+  Tokens mLeft = 0;      ///< granted to nobody, by the record just read
+  double mDemand = 0;    ///< tokens a second that this router reserved lately
+  Tokens mLargest = 0;   ///< largest reservation lately
+  int mHolders = 1;      ///< incarnations that hold rights of the budget, this one included
   Tokens mFree = 0;      ///< held and not used
   double mObserved = 0;  ///< how much of the demand estimate's memory was observed, 0 to 1
   double mSteadyFor = 0; ///< seconds since the key-value service last failed to answer
--- a/include/gentianloom/budget/Holding.h
+++ b/include/gentianloom/budget/Holding.h
@@ -38,7 +38,7 @@
   double mDemand = 0; ///< tokens a second, decayed
   double mWeight = 0; ///< share of the estimate's memory that was observed, 0 to 1
   Tokens mLargest = 0;
-  Tokens mTaken = 0; ///< since mTicked
+  Tokens mTaken = 0;     ///< since mTicked
   double mSteadyFor = 0; ///< see GrantInput
   TimePoint mTicked{};
 
--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -140,7 +140,7 @@
   bool mIsRunning = false;
   bool mIsReplaced = false; ///< another incarnation has taken over this instance's name
   TimePoint mStartedAt{};
-  TimePoint mFailedAt{};    ///< when the key-value service last failed to answer
+  TimePoint mFailedAt{}; ///< when the key-value service last failed to answer
   TimePoint mRefreshedAt{};
   TimePoint mRoundAt{}; ///< start of the last round
   std::uint64_t mRounds = 0;
--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -22,9 +22,9 @@
 struct UsageReport
 {
   std::string mIncarnation;
-  std::string mBoot;         ///< identifies the boot of the machine; its clock counts from there
-  Millis mReportedAt{ 0 };   ///< clock of the machine that also counts suspension
-  Millis mOpensAfter{ 0 };   ///< time without a report after which the reserve is open
+  std::string mBoot;       ///< identifies the boot of the machine; its clock counts from there
+  Millis mReportedAt{ 0 }; ///< clock of the machine that also counts suspension
+  Millis mOpensAfter{ 0 }; ///< time without a report after which the reserve is open
   std::map<std::string, Tokens> mCaps; ///< by budget
 };
 
@@ -89,8 +89,8 @@
   std::string mBoot;
   UsageCapSettings mSettings;
   bool mHasReported = false;
-  UsageReport mReport;              ///< last one that is known to be stored
-  std::deque<Millis> mUnresolved;   ///< times of reports that may be stored
+  UsageReport mReport;            ///< last one that is known to be stored
+  std::deque<Millis> mUnresolved; ///< times of reports that may be stored
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/gateway/LoadNews.h
+++ b/include/gentianloom/gateway/LoadNews.h
@@ -21,7 +21,8 @@
   std::int64_t mTokens = 0;
 };
 
-/// What one instance tells the others: all that it has pending, so that a lost message does no harm.
+/// What one instance tells the others: all that it has pending, so that a lost message does no
+/// harm.
 struct LoadMessage
 {
   std::string mIncarnation;
--- a/include/gentianloom/membership/InstanceDirectory.h
+++ b/include/gentianloom/membership/InstanceDirectory.h
@@ -17,7 +17,7 @@
   std::string mName;
   std::string mIncarnation;
   std::string mZone;
-  std::string mAddress; ///< where callers connect, IP:PORT
+  std::string mAddress;     ///< where callers connect, IP:PORT
   std::string mPeerAddress; ///< where other instances send news of load, IP:PORT; empty: nowhere
   bool mIsLeaving = false;
 
--- a/include/gentianloom/membership/MemberRecords.h
+++ b/include/gentianloom/membership/MemberRecords.h
@@ -1,8 +1,8 @@
 #ifndef GENTIANLOOM_MEMBERSHIP_MEMBER_RECORDS_H
 #define GENTIANLOOM_MEMBERSHIP_MEMBER_RECORDS_H
 
-#include "gentianloom/membership/MembershipDuty.h"
 #include "gentianloom/external/KeyValueStore.h"
+#include "gentianloom/membership/MembershipDuty.h"
 
 namespace gentianloom {
 
--- a/include/gentianloom/outcome/IntentAttempt.h
+++ b/include/gentianloom/outcome/IntentAttempt.h
@@ -1,8 +1,8 @@
 #ifndef GENTIANLOOM_OUTCOME_INTENT_ATTEMPT_H
 #define GENTIANLOOM_OUTCOME_INTENT_ATTEMPT_H
 
-#include "gentianloom/outcome/IntentRecord.h"
 #include "gentianloom/external/KeyValueStore.h"
+#include "gentianloom/outcome/IntentRecord.h"
 
 #include <optional>
 
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -53,11 +53,11 @@
 {
 public:
   EndpointAttempt(RelayParts& aParts,
-          const AttemptRequest& aRequest,
-          const PlacementChoice& aChoice,
-          CallerSide& aCaller,
-          StreamProgress& aProgress,
-          std::shared_ptr<net::Signal> aSignal);
+                  const AttemptRequest& aRequest,
+                  const PlacementChoice& aChoice,
+                  CallerSide& aCaller,
+                  StreamProgress& aProgress,
+                  std::shared_ptr<net::Signal> aSignal);
   ~EndpointAttempt();
   EndpointAttempt(const EndpointAttempt&) = delete;
   EndpointAttempt& operator=(const EndpointAttempt&) = delete;
@@ -91,7 +91,7 @@
   double mTokensBefore; ///< prompt tokens that the endpoint reads before the first event
   EndpointLoad::WorkId mWork;
   net::Channel::Ptr mChannel;
-  std::size_t mSentBefore = 0;  ///< bytes that earlier requests sent on the connection
+  std::size_t mSentBefore = 0; ///< bytes that earlier requests sent on the connection
   std::size_t mRequestBytes = 0;
   bool mIsFresh = false; ///< the connection was made for this attempt
   bool mHasSent = false;
--- a/include/gentianloom/relay/RelayParts.h
+++ b/include/gentianloom/relay/RelayParts.h
@@ -24,14 +24,15 @@
   const Clock& mClock;
   Metrics& mMetrics;
   const RequestCodec& mCodec;
-  std::string mZone;         ///< availability zone of this instance
-  RouteTable::Ptr mRoutes;   ///< configuration in force; null until one was read
+  std::string mZone;       ///< availability zone of this instance
+  RouteTable::Ptr mRoutes; ///< configuration in force; null until one was read
   EndpointRegistry mEndpoints{};
   std::map<std::string, FirstTokenModel> mFirstTokens{}; ///< by service
   ConnectionPool mConnections;
   RightsDuty& mRights;
   RetryBudget mRetries;
-  std::function<void()> mOnPendingChange{}; ///< called when prompts are sent or begin to be answered
+  std::function<void()>
+    mOnPendingChange{};    ///< called when prompts are sent or begin to be answered
   bool mIsLeaving = false; ///< callers are told to close their connections
   int mOpenRequests = 0;
 };
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -18,21 +18,21 @@
 {
   std::string mId; ///< of this try of the caller; a caller's retry has another one
   std::string mHost;
-  std::string mPath; ///< without its query
-  std::string mKey;  ///< secret that names the organisation; empty: none
-  std::optional<Millis> mPatience;         ///< how long the caller waits from now on
-  std::optional<Tokens> mPromptTokens;     ///< of a request to a model
-  std::optional<Tokens> mMostOutputTokens; ///< of a request to a model
-  std::vector<PromptPart> mParts;          ///< of the prompt, in order
+  std::string mPath;                        ///< without its query
+  std::string mKey;                         ///< secret that names the organisation; empty: none
+  std::optional<Millis> mPatience;          ///< how long the caller waits from now on
+  std::optional<Tokens> mPromptTokens;      ///< of a request to a model
+  std::optional<Tokens> mMostOutputTokens;  ///< of a request to a model
+  std::vector<PromptPart> mParts;           ///< of the prompt, in order
   std::optional<std::int64_t> mResumeAfter; ///< last event that the caller has of a broken stream
 };
 
 /// What a router adds to a request that it passes on.
 struct ForwardFacts
 {
-  std::string mEndpoint;               ///< the only one that may run it
-  Millis mTimeLeft{ 0 };               ///< after which the endpoint stops
-  std::string mOrganisation;           ///< empty: anonymous
+  std::string mEndpoint;                ///< the only one that may run it
+  Millis mTimeLeft{ 0 };                ///< after which the endpoint stops
+  std::string mOrganisation;            ///< empty: anonymous
   std::optional<std::int64_t> mUrgency; ///< 0 goes first
   std::optional<std::int64_t> mResumeAfter;
 };
--- a/include/gentianloom/routing/EndpointChooser.h
+++ b/include/gentianloom/routing/EndpointChooser.h
@@ -14,10 +14,10 @@
 /// A request as placement sees it.
 struct PlacementRequest
 {
-  std::uint64_t mDraw = 0;            ///< evenly distributed; breaks ties
-  std::string_view mZone;             ///< availability zone of this instance
-  std::span<const PromptPart> mParts; ///< of its prompt, in order; empty: none stated
-  Millis mTarget{ 0 };                ///< within which the first event should come
+  std::uint64_t mDraw = 0;             ///< evenly distributed; breaks ties
+  std::string_view mZone;              ///< availability zone of this instance
+  std::span<const PromptPart> mParts;  ///< of its prompt, in order; empty: none stated
+  Millis mTarget{ 0 };                 ///< within which the first event should come
   std::span<const std::string> mTried; ///< endpoints that get it only as a last choice
 };
 
@@ -37,9 +37,9 @@
  * @brief Chooses an endpoint for a request to a model engine.
  *
  * Load pattern: prompts that share long parts, a few of them much longer than the rest. Requests of
- * one shared part meet on the endpoint that a rendezvous hash of the part names first, so that it is
- * read once. Where the first event would come late there, because long prompts wait in front, the
- * endpoint with the least predicted time takes over, and reads the part anew. Pure.
+ * one shared part meet on the endpoint that a rendezvous hash of the part names first, so that it
+ * is read once. Where the first event would come late there, because long prompts wait in front,
+ * the endpoint with the least predicted time takes over, and reads the part anew. Pure.
  */
 PlacementChoice ChooseEngine(const PlacementRequest& aRequest,
                              std::span<const EndpointRegistry::Ptr> aEndpoints,
--- a/include/gentianloom/routing/FirstTokenModel.h
+++ b/include/gentianloom/routing/FirstTokenModel.h
@@ -4,7 +4,8 @@
 namespace gentianloom {
 
 /**
- * @brief Predicts the time to the first event from the prompt tokens that have to be read before it.
+ * @brief Predicts the time to the first event from the prompt tokens that have to be read before
+ * it.
  *
  * A straight line through what was observed lately (least squares; older observations count less).
  * Pure.
--- a/include/gentianloom/routing/RouteTable.h
+++ b/include/gentianloom/routing/RouteTable.h
@@ -50,8 +50,8 @@
 /// What is known of the model engines of a service.
 struct EngineSpec
 {
-  std::int64_t mSlots = 1;         ///< requests in one batch
-  std::int64_t mCacheTokens = 0;   ///< memory for running requests and cached prompt parts
+  std::int64_t mSlots = 1;          ///< requests in one batch
+  std::int64_t mCacheTokens = 0;    ///< memory for running requests and cached prompt parts
   std::int64_t mTokensPerEvent = 1; ///< output tokens that one event stands for
 };
 
--- a/include/gentianloom/settings/Settings.h
+++ b/include/gentianloom/settings/Settings.h
@@ -54,9 +54,9 @@
   std::string mPolicy = "demand"; ///< `fixed`, `demand` or `shrinking`
   std::int64_t mFixedTokens = 50'000;
   Millis mDemandWindow{ 120'000 };
-  Millis mDemandMemory{ 60'000 }; ///< time constant of the demand estimate
-  Millis mKeptTime{ 5'000 };      ///< rights for so long a demand are never given back
-  Millis mChargeInterval{ 0 };    ///< what was used is written at most so late
+  Millis mDemandMemory{ 60'000 };  ///< time constant of the demand estimate
+  Millis mKeptTime{ 5'000 };       ///< rights for so long a demand are never given back
+  Millis mChargeInterval{ 0 };     ///< what was used is written at most so late
   Millis mCommitInterval{ 1'000 }; ///< one key-value write at most each interval
 };
 
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -61,6 +61,7 @@
                                                            boost::log::sinks::synchronized_feeding>
 {
 public:
+  // NOLINTNEXTLINE(readability-identifier-naming): the name that Boost.Log calls
   void consume(const boost::log::record_view& /*aRecord*/, const string_type& aLine)
   {
     if (!TakeCredit() || !IsWritable()) {
--- a/src/budget/Holding.cpp
+++ b/src/budget/Holding.cpp
@@ -88,8 +88,9 @@
   }
   auto input = Input();
   input.mLeft = std::max<Tokens>(0, aLeft);
-  const auto kept = std::max(
-    { aPolicy.Target(input), static_cast<Tokens>(input.mDemand * aPolicy.KeptSeconds()), mLargest });
+  const auto kept = std::max({ aPolicy.Target(input),
+                               static_cast<Tokens>(input.mDemand * aPolicy.KeptSeconds()),
+                               mLargest });
   const auto idle = free > kExcessFactor * kept ? free - kept : 0;
   return std::max<Tokens>({ 0, overdrawn, idle });
 }
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -108,9 +108,8 @@
     return ReserveAnswer::Unavailable;
   }
   const auto holding = mLedger.Holdings().find(aBudget);
-  const auto room = holding == mLedger.Holdings().end()
-                      ? Tokens{ 0 }
-                      : mCaps.Room(aBudget, holding->second, now);
+  const auto room =
+    holding == mLedger.Holdings().end() ? Tokens{ 0 } : mCaps.Room(aBudget, holding->second, now);
   const auto answer = mLedger.Reserve(aBudget, aTokens, now, room);
   if (answer == ReserveAnswer::Wait) {
     if (mPacer.IsAway()) {
@@ -191,7 +190,9 @@
   if (isLast) {
     AddReport(transaction, mCaps.Plan(mLedger.Holdings(), mClock.Now()));
   }
-  LogChange(LogLevel::Info, "budget", "the rights of a predecessor are closed",
+  LogChange(LogLevel::Info,
+            "budget",
+            "the rights of a predecessor are closed",
             { { "predecessor", report->mIncarnation },
               { "within_caps", isWithinCaps ? "yes" : "no" },
               { "ran_for_ms", std::to_string((startedAt - report->mReportedAt).count()) },
@@ -258,7 +259,9 @@
   }
   auto record = ParseShard(aEntry.mValue);
   if (!record) {
-    LogChange(LogLevel::Error, "budget", "a stored shard cannot be read; its budgets are not sold",
+    LogChange(LogLevel::Error,
+              "budget",
+              "a stored shard cannot be read; its budgets are not sold",
               { { "key", aEntry.mKey }, { "why", ToString(record.error()) } });
     return false;
   }
@@ -357,7 +360,9 @@
     const auto& stored = mKnownReport.mReport;
     if (stored && stored->mIncarnation != mOwner.mIncarnation) {
       mIsReplaced = true;
-      LogChange(LogLevel::Error, "budget", "another process has this instance's name; selling ends",
+      LogChange(LogLevel::Error,
+                "budget",
+                "another process has this instance's name; selling ends",
                 { { "incarnation", stored->mIncarnation } });
       co_return false;
     }
@@ -420,7 +425,8 @@
 void RightsDuty::NoteStore(bool aWorks, const std::string& aWhy)
 {
   if (aWorks == mPacer.IsAway()) {
-    LogChange(aWorks ? LogLevel::Info : LogLevel::Warning, "budget",
+    LogChange(aWorks ? LogLevel::Info : LogLevel::Warning,
+              "budget",
               aWorks ? "the key-value service answers again"
                      : "the key-value service is away; selling what is held",
               { { "why", aWhy } });
@@ -463,7 +469,8 @@
       co_await net::Signal::Sleep(mLoop, kClosePause);
     }
   }
-  LogChange(LogLevel::Error, "budget",
+  LogChange(LogLevel::Error,
+            "budget",
             "the rest could not be returned; it stays in doubt until an operator releases it",
             { { "incarnation", mOwner.mIncarnation } });
 }
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -122,7 +122,8 @@
   const auto input = aHolding.Input();
   const auto demand = TokensFor(input.mDemand, SecondsOf(mSettings.mHeadroom), input.mLargest);
   const auto free = std::max<Tokens>(0, aHolding.Free() + aHolding.mDrawing);
-  const auto room = std::max({ demand, 2 * aHolding.mLargest, free / kLeastShare }) + aHolding.mWanted;
+  const auto room =
+    std::max({ demand, 2 * aHolding.mLargest, free / kLeastShare }) + aHolding.mWanted;
   return aHolding.Used() + std::min(room, free);
 }
 
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -53,7 +53,9 @@
 void CallerServer::AnswerFault(net::Channel& aChannel, net::ParseFault aFault)
 {
   const int status = StatusOf(aFault);
-  LogChange(LogLevel::Info, "caller", "a request was refused before it was read whole",
+  LogChange(LogLevel::Info,
+            "caller",
+            "a request was refused before it was read whole",
             { { "status", std::to_string(status) } });
   AnswerAndClose(aChannel, status);
 }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -69,23 +69,25 @@
   , mDeployment(aDeployment)
   , mStore(aStore)
   , mClock(aClock)
-  , mSelf{ mSettings.mInstance, MakeId("run"), mSettings.mZone, mSettings.mCallerAddress,
-           mSettings.mPeerAddress, false }
-  , mRights(
-      aLoop,
-      aStore,
-      RightsSettings(mSettings),
-      { mSelf.mName, mSelf.mIncarnation, ReadBootId() },
-      { [this](const std::string& aName) {
-         const auto* payer = mParts.mRoutes ? mParts.mRoutes->PayerNamed(aName) : nullptr;
-         return payer == nullptr || !payer->mPrepaid
-                  ? StatedBudget{}
-                  : StatedBudget{ *payer->mPrepaid, mParts.mRoutes->Version() };
-       },
-        [this] { return mInstances.Size(mSelf.mName); },
-        [this] { return mParts.mRoutes ? mParts.mRoutes->LimitedPayers() : std::vector<std::string>(); } },
-      aClock,
-      mMetrics)
+  , mSelf{ mSettings.mInstance,      MakeId("run"),          mSettings.mZone,
+           mSettings.mCallerAddress, mSettings.mPeerAddress, false }
+  , mRights(aLoop,
+            aStore,
+            RightsSettings(mSettings),
+            { mSelf.mName, mSelf.mIncarnation, ReadBootId() },
+            { [this](const std::string& aName) {
+               const auto* payer = mParts.mRoutes ? mParts.mRoutes->PayerNamed(aName) : nullptr;
+               return payer == nullptr || !payer->mPrepaid
+                        ? StatedBudget{}
+                        : StatedBudget{ *payer->mPrepaid, mParts.mRoutes->Version() };
+             },
+              [this] { return mInstances.Size(mSelf.mName); },
+              [this] {
+                return mParts.mRoutes ? mParts.mRoutes->LimitedPayers()
+                                      : std::vector<std::string>();
+              } },
+            aClock,
+            mMetrics)
   , mParts{ aLoop,
             aClock,
             mMetrics,
@@ -106,25 +108,24 @@
       aClock,
       mMetrics)
   , mCallers(mParts)
-  , mConfigurationFollower(
-      aLoop,
-      aStore,
-      aDeployment.ConfigurationKey(),
-      kWatchWait,
-      { [this](const auto& aEntries, StoreCondition) {
-         for (const auto& it : aEntries) {
-           OnConfiguration(it);
-         }
-       },
-        [this](const auto& aEvents, StoreCondition) {
-          for (const auto& it : aEvents) {
-            if (!it.mDeleted) {
-              OnConfiguration(it.mEntry);
-            }
-          }
-        } },
-      aClock,
-      mMetrics)
+  , mConfigurationFollower(aLoop,
+                           aStore,
+                           aDeployment.ConfigurationKey(),
+                           kWatchWait,
+                           { [this](const auto& aEntries, StoreCondition) {
+                              for (const auto& it : aEntries) {
+                                OnConfiguration(it);
+                              }
+                            },
+                             [this](const auto& aEvents, StoreCondition) {
+                               for (const auto& it : aEvents) {
+                                 if (!it.mDeleted) {
+                                   OnConfiguration(it.mEntry);
+                                 }
+                               }
+                             } },
+                           aClock,
+                           mMetrics)
   , mEndpointFollower(
       aLoop,
       aStore,
@@ -139,7 +140,9 @@
              list.push_back(std::move(entry.value()));
            }
          }
-         LogChange(LogLevel::Info, "endpoints", "the list of endpoints was read",
+         LogChange(LogLevel::Info,
+                   "endpoints",
+                   "the list of endpoints was read",
                    { { "entries", std::to_string(aEntries.size()) },
                      { "usable", std::to_string(list.size()) } });
          mParts.mEndpoints.Replace(
@@ -153,43 +156,42 @@
               continue;
             }
             const auto id = it.mEntry.mKey.substr(prefix);
-            LogChange(LogLevel::Info, "endpoints", "an endpoint's entry vanished",
-                      { { "endpoint", id } });
-            mParts.mEndpoints.Remove(
-              id, aCondition == StoreCondition::AfterOutage, mClock.Now());
-          }
-        } },
-      aClock,
-      mMetrics)
-  , mInstanceFollower(
-      aLoop,
-      aStore,
-      std::string(kInstancePrefix),
-      kInstanceWatchWait,
-      { [this](const auto& aEntries, StoreCondition aCondition) {
-         std::vector<InstanceRecord> list;
-         for (const auto& it : aEntries) {
-           auto record = ParseInstanceRecord(it.mValue);
-           if (record) {
-             list.push_back(std::move(record.value()));
-           }
-         }
-         mInstances.Replace(
-           std::move(list), aCondition == StoreCondition::AfterOutage, mClock.Now());
-       },
-        [this](const auto& aEvents, StoreCondition aCondition) {
-          for (const auto& it : aEvents) {
-            if (!it.mDeleted) {
-              PutInstance(it.mEntry);
-              continue;
-            }
-            mInstances.Remove(it.mEntry.mKey.substr(kInstancePrefix.size()),
-                              aCondition == StoreCondition::AfterOutage,
-                              mClock.Now());
+            LogChange(
+              LogLevel::Info, "endpoints", "an endpoint's entry vanished", { { "endpoint", id } });
+            mParts.mEndpoints.Remove(id, aCondition == StoreCondition::AfterOutage, mClock.Now());
           }
         } },
       aClock,
       mMetrics)
+  , mInstanceFollower(aLoop,
+                      aStore,
+                      std::string(kInstancePrefix),
+                      kInstanceWatchWait,
+                      { [this](const auto& aEntries, StoreCondition aCondition) {
+                         std::vector<InstanceRecord> list;
+                         for (const auto& it : aEntries) {
+                           auto record = ParseInstanceRecord(it.mValue);
+                           if (record) {
+                             list.push_back(std::move(record.value()));
+                           }
+                         }
+                         mInstances.Replace(std::move(list),
+                                            aCondition == StoreCondition::AfterOutage,
+                                            mClock.Now());
+                       },
+                        [this](const auto& aEvents, StoreCondition aCondition) {
+                          for (const auto& it : aEvents) {
+                            if (!it.mDeleted) {
+                              PutInstance(it.mEntry);
+                              continue;
+                            }
+                            mInstances.Remove(it.mEntry.mKey.substr(kInstancePrefix.size()),
+                                              aCondition == StoreCondition::AfterOutage,
+                                              mClock.Now());
+                          }
+                        } },
+                      aClock,
+                      mMetrics)
 {
 }
 
@@ -211,7 +213,9 @@
   mRights.Start();
   net::Start(mLoop, "lease", KeepLease());
   net::Start(mLoop, "housekeeping", Housekeep());
-  LogChange(LogLevel::Info, "gateway", "started",
+  LogChange(LogLevel::Info,
+            "gateway",
+            "started",
             { { "incarnation", mSelf.mIncarnation },
               { "zone", mSelf.mZone },
               { "callers", mSettings.mCallerAddress } });
@@ -250,7 +254,8 @@
 {
   auto decoded = mDeployment.DecodeConfiguration(aEntry.mValue);
   if (!decoded) {
-    LogChange(LogLevel::Error, "configuration",
+    LogChange(LogLevel::Error,
+              "configuration",
               "the stored configuration cannot be read; the one in force stays",
               { { "why", ToString(decoded.error()) } });
     return;
@@ -258,14 +263,18 @@
   const auto version = decoded.value().mVersion;
   const auto known = mParts.mRoutes ? mParts.mRoutes->Version() : -1;
   if (version <= known) {
-    LogChange(LogLevel::Warning, "configuration", "a version that is not newer was passed over",
+    LogChange(LogLevel::Warning,
+              "configuration",
+              "a version that is not newer was passed over",
               { { "version", std::to_string(version) }, { "in_force", std::to_string(known) } });
     return;
   }
   mParts.mRoutes = RouteTable::Create(std::move(decoded.value()));
   mMetrics.GaugeOf("gentianloom_configuration_version").Set(version);
   mRights.Wake();
-  LogChange(LogLevel::Info, "configuration", "a version is in force",
+  LogChange(LogLevel::Info,
+            "configuration",
+            "a version is in force",
             { { "version", std::to_string(version) },
               { "before", std::to_string(known) },
               { "revision", std::to_string(aEntry.mModRevision) } });
@@ -276,12 +285,16 @@
   const auto id = aEntry.mKey.substr(mDeployment.EndpointPrefix().size());
   auto entry = mDeployment.DecodeEndpoint(id, aEntry.mValue);
   if (!entry) {
-    LogChange(LogLevel::Warning, "endpoints", "an entry names no endpoint that can be used",
+    LogChange(LogLevel::Warning,
+              "endpoints",
+              "an entry names no endpoint that can be used",
               { { "endpoint", id }, { "why", ToString(entry.error()) } });
     mParts.mEndpoints.Remove(id, false, mClock.Now());
     return;
   }
-  LogChange(LogLevel::Info, "endpoints", "an endpoint's entry changed",
+  LogChange(LogLevel::Info,
+            "endpoints",
+            "an endpoint's entry changed",
             { { "endpoint", id },
               { "service", entry.value().mService },
               { "leaving", entry.value().mIsLeaving ? "yes" : "no" } });
@@ -292,11 +305,15 @@
 {
   auto record = ParseInstanceRecord(aEntry.mValue);
   if (!record) {
-    LogChange(LogLevel::Warning, "instances", "an instance's key cannot be read",
+    LogChange(LogLevel::Warning,
+              "instances",
+              "an instance's key cannot be read",
               { { "key", aEntry.mKey }, { "why", ToString(record.error()) } });
     return;
   }
-  LogChange(LogLevel::Info, "instances", "an instance's key changed",
+  LogChange(LogLevel::Info,
+            "instances",
+            "an instance's key changed",
             { { "instance", record.value().mName },
               { "leaving", record.value().mIsLeaving ? "yes" : "no" } });
   mInstances.Put(std::move(record.value()));
@@ -359,8 +376,8 @@
       } else {
         const auto renewed = co_await mStore.RenewLease(mLease);
         if (renewed && !renewed.value()) {
-          LogChange(LogLevel::Warning, "instances", "the lease of this instance's key has ended",
-                    {});
+          LogChange(
+            LogLevel::Warning, "instances", "the lease of this instance's key has ended", {});
           mLease = 0;
           isWritten = false;
           continue;
@@ -387,7 +404,9 @@
 {
   mSettings.mLeaveTime = aSettings.mLeaveTime;
   mSettings.mAddressLife = aSettings.mAddressLife;
-  LogChange(LogLevel::Info, "gateway", "settings were read again",
+  LogChange(LogLevel::Info,
+            "gateway",
+            "settings were read again",
             { { "leave_time_ms", std::to_string(mSettings.mLeaveTime.count()) },
               { "address_life_ms", std::to_string(mSettings.mAddressLife.count()) } });
 }
@@ -404,7 +423,9 @@
 net::Task<void> Gateway::RunLeave()
 {
   const auto started = mClock.Now();
-  LogChange(LogLevel::Info, "gateway", "leaving",
+  LogChange(LogLevel::Info,
+            "gateway",
+            "leaving",
             { { "open_requests", std::to_string(mParts.mOpenRequests) } });
   const auto last = started + mSettings.mLeaveTime - kCloseTime;
   const auto first = std::min(started + mSettings.mAddressLife * kAddressLives, last);
@@ -412,7 +433,9 @@
     co_await net::Signal::Sleep(mLoop, kLeavePoll);
   }
   co_await mRights.Close(mClock.Now() + kCloseTime / 2);
-  LogChange(LogLevel::Info, "gateway", "stopped",
+  LogChange(LogLevel::Info,
+            "gateway",
+            "stopped",
             { { "open_requests", std::to_string(mParts.mOpenRequests) } });
   mLoop.stop();
 }
--- a/src/gateway/GatewayDaemon.cpp
+++ b/src/gateway/GatewayDaemon.cpp
@@ -52,7 +52,9 @@
     mText = *text;
     const auto parsed = ParseGatewaySettings(mText, mFile);
     for (const auto& it : parsed.mErrors) {
-      LogChange(LogLevel::Error, "settings", "the changed settings are wrong; the old ones stay",
+      LogChange(LogLevel::Error,
+                "settings",
+                "the changed settings are wrong; the old ones stay",
                 { { "why", ToString(it) } });
     }
     if (parsed.mErrors.empty()) {
@@ -108,7 +110,9 @@
   std::signal(SIGPIPE, SIG_IGN);
   const auto text = ReadText(aSettingsFile);
   if (!text) {
-    return Fail(MakeError(ErrorCode::BadSettings, Step::Settings, aSettingsFile,
+    return Fail(MakeError(ErrorCode::BadSettings,
+                          Step::Settings,
+                          aSettingsFile,
                           "the settings file " + aSettingsFile + " cannot be read"));
   }
   const auto parsed = ParseGatewaySettings(*text, aSettingsFile);
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -46,7 +46,8 @@
     return out;
   }
 
-  /// Numbers may be written as text, since a template fills them in; an empty one keeps the default.
+  /// Numbers may be written as text, since a template fills them in; an empty one keeps the
+  /// default.
   double Number(const std::string& aKey, double aDefault, double aLeast, double aMost)
   {
     const auto it = mJson.find(aKey);
@@ -64,7 +65,8 @@
       return aDefault;
     }
     if (out < aLeast || out > aMost) {
-      Complain(ErrorCode::OutOfRange, aKey,
+      Complain(ErrorCode::OutOfRange,
+               aKey,
                "must be from " + Json(aLeast).dump() + " to " + Json(aMost).dump() + " and is " +
                  it->dump());
       return aDefault;
@@ -75,8 +77,8 @@
 private:
   void Complain(ErrorCode aCode, const std::string& aKey, const std::string& aText)
   {
-    mErrors.push_back(
-      MakeError(aCode, Step::Settings, mPlace, std::string(mPlace) + ": \"" + aKey + "\" " + aText));
+    mErrors.push_back(MakeError(
+      aCode, Step::Settings, mPlace, std::string(mPlace) + ": \"" + aKey + "\" " + aText));
   }
 
   const Json& mJson;
@@ -101,12 +103,16 @@
   try {
     json = Json::parse(aText, nullptr, true, true);
   } catch (const Json::exception& ex) {
-    out.mErrors.push_back(MakeError(ErrorCode::MalformedJson, Step::Settings, aPlace,
+    out.mErrors.push_back(MakeError(ErrorCode::MalformedJson,
+                                    Step::Settings,
+                                    aPlace,
                                     std::string(aPlace) + " is no JSON: " + ex.what()));
     return out;
   }
   if (!json.is_object()) {
-    out.mErrors.push_back(MakeError(ErrorCode::WrongType, Step::Settings, aPlace,
+    out.mErrors.push_back(MakeError(ErrorCode::WrongType,
+                                    Step::Settings,
+                                    aPlace,
                                     std::string(aPlace) + " must hold one JSON object"));
     return out;
   }
--- a/src/gateway/LoadNews.cpp
+++ b/src/gateway/LoadNews.cpp
@@ -102,7 +102,9 @@
     mSocket.bind(local, ec);
   }
   if (ec) {
-    return MakeError(ErrorCode::BadSettings, Step::Settings, aAddress,
+    return MakeError(ErrorCode::BadSettings,
+                     Step::Settings,
+                     aAddress,
                      "cannot receive on " + std::string(aAddress) + ": " + ec.message());
   }
   mSocket.non_blocking(true, ec);
@@ -147,7 +149,9 @@
     }
     boost::system::error_code ec;
     mSocket.send_to(boost::asio::buffer(bytes),
-                    Udp::endpoint(address.value().address(), address.value().port()), 0, ec);
+                    Udp::endpoint(address.value().address(), address.value().port()),
+                    0,
+                    ec);
     // A datagram that cannot be sent now is replaced by the next one.
     mMetrics.CounterOf("gentianloom_load_news_total", ec ? "sent=\"no\"" : "sent=\"yes\"").Add();
   }
@@ -160,8 +164,7 @@
     Udp::endpoint from;
     boost::system::error_code ec;
     const auto n = co_await mSocket.async_receive_from(
-      boost::asio::buffer(buf), from,
-      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+      boost::asio::buffer(buf), from, boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     if (ec == boost::asio::error::operation_aborted) {
       co_return;
     }
--- a/src/gateway/StoreFollower.cpp
+++ b/src/gateway/StoreFollower.cpp
@@ -94,7 +94,9 @@
   }
   const auto& it = answer.value();
   if (it.mIsTooOld) {
-    LogChange(LogLevel::Warning, "store", "the history is gone; reading everything again",
+    LogChange(LogLevel::Warning,
+              "store",
+              "the history is gone; reading everything again",
               { { "prefix", mPrefix }, { "after", std::to_string(mRevision) } });
     mMustRead = true;
     co_return true;
@@ -110,7 +112,8 @@
 void StoreFollower::NoteAnswer(bool aAnswered, const std::string& aWhy)
 {
   if (aAnswered == mIsAway) {
-    LogChange(aAnswered ? LogLevel::Info : LogLevel::Warning, "store",
+    LogChange(aAnswered ? LogLevel::Info : LogLevel::Warning,
+              "store",
               aAnswered ? "the key-value service answers again"
                         : "the key-value service does not answer; going on with what is known",
               { { "prefix", mPrefix }, { "why", aWhy } });
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -114,7 +114,9 @@
 Result<Channel::Address> ParseEndpoint(std::string_view aText)
 {
   const auto bad = [&] {
-    return MakeError(ErrorCode::BadSettings, Step::Settings, aText,
+    return MakeError(ErrorCode::BadSettings,
+                     Step::Settings,
+                     aText,
                      "address \"" + std::string(aText) + "\" must be written as IP:PORT");
   };
   const auto colon = aText.rfind(':');
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 8> kHopByHop = { "Connection", "Keep-Alive",
-                                                        "Proxy-Connection", "Proxy-Authorization",
-                                                        "TE", "Trailer", "Transfer-Encoding",
-                                                        "Upgrade" };
+constexpr std::array<std::string_view, 8> kHopByHop = {
+  "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authorization",
+  "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"
+};
 
 char Lower(char aChar)
 {
@@ -58,8 +58,10 @@
 
 bool SameName(std::string_view aLeft, std::string_view aRight)
 {
-  return std::equal(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(),
-                    [](char aOne, char aOther) { return Lower(aOne) == Lower(aOther); });
+  return std::equal(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char aOne, char aOther) {
+      return Lower(aOne) == Lower(aOther);
+    });
 }
 
 std::optional<std::int64_t> ParseNumber(std::string_view aText)
@@ -95,8 +97,9 @@
       continue;
     }
     const auto tokens = Tokens(value);
-    if (std::any_of(tokens.begin(), tokens.end(),
-                    [&](const std::string& it) { return SameName(it, aToken); })) {
+    if (std::any_of(tokens.begin(), tokens.end(), [&](const std::string& it) {
+          return SameName(it, aToken);
+        })) {
       return true;
     }
   }
--- a/src/net/HttpParser.cpp
+++ b/src/net/HttpParser.cpp
@@ -90,8 +90,7 @@
   std::size_t used = 0;
   while (used < aBytes.size() && mState != ParseState::Done && mState != ParseState::Failed) {
     error_code ec;
-    const auto n =
-      mImpl->mParser.put(const_buffer(aBytes.data() + used, aBytes.size() - used), ec);
+    const auto n = mImpl->mParser.put(const_buffer(aBytes.data() + used, aBytes.size() - used), ec);
     used += n;
     if (ec == http::error::need_more) {
       ec = {};
@@ -178,8 +177,7 @@
       continue;
     }
     error_code ec;
-    const auto n =
-      mImpl->mParser.put(const_buffer(aBytes.data() + used, aBytes.size() - used), ec);
+    const auto n = mImpl->mParser.put(const_buffer(aBytes.data() + used, aBytes.size() - used), ec);
     used += n;
     if (ec == http::error::need_more && n == 0) {
       break;
--- a/src/net/HttpService.cpp
+++ b/src/net/HttpService.cpp
@@ -25,13 +25,15 @@
   while (true) {
     boost::system::error_code ec;
     Channel::Socket socket(aLoop);
-    co_await aAcceptor->async_accept(
-      socket, boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    co_await aAcceptor->async_accept(socket,
+                                     boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     if (ec == boost::asio::error::operation_aborted) {
       co_return;
     }
     if (ec) {
-      LogChange(LogLevel::Warning, "net", "a connection could not be accepted",
+      LogChange(LogLevel::Warning,
+                "net",
+                "a connection could not be accepted",
                 { { "why", ec.message() } });
       co_await Signal::Sleep(aLoop, kAcceptPause);
       continue;
@@ -90,7 +92,9 @@
   }
   if (ec) {
     const auto name = aAddress.address().to_string() + ":" + std::to_string(aAddress.port());
-    return MakeError(ErrorCode::BadSettings, Step::Settings, name,
+    return MakeError(ErrorCode::BadSettings,
+                     Step::Settings,
+                     name,
                      "cannot listen on " + name + ": " + ec.message());
   }
   Start(aLoop, "accept", RunAccepts(aLoop, acceptor, std::move(aHandler)));
--- a/src/net/Signal.cpp
+++ b/src/net/Signal.cpp
@@ -21,7 +21,9 @@
       try {
         std::rethrow_exception(aProblem);
       } catch (const std::exception& ex) {
-        LogChange(LogLevel::Error, "net", "a task ended with an exception",
+        LogChange(LogLevel::Error,
+                  "net",
+                  "a task ended with an exception",
                   { { "task", name }, { "why", ex.what() } });
       }
     });
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -31,11 +31,11 @@
 } // namespace
 
 EndpointAttempt::EndpointAttempt(RelayParts& aParts,
-                 const AttemptRequest& aRequest,
-                 const PlacementChoice& aChoice,
-                 CallerSide& aCaller,
-                 StreamProgress& aProgress,
-                 std::shared_ptr<net::Signal> aSignal)
+                                 const AttemptRequest& aRequest,
+                                 const PlacementChoice& aChoice,
+                                 CallerSide& aCaller,
+                                 StreamProgress& aProgress,
+                                 std::shared_ptr<net::Signal> aSignal)
   : mParts(aParts)
   , mRequest(aRequest)
   , mEndpoint(aChoice.mEndpoint)
@@ -87,7 +87,7 @@
     SendRequest();
     co_await Receive();
   }
-  co_return *mResult;
+  co_return mResult.value_or(AttemptResult{});
 }
 
 net::Task<bool> EndpointAttempt::Open()
@@ -211,7 +211,8 @@
   if (used == 0 && mChannel->State() == net::ChannelState::Broken) {
     // A kept connection may have been closed by the endpoint before any byte went out.
     const bool nothingSent = mChannel->Sent() == mSentBefore;
-    Finish(nothingSent ? AttemptEnd::NotReached : AttemptEnd::Broke, nothingSent,
+    Finish(nothingSent ? AttemptEnd::NotReached : AttemptEnd::Broke,
+           nothingSent,
            "the connection broke");
     return true;
   }
@@ -299,7 +300,8 @@
   } else if (mCaller.State() == AnswerState::NotBegun) {
     mCaller.SendWhole(CallerHead(), mBody);
   } else {
-    Finish(AttemptEnd::Broke, false,
+    Finish(AttemptEnd::Broke,
+           false,
            "a resumed stream was answered with status " + std::to_string(status));
     return;
   }
--- a/src/relay/Exchange.cpp
+++ b/src/relay/Exchange.cpp
@@ -37,8 +37,8 @@
 std::string SecondsText(Millis aTime)
 {
   std::array<char, 32> buf{};
-  const int n = std::snprintf(buf.data(), buf.size(), "%.3f",
-                              static_cast<double>(aTime.count()) / 1'000.0);
+  const int n =
+    std::snprintf(buf.data(), buf.size(), "%.3f", static_cast<double>(aTime.count()) / 1'000.0);
   return { buf.data(), static_cast<std::size_t>(n) };
 }
 
@@ -110,7 +110,9 @@
   mRequest = std::move(request.value());
   mRoutes = mParts.mRoutes;
   if (!mRoutes) {
-    auto error = MakeError(ErrorCode::PlatformUnavailable, Step::RequestAccept, "self",
+    auto error = MakeError(ErrorCode::PlatformUnavailable,
+                           Step::RequestAccept,
+                           "self",
                            "no configuration was read yet; the request did not run");
     error.mRetryAfter = kComeBack;
     Refuse(kUnavailable, error);
@@ -118,8 +120,11 @@
   }
   mRoute = mRoutes->Find(mRequest.mHost, mRequest.mPath);
   if (mRoute == nullptr) {
-    Refuse(kNotFound, MakeError(ErrorCode::UnknownPath, Step::RequestAccept, "caller",
-                                "no route serves this host and path"));
+    Refuse(kNotFound,
+           MakeError(ErrorCode::UnknownPath,
+                     Step::RequestAccept,
+                     "caller",
+                     "no route serves this host and path"));
     return false;
   }
   const auto patience = std::min(mRequest.mPatience.value_or(kDefaultPatience), mRoute->mTimeout);
@@ -127,8 +132,11 @@
   if (mRoutes->HasPayers()) {
     mPayer = mRoutes->PayerOf(mRequest.mKey);
     if (mPayer == nullptr && !mRoute->mAllowsAnonymous) {
-      Refuse(kUnauthorized, MakeError(ErrorCode::NotAuthenticated, Step::RequestAuthenticate,
-                                      "caller", "the key is missing or not known"));
+      Refuse(kUnauthorized,
+             MakeError(ErrorCode::NotAuthenticated,
+                       Step::RequestAuthenticate,
+                       "caller",
+                       "the key is missing or not known"));
       return false;
     }
   }
@@ -150,8 +158,8 @@
       break;
     }
     const auto round = mParts.mRights.Rounds();
-    while (answer == ReserveAnswer::Wait && round == mParts.mRights.Rounds() &&
-           !mCaller.IsGone() && TimeLeft() > Micros(0)) {
+    while (answer == ReserveAnswer::Wait && round == mParts.mRights.Rounds() && !mCaller.IsGone() &&
+           TimeLeft() > Micros(0)) {
       co_await mSignal->WaitFor(TimeLeft());
     }
     if (mCaller.IsGone()) {
@@ -160,13 +168,17 @@
     }
     if (answer == ReserveAnswer::Exhausted) {
       Refuse(kPaymentRequired,
-             MakeError(ErrorCode::BudgetExhausted, Step::RequestReserve, mPayer->mName,
+             MakeError(ErrorCode::BudgetExhausted,
+                       Step::RequestReserve,
+                       mPayer->mName,
                        "what is left of the budget does not cover " + Number(wanted) +
                          " tokens; the request did not run"));
       co_return false;
     }
     if (answer == ReserveAnswer::Unavailable || TimeLeft() <= Micros(0)) {
-      auto error = MakeError(ErrorCode::BudgetBusy, Step::RequestReserve, mPayer->mName,
+      auto error = MakeError(ErrorCode::BudgetBusy,
+                             Step::RequestReserve,
+                             mPayer->mName,
                              "tokens cannot be drawn now; the request did not run");
       error.mRetryAfter = kComeBack;
       Refuse(kUnavailable, error);
@@ -215,14 +227,10 @@
 
 net::Task<void> RequestExchange::Serve()
 {
-  const AttemptRequest request{ mHead,
-                                mBody,
-                                mHasBody,
-                                mRequest,
-                                *mRoute,
-                                mPayer == nullptr ? std::string() : mPayer->mName,
-                                std::nullopt,
-                                mDeadline };
+  const AttemptRequest request{ mHead,        mBody,
+                                mHasBody,     mRequest,
+                                *mRoute,      mPayer == nullptr ? std::string() : mPayer->mName,
+                                std::nullopt, mDeadline };
   bool goesOn = true;
   while (goesOn) {
     if (mCaller.IsGone()) {
@@ -244,7 +252,9 @@
       co_return;
     }
     goesOn = MayRetry(mLast);
-    LogChange(LogLevel::Info, "relay", "an attempt failed",
+    LogChange(LogLevel::Info,
+              "relay",
+              "an attempt failed",
               { { "request", mRequest.mId },
                 { "endpoint", mTried.back() },
                 { "end", std::string(ToString(mLast.mEnd)) },
@@ -262,7 +272,9 @@
     return;
   }
   if (!mMayHaveRun) {
-    auto error = MakeError(ErrorCode::Overloaded, Step::RequestDispatch, mService,
+    auto error = MakeError(ErrorCode::Overloaded,
+                           Step::RequestDispatch,
+                           mService,
                            "no endpoint took the request; it did not run");
     error.mRetryAfter = kComeBack;
     Refuse(kUnavailable, error);
@@ -271,7 +283,9 @@
   const bool late = mLast.mEnd == AttemptEnd::TimedOut;
   Refuse(late ? kGatewayTimeout : kBadGateway,
          MakeError(late ? ErrorCode::DeadlineExceeded : ErrorCode::EndpointFailed,
-                   Step::RequestRelay, mTried.back(), mLast.mWhy + "; it may have run"));
+                   Step::RequestRelay,
+                   mTried.back(),
+                   mLast.mWhy + "; it may have run"));
 }
 
 void RequestExchange::Refuse(int aStatus, const Error& aError)
@@ -295,9 +309,9 @@
   if (mMayHaveRun) {
     const auto* service = mRoutes->Service(mService);
     const auto perEvent = service->mEngine ? service->mEngine->mTokensPerEvent : 1;
-    const auto output = std::min(mProgress.mEvents * perEvent,
-                                 mRequest.mMostOutputTokens.value_or(0));
-    used = *mRequest.mPromptTokens + output;
+    const auto output =
+      std::min(mProgress.mEvents * perEvent, mRequest.mMostOutputTokens.value_or(0));
+    used = mRequest.mPromptTokens.value_or(0) + output;
   }
   mParts.mRights.Settle(mPayer->mName, mReserved, used);
   mReserved = 0;
@@ -317,7 +331,9 @@
       .Observe(std::chrono::duration<double>(mProgress.mFirstAt - mStartedAt).count());
   }
   const auto& endpoint = mChoice.mEndpoint;
-  LogChange(LogLevel::Info, "relay", "a request ended",
+  LogChange(LogLevel::Info,
+            "relay",
+            "a request ended",
             { { "request", mRequest.mId },
               { "status", status },
               { "why", mRefusal },
--- a/src/routing/EndpointChooser.cpp
+++ b/src/routing/EndpointChooser.cpp
@@ -14,7 +14,8 @@
 constexpr double kProbablyHeld = 0.9;
 /// Weight of reading tokens anew that another endpoint holds: it also delays what comes after.
 constexpr double kReadAgainWeight = 2;
-/// Part of the target that a prediction may use; beyond it each millisecond weighs kLateWeight more.
+/// Part of the target that a prediction may use; beyond it each millisecond weighs kLateWeight
+/// more.
 constexpr double kTargetShare = 0.7;
 constexpr double kLateWeight = 3;
 /// Cost of each further request on an endpoint, milliseconds.
@@ -108,9 +109,8 @@
     const double prefill = std::max(0.0, static_cast<double>(tokens.mAll) - cached);
     const auto pending = load.PendingPrefill() + load.PeersPending(aNow);
     const double slowness = load.Slowness(aNow);
-    const double predicted =
-      aModel.Predict(static_cast<double>(pending) + prefill) * slowness +
-      kRequestMillis * load.Running(aNow);
+    const double predicted = aModel.Predict(static_cast<double>(pending) + prefill) * slowness +
+                             kRequestMillis * load.Running(aNow);
     const double readAgain = std::max(0.0, static_cast<double>(tokens.mShared) - cached);
     double cost = predicted + kReadAgainWeight * aModel.ReadTime(readAgain);
     cost += kLateWeight * std::max(0.0, predicted - kTargetShare * MillisOf(aRequest.mTarget));
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -10,8 +10,8 @@
   const auto known = mEndpoints.find(aEntry.mId);
   if (known != mEndpoints.end()) {
     const auto& old = known->second->mEntry;
-    const bool isSameRun = old.mStartedAt == aEntry.mStartedAt &&
-                           old.mAddress == aEntry.mAddress && old.mService == aEntry.mService;
+    const bool isSameRun = old.mStartedAt == aEntry.mStartedAt && old.mAddress == aEntry.mAddress &&
+                           old.mService == aEntry.mService;
     if (!isSameRun) {
       Drop(known);
     }
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -43,8 +43,8 @@
 const Payer* RouteTable::PayerNamed(std::string_view aName) const
 {
   const auto& all = mConfiguration.mPayers;
-  const auto it =
-    std::find_if(all.begin(), all.end(), [&](const Payer& aPayer) { return aPayer.mName == aName; });
+  const auto it = std::find_if(
+    all.begin(), all.end(), [&](const Payer& aPayer) { return aPayer.mName == aName; });
   return it == all.end() ? nullptr : &*it;
 }
 
--- a/tests/budget/RightsDutyTest.cpp
+++ b/tests/budget/RightsDutyTest.cpp
@@ -30,7 +30,9 @@
             aStore,
             Settings(),
             { "instance-1", aIncarnation, "boot" },
-            { [](const std::string&) { return StatedBudget{ kPrepaid, 1 }; },
+            { [](const std::string&) {
+               return StatedBudget{ kPrepaid, 1 };
+             },
               [] { return std::size_t{ 1 }; },
               [] { return std::vector<std::string>{ "b" }; } },
             aClock,
--- a/tests/gateway/StoreFollowerTest.cpp
+++ b/tests/gateway/StoreFollowerTest.cpp
@@ -27,17 +27,20 @@
     const auto note = [&seen](const std::string& aText, StoreCondition aCondition) {
       seen += aText + (aCondition == StoreCondition::Steady ? " " : "? ");
     };
-    StoreFollower follower(
-      loop, store, "p/", Millis(10),
-      { [&](const auto& aEntries, StoreCondition aCondition) {
-         note("snapshot" + std::to_string(aEntries.size()), aCondition);
-       },
-        [&](const auto& aEvents, StoreCondition aCondition) {
-          for (const auto& it : aEvents) {
-            note((it.mDeleted ? "-" : "+") + it.mEntry.mKey, aCondition);
-          }
-        } },
-      clock, metrics);
+    StoreFollower follower(loop,
+                           store,
+                           "p/",
+                           Millis(10),
+                           { [&](const auto& aEntries, StoreCondition aCondition) {
+                              note("snapshot" + std::to_string(aEntries.size()), aCondition);
+                            },
+                             [&](const auto& aEvents, StoreCondition aCondition) {
+                               for (const auto& it : aEvents) {
+                                 note((it.mDeleted ? "-" : "+") + it.mEntry.mKey, aCondition);
+                               }
+                             } },
+                           clock,
+                           metrics);
     // The store answers watches at once, so that the loop is run in small steps.
     const auto step = [&loop] {
       loop.restart();
--- a/tests/net/HttpHeadTest.cpp
+++ b/tests/net/HttpHeadTest.cpp
@@ -1,5 +1,5 @@
-#include "gentianloom/net/HttpClient.h"
 #include "gentianloom/net/HttpHead.h"
+#include "gentianloom/net/HttpClient.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -35,9 +35,8 @@
     request.mHeaders.Add("Host", "h");
     request.mHeaders.Add("Content-Length", "99");
     request.mHeaders.Add("Transfer-Encoding", "chunked");
-    CPPUNIT_ASSERT_EQUAL(
-      std::string("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"),
-      RequestText(request, 0));
+    CPPUNIT_ASSERT_EQUAL(std::string("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"),
+                         RequestText(request, 0));
     CPPUNIT_ASSERT_EQUAL(std::string("POST /a HTTP/1.1\r\nHost: h\r\n\r\n"),
                          RequestText(request, std::nullopt));
     const ResponseHead response{ 200, "OK", {}, true };
@@ -55,9 +54,11 @@
       std::string mText;
       bool mIsGood;
     };
-    const Row rows[] = { { "10.1.0.40:8227", true }, { "10.1.0.40", false }, { "", false },
-                         { "10.1.0.40:0", false },   { "10.1.0.40:65536", false },
-                         { "host:80", false },       { "10.1.0.40:8x", false } };
+    const Row rows[] = {
+      { "10.1.0.40:8227", true }, { "10.1.0.40", false },       { "", false },
+      { "10.1.0.40:0", false },   { "10.1.0.40:65536", false }, { "host:80", false },
+      { "10.1.0.40:8x", false }
+    };
     for (const auto& row : rows) {
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mText, row.mIsGood, ParseEndpoint(row.mText).has_value());
     }
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -59,10 +59,10 @@
       std::string mName;
       std::string mValue;
     };
-    const Row rows[] = { { "X-Token-Usage", "1" },        { "X-Token-Usage", "1,-2" },
-                         { "X-Token-Usage", "a,b" },      { "X-Prompt-Prefix", "zz:1" },
-                         { "X-Prompt-Prefix", "1" },      { "X-Prompt-Prefix", "1:-4" },
-                         { "X-Deadline-Ms", "soon" },     { "X-Deadline-Ms", "-1" },
+    const Row rows[] = { { "X-Token-Usage", "1" },      { "X-Token-Usage", "1,-2" },
+                         { "X-Token-Usage", "a,b" },    { "X-Prompt-Prefix", "zz:1" },
+                         { "X-Prompt-Prefix", "1" },    { "X-Prompt-Prefix", "1:-4" },
+                         { "X-Deadline-Ms", "soon" },   { "X-Deadline-Ms", "-1" },
                          { "X-Attempt-Id", "a second" } };
     for (const auto& row : rows) {
       const auto head = Head({ { "X-Attempt-Id", "1" }, { row.mName, row.mValue } });
@@ -74,13 +74,20 @@
   // What only a router may set never comes from a caller, whatever the case of its name.
   void TestNothingForgedPasses()
   {
-    const auto head = Head({ { "X-Attempt-Id", "9c41" },       { "X-Credential", "key" },
-                             { "x-tenant-id", "forged" },      { "X-EXPECT-INSTANCE", "forged" },
-                             { "X-Hold", "forged" },           { "X-Pin-Ms", "1" },
-                             { "X-Kv-Backup", "1.2.3.4:5" },   { "Kv-From", "1.2.3.4:5/x" },
-                             { "Kv-Fetch", "1.2.3.4:5" },      { "X-Request-Urgency", "0" },
-                             { "X-Expect-Version", "3" },      { "Connection", "X-Secret" },
-                             { "X-Secret", "1" },              { "X-Model", "m" },
+    const auto head = Head({ { "X-Attempt-Id", "9c41" },
+                             { "X-Credential", "key" },
+                             { "x-tenant-id", "forged" },
+                             { "X-EXPECT-INSTANCE", "forged" },
+                             { "X-Hold", "forged" },
+                             { "X-Pin-Ms", "1" },
+                             { "X-Kv-Backup", "1.2.3.4:5" },
+                             { "Kv-From", "1.2.3.4:5/x" },
+                             { "Kv-Fetch", "1.2.3.4:5" },
+                             { "X-Request-Urgency", "0" },
+                             { "X-Expect-Version", "3" },
+                             { "Connection", "X-Secret" },
+                             { "X-Secret", "1" },
+                             { "X-Model", "m" },
                              { "X-Deadline-Ms", "99999" } });
     const auto out = mCodec.Encode(head, { "i-1", Millis(1'234), "org", std::nullopt, 5 });
     struct Row
@@ -88,13 +95,20 @@
       std::string mName;
       std::optional<std::string> mValue;
     };
-    const Row rows[] = { { "X-Attempt-Id", "9c41" },          { "X-Model", "m" },
-                         { "X-Tenant-Id", "org" },            { "X-Expect-Instance", "i-1" },
-                         { "X-Deadline-Ms", "1234" },         { "Last-Event-Id", "5" },
-                         { "X-Credential", std::nullopt },    { "X-Hold", std::nullopt },
-                         { "X-Pin-Ms", std::nullopt },        { "X-Kv-Backup", std::nullopt },
-                         { "Kv-From", std::nullopt },         { "Kv-Fetch", std::nullopt },
-                         { "X-Secret", std::nullopt },        { "X-Request-Urgency", std::nullopt },
+    const Row rows[] = { { "X-Attempt-Id", "9c41" },
+                         { "X-Model", "m" },
+                         { "X-Tenant-Id", "org" },
+                         { "X-Expect-Instance", "i-1" },
+                         { "X-Deadline-Ms", "1234" },
+                         { "Last-Event-Id", "5" },
+                         { "X-Credential", std::nullopt },
+                         { "X-Hold", std::nullopt },
+                         { "X-Pin-Ms", std::nullopt },
+                         { "X-Kv-Backup", std::nullopt },
+                         { "Kv-From", std::nullopt },
+                         { "Kv-Fetch", std::nullopt },
+                         { "X-Secret", std::nullopt },
+                         { "X-Request-Urgency", std::nullopt },
                          { "X-Expect-Version", std::nullopt } };
     for (const auto& row : rows) {
       const auto found = out.mHeaders.Find(row.mName);
--- a/tests/platform/WireDeploymentTest.cpp
+++ b/tests/platform/WireDeploymentTest.cpp
@@ -46,7 +46,10 @@
 
   void TestBadConfigurations()
   {
-    for (const auto* text : { "", "[]", "{}", R"({"version":1,"routes":[{}],"services":[]})",
+    for (const auto* text : { "",
+                              "[]",
+                              "{}",
+                              R"({"version":1,"routes":[{}],"services":[]})",
                               R"({"version":"x","routes":[],"services":[]})" }) {
       CPPUNIT_ASSERT_MESSAGE(text, !mDeployment.DecodeConfiguration(text));
     }
@@ -64,8 +67,7 @@
       auto out = good;
       return out.replace(out.find(aFrom), aFrom.size(), aTo);
     };
-    CPPUNIT_ASSERT(
-      mDeployment.DecodeEndpoint("i-1", with("ready", "draining")).value().mIsLeaving);
+    CPPUNIT_ASSERT(mDeployment.DecodeEndpoint("i-1", with("ready", "draining")).value().mIsLeaving);
     const std::string bad[] = { "",
                                 "\xff\xfe",
                                 "[]",
--- a/tests/routing/EndpointChooserTest.cpp
+++ b/tests/routing/EndpointChooserTest.cpp
@@ -65,9 +65,8 @@
     for (std::size_t n = 0; n + 1 < aArrival.mParts.size(); ++n) {
       if (mHeld[aEngine].insert({ aArrival.mParts[n].mId, true }).second) {
         toRead += aArrival.mParts[n].mTokens;
-        mReadAgain += mEver.insert({ aArrival.mParts[n].mId, true }).second
-                        ? 0
-                        : aArrival.mParts[n].mTokens;
+        mReadAgain +=
+          mEver.insert({ aArrival.mParts[n].mId, true }).second ? 0 : aArrival.mParts[n].mTokens;
       }
     }
     auto& freeAt = mFreeAt[aEngine];
@@ -221,12 +220,14 @@
       request.mParts = it.mParts;
       request.mTarget = it.mTarget;
       const auto choice = ChooseEngine(request, endpoints, { 64, 500'000, 5 }, model, now);
-      const auto engine = static_cast<std::size_t>(std::stoi(choice.mEndpoint->mEntry.mId.substr(1)));
+      const auto engine =
+        static_cast<std::size_t>(std::stoi(choice.mEndpoint->mEntry.mId.substr(1)));
       auto& endpointLoad = choice.mEndpoint->mLoad;
       const auto work = endpointLoad.OnSent(choice.mPrefillTokens, now);
       endpointLoad.Cache().Touch(it.mParts);
       const double first = chosen.Serve(it, engine);
-      ends.emplace_back(it.mAtMillis + first, [&endpointLoad, work] { endpointLoad.OnEnded(work); });
+      ends.emplace_back(it.mAtMillis + first,
+                        [&endpointLoad, work] { endpointLoad.OnEnded(work); });
     }
     CPPUNIT_ASSERT(chosen.mLate * 4 < turns.mLate);
     CPPUNIT_ASSERT(chosen.mLate * 2 < byPart.mLate);
--- a/tests/routing/EndpointLoadTest.cpp
+++ b/tests/routing/EndpointLoadTest.cpp
@@ -58,7 +58,7 @@
       std::string mOutcomes; // F: failed, g: good
       bool mIsSuspended;
     };
-    const Row rows[] = { { "FF", false },      { "FFF", true },     { "FFgF", false },
+    const Row rows[] = { { "FF", false },       { "FFF", true },   { "FFgF", false },
                          { "gggggggg", false }, { "FFgFF", true }, { "FgFgFgFgFgFgFF", true } };
     for (const auto& row : rows) {
       EndpointLoad load;
--- a/tests/routing/RouteTableTest.cpp
+++ b/tests/routing/RouteTableTest.cpp
@@ -33,10 +33,10 @@
       std::string mPath;
       std::string mRoute; // empty: none
     };
-    const Row rows[] = { { "h", "/a/x", "h/a/" },     { "h", "/a/b/x", "h/a/b/" },
-                         { "h", "/a/bc", "h/a/" },    { "h", "/a", "" },
-                         { "h", "/ab/x", "" },        { "i", "/any/thing", "i/" },
-                         { "j", "/a/x", "" },         { "h", "/a/b/c/d/e", "h/a/b/" } };
+    const Row rows[] = { { "h", "/a/x", "h/a/" },  { "h", "/a/b/x", "h/a/b/" },
+                         { "h", "/a/bc", "h/a/" }, { "h", "/a", "" },
+                         { "h", "/ab/x", "" },     { "i", "/any/thing", "i/" },
+                         { "j", "/a/x", "" },      { "h", "/a/b/c/d/e", "h/a/b/" } };
     for (const auto& row : rows) {
       const auto* route = table->Find(row.mHost, row.mPath);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
--- a/tests/support/MemoryAsyncStore.h
+++ b/tests/support/MemoryAsyncStore.h
@@ -14,9 +14,9 @@
 enum class StoreMode
 {
   Up,
-  Down,   ///< no call has an effect
-  Lost,   ///< writes take effect and are not answered
-  Forgot  ///< watches are told that the history is gone, once
+  Down,  ///< no call has an effect
+  Lost,  ///< writes take effect and are not answered
+  Forgot ///< watches are told that the history is gone, once
 };
 
 /**
