--- a/include/gentianloom/gateway/CallerServer.h
+++ b/include/gentianloom/gateway/CallerServer.h
@@ -2,7 +2,7 @@
 #define GENTIANLOOM_GATEWAY_CALLER_SERVER_H
 
 #include "gentianloom/net/HttpParser.h"
-#include "gentianloom/relay/Exchange.h"
+#include "gentianloom/relay/RequestExchange.h"
 
 namespace gentianloom {
 
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -37,7 +37,10 @@
   void Reload(const GatewaySettings& aSettings);
 
 private:
-  void StartFollowers();
+  RightsLinks MakeRightsLinks();
+  FollowerSink ConfigurationSink();
+  FollowerSink EndpointSink();
+  FollowerSink InstanceSink();
   Result<void> ServeSmallCalls();
   void OnConfiguration(const KeyValue& aEntry);
   void PutEndpoint(const KeyValue& aEntry);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -75,17 +75,7 @@
             aStore,
             RightsSettings(mSettings),
             { mSelf.mName, mSelf.mIncarnation, ReadBootId() },
-            { [this](const std::string& aName) {
-               const auto* payer = mParts.mRoutes ? mParts.mRoutes->PayerNamed(aName) : nullptr;
-               return payer == nullptr || !payer->mPrepaid
-                        ? StatedBudget{}
-                        : StatedBudget{ *payer->mPrepaid, mParts.mRoutes->Version() };
-             },
-              [this] { return mInstances.Size(mSelf.mName); },
-              [this] {
-                return mParts.mRoutes ? mParts.mRoutes->LimitedPayers()
-                                      : std::vector<std::string>();
-              } },
+            MakeRightsLinks(),
             aClock,
             mMetrics)
   , mParts{ aLoop,
@@ -112,89 +102,123 @@
                            aStore,
                            aDeployment.ConfigurationKey(),
                            kWatchWait,
-                           { [this](const auto& aEntries, StoreCondition) {
-                              for (const auto& it : aEntries) {
-                                OnConfiguration(it);
-                              }
-                            },
-                             [this](const auto& aEvents, StoreCondition) {
-                               for (const auto& it : aEvents) {
-                                 if (!it.mDeleted) {
-                                   OnConfiguration(it.mEntry);
-                                 }
-                               }
-                             } },
+                           ConfigurationSink(),
                            aClock,
                            mMetrics)
-  , mEndpointFollower(
-      aLoop,
-      aStore,
-      aDeployment.EndpointPrefix(),
-      kWatchWait,
-      { [this](const auto& aEntries, StoreCondition aCondition) {
-         std::vector<EndpointEntry> list;
-         const auto prefix = mDeployment.EndpointPrefix().size();
-         for (const auto& it : aEntries) {
-           auto entry = mDeployment.DecodeEndpoint(it.mKey.substr(prefix), it.mValue);
-           if (entry) {
-             list.push_back(std::move(entry.value()));
-           }
-         }
-         LogChange(LogLevel::Info,
-                   "endpoints",
-                   "the list of endpoints was read",
-                   { { "entries", std::to_string(aEntries.size()) },
-                     { "usable", std::to_string(list.size()) } });
-         mParts.mEndpoints.Replace(
-           std::move(list), aCondition == StoreCondition::AfterOutage, mClock.Now());
-       },
-        [this](const auto& aEvents, StoreCondition aCondition) {
-          const auto prefix = mDeployment.EndpointPrefix().size();
-          for (const auto& it : aEvents) {
-            if (!it.mDeleted) {
-              PutEndpoint(it.mEntry);
-              continue;
-            }
-            const auto id = it.mEntry.mKey.substr(prefix);
-            LogChange(
-              LogLevel::Info, "endpoints", "an endpoint's entry vanished", { { "endpoint", id } });
-            mParts.mEndpoints.Remove(id, aCondition == StoreCondition::AfterOutage, mClock.Now());
-          }
-        } },
-      aClock,
-      mMetrics)
+  , mEndpointFollower(aLoop,
+                      aStore,
+                      aDeployment.EndpointPrefix(),
+                      kWatchWait,
+                      EndpointSink(),
+                      aClock,
+                      mMetrics)
   , mInstanceFollower(aLoop,
                       aStore,
                       std::string(kInstancePrefix),
                       kInstanceWatchWait,
-                      { [this](const auto& aEntries, StoreCondition aCondition) {
-                         std::vector<InstanceRecord> list;
-                         for (const auto& it : aEntries) {
-                           auto record = ParseInstanceRecord(it.mValue);
-                           if (record) {
-                             list.push_back(std::move(record.value()));
-                           }
-                         }
-                         mInstances.Replace(std::move(list),
-                                            aCondition == StoreCondition::AfterOutage,
-                                            mClock.Now());
-                       },
-                        [this](const auto& aEvents, StoreCondition aCondition) {
-                          for (const auto& it : aEvents) {
-                            if (!it.mDeleted) {
-                              PutInstance(it.mEntry);
-                              continue;
-                            }
-                            mInstances.Remove(it.mEntry.mKey.substr(kInstancePrefix.size()),
-                                              aCondition == StoreCondition::AfterOutage,
-                                              mClock.Now());
-                          }
-                        } },
+                      InstanceSink(),
                       aClock,
                       mMetrics)
 {
 }
 
+RightsLinks Gateway::MakeRightsLinks()
+{
+  RightsLinks out;
+  out.mStated = [this](const std::string& aName) {
+    const auto* payer = mParts.mRoutes ? mParts.mRoutes->PayerNamed(aName) : nullptr;
+    return payer == nullptr || !payer->mPrepaid
+             ? StatedBudget{}
+             : StatedBudget{ *payer->mPrepaid, mParts.mRoutes->Version() };
+  };
+  out.mInstances = [this] { return mInstances.Size(mSelf.mName); };
+  out.mBudgets = [this] {
+    return mParts.mRoutes ? mParts.mRoutes->LimitedPayers() : std::vector<std::string>();
+  };
+  return out;
+}
+
+FollowerSink Gateway::ConfigurationSink()
+{
+  FollowerSink out;
+  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreCondition) {
+    for (const auto& it : aEntries) {
+      OnConfiguration(it);
+    }
+  };
+  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreCondition) {
+    for (const auto& it : aEvents) {
+      if (!it.mDeleted) {
+        OnConfiguration(it.mEntry);
+      }
+    }
+  };
+  return out;
+}
+
+FollowerSink Gateway::EndpointSink()
+{
+  FollowerSink out;
+  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreCondition aCondition) {
+    std::vector<EndpointEntry> list;
+    const auto prefix = mDeployment.EndpointPrefix().size();
+    for (const auto& it : aEntries) {
+      auto entry = mDeployment.DecodeEndpoint(it.mKey.substr(prefix), it.mValue);
+      if (entry) {
+        list.push_back(std::move(entry.value()));
+      }
+    }
+    LogChange(LogLevel::Info,
+              "endpoints",
+              "the list of endpoints was read",
+              { { "entries", std::to_string(aEntries.size()) },
+                { "usable", std::to_string(list.size()) } });
+    const bool mayHaveLapsed = aCondition == StoreCondition::AfterOutage;
+    mParts.mEndpoints.Replace(std::move(list), mayHaveLapsed, mClock.Now());
+  };
+  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreCondition aCondition) {
+    for (const auto& it : aEvents) {
+      if (!it.mDeleted) {
+        PutEndpoint(it.mEntry);
+        continue;
+      }
+      const auto id = it.mEntry.mKey.substr(mDeployment.EndpointPrefix().size());
+      LogChange(
+        LogLevel::Info, "endpoints", "an endpoint's entry vanished", { { "endpoint", id } });
+      mParts.mEndpoints.Remove(id, aCondition == StoreCondition::AfterOutage, mClock.Now());
+    }
+  };
+  return out;
+}
+
+FollowerSink Gateway::InstanceSink()
+{
+  FollowerSink out;
+  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreCondition aCondition) {
+    std::vector<InstanceRecord> list;
+    for (const auto& it : aEntries) {
+      auto record = ParseInstanceRecord(it.mValue);
+      if (record) {
+        list.push_back(std::move(record.value()));
+      }
+    }
+    const bool mayHaveLapsed = aCondition == StoreCondition::AfterOutage;
+    mInstances.Replace(std::move(list), mayHaveLapsed, mClock.Now());
+  };
+  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreCondition aCondition) {
+    for (const auto& it : aEvents) {
+      if (!it.mDeleted) {
+        PutInstance(it.mEntry);
+        continue;
+      }
+      mInstances.Remove(it.mEntry.mKey.substr(kInstancePrefix.size()),
+                        aCondition == StoreCondition::AfterOutage,
+                        mClock.Now());
+    }
+  };
+  return out;
+}
+
 Result<void> Gateway::Start()
 {
   const auto callers = net::ParseEndpoint(mSettings.mCallerAddress);
@@ -433,6 +457,15 @@
     co_await net::Signal::Sleep(mLoop, kLeavePoll);
   }
   co_await mRights.Close(mClock.Now() + kCloseTime / 2);
+  if (mLease != 0) {
+    const auto ended = co_await mStore.EndLease(mLease);
+    if (!ended) {
+      LogChange(LogLevel::Warning,
+                "instances",
+                "the lease of this instance's key could not be ended; it ends by itself",
+                { { "why", ToString(ended.error()) } });
+    }
+  }
   LogChange(LogLevel::Info,
             "gateway",
             "stopped",
--- a/src/relay/Exchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -1,4 +1,4 @@
-#include "gentianloom/relay/Exchange.h"
+#include "gentianloom/relay/RequestExchange.h"
 
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/Log.h"
