Leaving instances refuse new requests in time; smaller reserves

Change: once the addresses' life has passed three times, at most 35 % of the time before the kill, new requests get 503, which is true, and are served elsewhere.

--- a/include/gentianloom/relay/RelayParts.h
+++ b/include/gentianloom/relay/RelayParts.h
@@ -32,8 +32,9 @@
   RightsDuty& mRights;
   RetryBudget mRetries;
   std::function<void()>
-    mOnPendingChange{};    ///< called when prompts are sent or begin to be answered
-  bool mIsLeaving = false; ///< callers are told to close their connections
+    mOnPendingChange{};     ///< called when prompts are sent or begin to be answered
+  bool mIsLeaving = false;  ///< callers are told to close their connections
+  bool mRefusesNew = false; ///< the process ends too soon to finish new requests
   int mOpenRequests = 0;
 };
 
--- a/src/budget/GrantPolicy.cpp
+++ b/src/budget/GrantPolicy.cpp
@@ -95,7 +95,7 @@
   /// An outage may begin at any time, so that the reserve is kept nearly full.
   static constexpr double kRefillBelow = 0.85;
   /// Part of the equal share of what is not used that is held at most.
-  static constexpr double kMostShare = 0.85;
+  static constexpr double kMostShare = 0.6;
   /// Part of the equal share that is held before demand is known.
   static constexpr double kFirstShare = 0.25;
   /// Seconds of demand that are held right after an outage.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -31,7 +31,9 @@
 /// Instances among which the retries beyond the share are divided.
 constexpr double kRetryInstances = 8;
 /// Callers keep an answer with addresses up to so many times its stated life.
-constexpr int kAddressLives = 4;
+constexpr int kAddressLives = 3;
+/// Part of the time before the kill in which new requests are still taken.
+constexpr double kTakingShare = 0.35;
 /// Time before the kill in which rights are returned.
 constexpr Millis kCloseTime{ 1'000 };
 constexpr Millis kLeavePoll{ 50 };
@@ -452,8 +454,10 @@
             "leaving",
             { { "open_requests", std::to_string(mParts.mOpenRequests) } });
   const auto last = started + mSettings.mLeaveTime - kCloseTime;
-  const auto first = std::min(started + mSettings.mAddressLife * kAddressLives, last);
+  const auto taking = std::chrono::duration_cast<Micros>(mSettings.mLeaveTime * kTakingShare);
+  const auto first = started + std::min<Micros>(mSettings.mAddressLife * kAddressLives, taking);
   while (mClock.Now() < last && (mClock.Now() < first || mParts.mOpenRequests > 0)) {
+    mParts.mRefusesNew = mClock.Now() >= first;
     co_await net::Signal::Sleep(mLoop, kLeavePoll);
   }
   co_await mRights.Close(mClock.Now() + kCloseTime / 2);
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -108,6 +108,15 @@
     return false;
   }
   mRequest = std::move(request.value());
+  if (mParts.mRefusesNew) {
+    auto error = MakeError(ErrorCode::Leaving,
+                           Step::RequestAccept,
+                           "self",
+                           "this instance is leaving; the request did not run; use another one");
+    error.mRetryAfter = Millis(0);
+    Refuse(kUnavailable, error);
+    return false;
+  }
   mRoutes = mParts.mRoutes;
   if (!mRoutes) {
     auto error = MakeError(ErrorCode::PlatformUnavailable,
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -328,6 +328,8 @@
         self.assertEqual(503, self.world.get(self.world.directory, "/resolve?zone=a").status)
         late = self.world.call("/send/x", "l2")
         self.assertEqual((200, "close"), (late.status, late.headers["Connection"]))
+        # Callers with an old address are turned away in time to be served elsewhere.
+        self.world.wait(lambda: self.world.call("/send/x", "l3").status == 503)
         answer = Answer(response)
         self.assertEqual((True, 60), (answer.whole, len(self.ids(answer.body))))
         self.assertEqual(0, self.world.gateway.wait(timeout=WAIT_S))
