--- a/tests/budget/GrantPolicyTest.cpp
+++ b/tests/budget/GrantPolicyTest.cpp
@@ -28,7 +28,7 @@
       { "shrinking", { 800, 5.0, 3, 2 }, 200 },
       { "shrinking", { -50, 5.0, 3, 2 }, 0 },
       // left, demand, largest, holders, free, observed, steady
-      { "outage", { 1'000, 0.0, 0, 2, 0, 0.0, 60 }, 75 },       // a part before demand is known
+      { "outage", { 1'000, 0.0, 0, 2, 0, 0.0, 60 }, 75 },        // a part before demand is known
       { "outage", { 1'000'000, 5.0, 0, 2, 0, 1.0, 60 }, 300 },   // the window's demand
       { "outage", { 1'000'000, 5.0, 300, 2, 0, 1.0, 60 }, 750 }, // few large requests vary more
       { "outage", { 1'000'000, 5.0, 0, 2, 0, 1.0, 4 }, 30 },     // an outage was seconds ago
