--- a/include/gentianloom/outcome/Drain.h
+++ b/include/gentianloom/outcome/Drain.h
@@ -18,8 +18,8 @@
 /**
  * @brief Decides how a router leaves. Pure decisions; not thread-safe.
  *
- * The first signal announces; once the addresses' lifetime has passed new work is refused; once no
- * work is open, or the limit has passed, or a second signal came, the router flushes.
+ * The first signal announces; once the addresses' time to live has passed new work is refused; once
+ * no work is open, or the limit has passed, or a second signal came, the router flushes.
  */
 class Drain
 {
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -71,7 +71,7 @@
   /// @brief Takes a whole list: what it lacks is removed.
   void Replace(std::vector<EndpointEntry> aEntries, bool aAfterOutage, TimePoint aNow);
 
-  /// @brief Takes the proof that another endpoint has the address now.
+  /// @brief Learns that another endpoint has the address now.
   void OnReplaced(std::string_view aId);
 
   /// @brief Drops entries that stayed missing. Called often.
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -240,7 +240,7 @@
     Finish(AttemptEnd::Refused, true, "the endpoint refused with status " + std::to_string(status));
     return;
   }
-  if (IsSuccess(status) && !mAnswer.mHasProof) {
+  if (IsSuccess(status) && !mAnswer.mHasSignature) {
     Finish(AttemptEnd::Broke, false, "a success without the endpoint's signature");
   }
 }
--- a/tests/budget/UsageCapsTest.cpp
+++ b/tests/budget/UsageCapsTest.cpp
@@ -119,7 +119,7 @@
       Tokens mFreed;
     };
     const Row rows[] = { { "the cap counts as spent", 600, 100, 250, true, 350 },
-                         { "no proof: all counts as spent", 600, 100, 250, false, 0 },
+                         { "not shown: all counts as spent", 600, 100, 250, false, 0 },
                          { "a cap above what was held", 600, 100, 900, true, 0 },
                          { "more was written than the cap", 600, 300, 250, true, 300 } };
     for (const auto& row : rows) {
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -133,7 +133,7 @@
     head.mHeaders.Add("X-Instance-Load", "3,1,8");
     head.mHeaders.Add("Keep-Alive", "max=5, timeout=4");
     const auto good = mCodec.DecodeAnswer(head, request);
-    CPPUNIT_ASSERT(good.mIsForRequest && good.mHasProof && !good.mDidNotRun && !good.mIsOther);
+    CPPUNIT_ASSERT(good.mIsForRequest && good.mHasSignature && !good.mDidNotRun && !good.mIsOther);
     CPPUNIT_ASSERT(good.mLoad && good.mLoad->mRunning == 3 && good.mLoad->mSlots == 8);
     CPPUNIT_ASSERT(good.mIdleTime == Millis(4'000));
     request.mId = "other";
