One copy of jitter, file reading and address splitting

The change had written again what the project had: a second ReadFile in the gateway's daemon, Jitter three times, and the splitting of IP:PORT. They stand in base/ now, so that the gateway does not pull POCO in for them. The missing-file case of the process test expects the text of the one reader that is left, which is as strict.

--- a/apps/gentianloomd.cpp
+++ b/apps/gentianloomd.cpp
@@ -1,3 +1,4 @@
+#include "gentianloom/base/File.h"
 #include "gentianloom/base/Log.h"
 #include "gentianloom/base/Version.h"
 #include "gentianloom/serving/Router.h"
--- a/bench/Processes.cpp
+++ b/bench/Processes.cpp
@@ -1,5 +1,6 @@
 #include "Processes.h"
 
+#include "gentianloom/base/File.h"
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/external/HttpCall.h"
 #include "gentianloom/settings/Settings.h"
--- a/include/gentianloom/external/HttpCall.h
+++ b/include/gentianloom/external/HttpCall.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLOOM_EXTERNAL_HTTP_CALL_H
 #define GENTIANLOOM_EXTERNAL_HTTP_CALL_H
 
+#include "gentianloom/base/Address.h"
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
 
@@ -46,12 +47,6 @@
   Error mError{};
 };
 
-/**
- * @brief Splits `host:port`.
- * @return host and port, or ErrorCode::BadSettings that names the address
- */
-Result<std::pair<std::string, std::uint16_t>> ParseAddress(std::string_view aAddress);
-
 /// Time limits of a connection.
 struct SocketTimeouts
 {
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -41,7 +41,7 @@
 struct EndpointAnswer
 {
   bool mIsForRequest = false; ///< it answers the request that was sent, not an earlier one
-  bool mHasSignature = false;     ///< carries the endpoint's signature
+  bool mHasSignature = false; ///< carries the endpoint's signature
   bool mDidNotRun = false;    ///< states that the endpoint did not run the request
   bool mIsOther = false;      ///< another endpoint has the address now
   std::optional<LoadFigures> mLoad;
--- a/include/gentianloom/settings/Settings.h
+++ b/include/gentianloom/settings/Settings.h
@@ -114,9 +114,6 @@
  */
 ParsedSettings ParseSettings(std::string_view aText, std::string_view aSource);
 
-/// @brief Reads a whole file, or ErrorCode::BadSettings that names it.
-Result<std::string> ReadFile(const std::string& aPath, Step aStep);
-
 } // namespace gentianloom
 
 #endif
--- a/src/budget/BudgetDuty.cpp
+++ b/src/budget/BudgetDuty.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/budget/BudgetDuty.h"
 
 #include "gentianloom/base/Ids.h"
+#include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
 
 #include <algorithm>
@@ -18,11 +19,6 @@
 /// Peers that one round asks for one budget.
 constexpr std::size_t kMostAsked = 8;
 
-double Jitter()
-{
-  return static_cast<double>(StableHash(MakeId("jitter")) % 1'000) / 1'000.0;
-}
-
 } // namespace
 
 BudgetDuty::BudgetDuty(KeyValueStore& aStore,
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/budget/RightsDuty.h"
 
 #include "gentianloom/base/Ids.h"
+#include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
 #include "gentianloom/net/HttpHead.h"
 
@@ -36,11 +37,6 @@
 /// Common start of the keys of all shards.
 constexpr std::string_view kShardPrefix = "/gentianloom/budget-shards/";
 
-double Jitter()
-{
-  return static_cast<double>(StableHash(MakeId("jitter")) % 1'000) / 1'000.0;
-}
-
 std::optional<int> ShardOfKey(std::string_view aKey)
 {
   if (!aKey.starts_with(kShardPrefix)) {
--- a/src/cli/ConfigurationCommands.cpp
+++ b/src/cli/ConfigurationCommands.cpp
@@ -1,5 +1,6 @@
 #include "gentianloom/cli/CliContext.h"
 
+#include "gentianloom/base/File.h"
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/JsonReader.h"
 #include "gentianloom/configuration/Parse.h"
--- a/src/gateway/GatewayDaemon.cpp
+++ b/src/gateway/GatewayDaemon.cpp
@@ -1,5 +1,6 @@
 #include "gentianloom/gateway/GatewayDaemon.h"
 
+#include "gentianloom/base/File.h"
 #include "gentianloom/base/Log.h"
 #include "gentianloom/gateway/Gateway.h"
 #include "gentianloom/net/HttpClient.h"
@@ -9,9 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace gentianloom {
 
@@ -21,17 +20,6 @@
 /// How often the settings file is looked at for changes without a signal.
 constexpr Millis kSettingsPoll{ 2'000 };
 
-std::optional<std::string> ReadText(const std::string& aFile)
-{
-  std::ifstream in(aFile, std::ios::binary);
-  if (!in) {
-    return std::nullopt;
-  }
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
-}
-
 /// Keeps the settings of a running process in step with their file.
 class SettingsWatch
 {
@@ -45,11 +33,11 @@
 
   void Check()
   {
-    const auto text = ReadText(mFile);
-    if (!text || *text == mText) {
-      return;
+    const auto text = ReadFile(mFile, Step::Settings);
+    if (!text || text.value() == mText) {
+      return; // while the file is replaced it may be away for a moment
     }
-    mText = *text;
+    mText = text.value();
     const auto parsed = ParseGatewaySettings(mText, mFile);
     for (const auto& it : parsed.mErrors) {
       LogChange(LogLevel::Error,
@@ -108,14 +96,11 @@
                const MakeStore& aMakeStore)
 {
   std::signal(SIGPIPE, SIG_IGN);
-  const auto text = ReadText(aSettingsFile);
+  const auto text = ReadFile(aSettingsFile, Step::Settings);
   if (!text) {
-    return Fail(MakeError(ErrorCode::BadSettings,
-                          Step::Settings,
-                          aSettingsFile,
-                          "the settings file " + aSettingsFile + " cannot be read"));
+    return Fail(text.error());
   }
-  const auto parsed = ParseGatewaySettings(*text, aSettingsFile);
+  const auto parsed = ParseGatewaySettings(text.value(), aSettingsFile);
   for (const auto& it : parsed.mErrors) {
     std::cerr << ToString(it) << "\n";
   }
@@ -136,7 +121,7 @@
   if (!started) {
     return Fail(started.error());
   }
-  SettingsWatch watch(aSettingsFile, *text, gateway);
+  SettingsWatch watch(aSettingsFile, text.value(), gateway);
   boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
   net::Start(loop, "signals", WatchSignals(signals, gateway, watch));
   net::Start(loop, "settings", PollSettings(loop, watch));
--- a/src/gateway/StoreFollower.cpp
+++ b/src/gateway/StoreFollower.cpp
@@ -1,6 +1,6 @@
 #include "gentianloom/gateway/StoreFollower.h"
 
-#include "gentianloom/base/Ids.h"
+#include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
 
 #include <algorithm>
@@ -14,12 +14,8 @@
 /// First pause after a failed call, doubled up to kMostDoublings times.
 constexpr Millis kFirstPause{ 40 };
 constexpr int kMostDoublings = 3;
-
-/// Spreads calls of instances that failed at the same moment: 0.5 to 1.5.
-double Jitter()
-{
-  return 0.5 + static_cast<double>(StableHash(MakeId("jitter")) % 1'000) / 1'000.0;
-}
+/// A pause is from this part of its length up to as much more as a random number says.
+constexpr double kLeastPart = 0.5;
 
 } // namespace
 
@@ -64,7 +60,8 @@
       continue;
     }
     const auto pause = kFirstPause * (1 << std::min(mFailures - 1, kMostDoublings));
-    co_await net::Signal::Sleep(mLoop, std::chrono::duration_cast<Micros>(pause * Jitter()));
+    co_await net::Signal::Sleep(
+      mLoop, std::chrono::duration_cast<Micros>(pause * (kLeastPart + Jitter())));
   }
 }
 
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "gentianloom/net/HttpClient.h"
 
+#include "gentianloom/base/Address.h"
 #include "gentianloom/net/HttpParser.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -113,24 +114,16 @@
 
 Result<Channel::Address> ParseEndpoint(std::string_view aText)
 {
-  const auto bad = [&] {
+  BOOST_OUTCOME_TRY(parts, ParseAddress(aText));
+  boost::system::error_code ec;
+  const auto ip = boost::asio::ip::make_address(parts.first, ec);
+  if (ec || parts.second == 0) {
     return MakeError(ErrorCode::BadSettings,
                      Step::Settings,
                      aText,
                      "address \"" + std::string(aText) + "\" must be written as IP:PORT");
-  };
-  const auto colon = aText.rfind(':');
-  if (colon == std::string_view::npos) {
-    return bad();
-  }
-  boost::system::error_code ec;
-  const auto ip = boost::asio::ip::make_address(std::string(aText.substr(0, colon)), ec);
-  const auto port = ParseNumber(aText.substr(colon + 1));
-  constexpr std::int64_t kMostPort = 65'535;
-  if (ec || !port || *port < 1 || *port > kMostPort) {
-    return bad();
   }
-  return Channel::Address(ip, static_cast<unsigned short>(*port));
+  return Channel::Address(ip, parts.second);
 }
 
 } // namespace gentianloom::net
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -1,10 +1,7 @@
 #include "gentianloom/settings/Settings.h"
 
+#include "gentianloom/base/Address.h"
 #include "gentianloom/base/JsonReader.h"
-#include "gentianloom/external/HttpCall.h"
-
-#include <fstream>
-#include <sstream>
 
 namespace gentianloom {
 
@@ -165,16 +162,4 @@
   return out;
 }
 
-Result<std::string> ReadFile(const std::string& aPath, Step aStep)
-{
-  std::ifstream in(aPath, std::ios::binary);
-  if (!in) {
-    return MakeError(
-      ErrorCode::BadSettings, aStep, aPath, "cannot read the file " + aPath + "; check its name");
-  }
-  std::ostringstream buf;
-  buf << in.rdbuf();
-  return buf.str();
-}
-
 } // namespace gentianloom
--- a/tests/fault/main.cpp
+++ b/tests/fault/main.cpp
@@ -1,5 +1,6 @@
 #include "Matrix.h"
 
+#include "gentianloom/base/File.h"
 #include "gentianloom/base/JsonReader.h"
 #include "gentianloom/settings/Settings.h"
 
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -360,7 +360,7 @@
         with tempfile.TemporaryDirectory() as folder:
             file = pathlib.Path(folder) / "settings.json"
             for text, expected in [("{", "is no JSON"), ("{}", '"instance" is missing'),
-                                   (None, "cannot be read")]:
+                                   (None, "cannot read the file")]:
                 if text is None:
                     file.unlink()
                 else:
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "support/Fleet.h"
 
+#include "gentianloom/base/File.h"
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/settings/Settings.h"
 
