Take out members that nothing reads

Priorities, targets of pauses, connection limits and the like were decoded and kept for work that is not built; some members of attempts, followers and loads were written only. The header by which a caller could set an urgency is still dropped and still tested. Checks: build, format, unit tests, process test of the gateway.

--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -118,7 +118,6 @@
   bool OnAnswer(Planned& aPlanned, const AsyncCommitAnswer& aAnswer);
   void OnConflict(const std::vector<KeyValue>& aCurrent);
   bool Remember(const KeyValue& aEntry);
-  KnownShard& Shard(int aShard) { return mKnown[aShard]; }
   void NoteStore(bool aWorks, const std::string& aWhy);
   void EndRound();
   void LogHoldings() const;
--- a/include/gentianloom/gateway/StoreFollower.h
+++ b/include/gentianloom/gateway/StoreFollower.h
@@ -48,9 +48,6 @@
   /// @brief Whether the first read has succeeded.
   bool HasRead() const { return mHasRead; }
 
-  /// @brief Last time at which everything up to then was known.
-  TimePoint CurrentAt() const { return mCurrentAt; }
-
 private:
   net::Task<void> Run();
   net::Task<bool> Read();
@@ -69,7 +66,6 @@
   bool mMustRead = true;
   bool mIsAway = false;
   Revision mRevision = 0;
-  TimePoint mCurrentAt{};
   TimePoint mFailedAt{};
   int mFailures = 0;
 };
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -30,7 +30,6 @@
   const CallerRequest& mCaller;
   const Route& mRoute;
   std::string mOrganisation;
-  std::optional<std::int64_t> mUrgency;
   TimePoint mDeadline{}; ///< of the caller or the route, whichever comes first
 };
 
@@ -92,8 +91,6 @@
   EndpointLoad::WorkId mWork;
   net::Channel::Ptr mChannel;
   std::size_t mSentBefore = 0; ///< bytes that earlier requests sent on the connection
-  std::size_t mRequestBytes = 0;
-  bool mIsFresh = false; ///< the connection was made for this attempt
   bool mHasSent = false;
   TimePoint mSentAt{};
   net::ResponseParser mParser;
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -30,10 +30,9 @@
 /// What a router adds to a request that it passes on.
 struct ForwardFacts
 {
-  std::string mEndpoint;                ///< the only one that may run it
-  Millis mTimeLeft{ 0 };                ///< after which the endpoint stops
-  std::string mOrganisation;            ///< empty: anonymous
-  std::optional<std::int64_t> mUrgency; ///< 0 goes first
+  std::string mEndpoint;     ///< the only one that may run it
+  Millis mTimeLeft{ 0 };     ///< after which the endpoint stops
+  std::string mOrganisation; ///< empty: anonymous
   std::optional<std::int64_t> mResumeAfter;
 };
 
--- a/include/gentianloom/routing/EndpointLoad.h
+++ b/include/gentianloom/routing/EndpointLoad.h
@@ -68,8 +68,7 @@
 struct SentWork
 {
   std::int64_t mPrefillTokens = 0; ///< prompt tokens that it has to read
-  TimePoint mSentAt{};
-  bool mHasStarted = false; ///< its first event or answer came
+  bool mHasStarted = false;        ///< its first event or answer came
 };
 
 /**
@@ -81,7 +80,7 @@
   using WorkId = std::uint64_t;
 
   /// @brief Notes a request that is sent. @return handle for the calls below
-  WorkId OnSent(std::int64_t aPrefillTokens, TimePoint aNow);
+  WorkId OnSent(std::int64_t aPrefillTokens);
 
   /// @brief Notes the first event of the answer. @return whether it is the first one
   bool OnStarted(WorkId aWork);
@@ -112,9 +111,6 @@
   /// @brief Requests on the endpoint, own and others', by the last figures and own changes since.
   double Running(TimePoint aNow) const;
 
-  /// @brief Requests that waited there by the last figures; 0 if these are old.
-  double Waiting(TimePoint aNow) const;
-
   /// @brief Whether it failed so often lately that it gets work only as a last choice.
   bool IsSuspended(TimePoint aNow) const { return aNow < mSuspendedUntil; }
 
--- a/include/gentianloom/routing/RouteTable.h
+++ b/include/gentianloom/routing/RouteTable.h
@@ -38,11 +38,8 @@
   RouteKind mKind = RouteKind::AtMostOnce;
   Millis mTimeout{ 0 };       ///< longest time that a caller is kept waiting
   Millis mLatencyTarget{ 0 }; ///< streams: up to the first event
-  Millis mGapTarget{ 0 };     ///< streams: longest pause between events
-  std::int64_t mPriority = 0; ///< 0 goes first
   std::int64_t mMostAttempts = 1;
   bool mAllowsAnonymous = false;
-  bool mSharesPrompts = false; ///< requests state the parts of their prompts
   bool mIsResumable = false;
   std::vector<WeightedService> mServices;
 };
@@ -59,8 +56,6 @@
 struct ServiceTarget
 {
   std::string mName;
-  std::string mHealthPath;
-  std::int64_t mMostConnections = 0; ///< of all callers to one endpoint
   std::optional<EngineSpec> mEngine; ///< unset: a plain service
 };
 
@@ -68,8 +63,7 @@
 struct Payer
 {
   std::string mName;
-  std::optional<std::int64_t> mPriority; ///< goes before that of the route
-  std::optional<Tokens> mPrepaid;        ///< total that it may consume; unset: not limited
+  std::optional<Tokens> mPrepaid; ///< total that it may consume; unset: not limited
 };
 
 /// What a client may send.
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -304,7 +304,7 @@
   const PlanInput input{ mClock.Now(), mClock.WallTime(), mLinks.mStated, aClosing };
   Planned out;
   for (const auto it : aShards) {
-    const auto& known = Shard(it);
+    const auto& known = mKnown[it];
     if (!mLedger.Learn(it, known.mRecord) || mLedger.IsClosed(it)) {
       continue;
     }
@@ -334,11 +334,11 @@
   }
   for (const auto& it : range.value().mEntries) {
     const auto shard = ShardOfKey(it.mKey);
-    if (!shard || Shard(*shard).mRevision >= it.mModRevision) {
+    if (!shard || mKnown[*shard].mRevision >= it.mModRevision) {
       continue;
     }
     if (Remember(it)) {
-      mLedger.Learn(*shard, Shard(*shard).mRecord);
+      mLedger.Learn(*shard, mKnown[*shard].mRecord);
     }
   }
 }
--- a/src/gateway/StoreFollower.cpp
+++ b/src/gateway/StoreFollower.cpp
@@ -67,7 +67,6 @@
 
 net::Task<bool> StoreFollower::Read()
 {
-  const auto startedAt = mClock.Now();
   const auto answer = co_await mStore.Range(mPrefix);
   NoteAnswer(answer.has_value(), answer ? "" : ToString(answer.error()));
   if (!answer) {
@@ -76,14 +75,12 @@
   mRevision = answer.value().mRevision;
   mMustRead = false;
   mHasRead = true;
-  mCurrentAt = startedAt;
   mSink.mOnSnapshot(answer.value().mEntries, Condition());
   co_return true;
 }
 
 net::Task<bool> StoreFollower::Watch()
 {
-  const auto startedAt = mClock.Now();
   const auto answer = co_await mStore.Watch(mPrefix, mRevision, mWait);
   NoteAnswer(answer.has_value(), answer ? "" : ToString(answer.error()));
   if (!answer) {
@@ -99,7 +96,6 @@
     co_return true;
   }
   mRevision = std::max(mRevision, it.mRevision);
-  mCurrentAt = startedAt;
   if (!it.mEvents.empty()) {
     mSink.mOnEvents(it.mEvents, Condition());
   }
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -43,7 +43,7 @@
   , mProgress(aProgress)
   , mSignal(std::move(aSignal))
   , mTokensBefore(static_cast<double>(aChoice.mPending + aChoice.mPrefillTokens))
-  , mWork(mEndpoint->mLoad.OnSent(aChoice.mPrefillTokens, aParts.mClock.Now()))
+  , mWork(mEndpoint->mLoad.OnSent(aChoice.mPrefillTokens))
   , mParser(aRequest.mHead.mMethod == "HEAD")
 {
 }
@@ -99,7 +99,6 @@
     mChannel->SetListener(mSignal);
     co_return true;
   }
-  mIsFresh = true;
   const auto address = net::ParseEndpoint(entry.mAddress);
   if (!address) {
     Finish(AttemptEnd::NotReached, true, address.error().mText);
@@ -141,7 +140,6 @@
   const auto left = std::chrono::floor<Millis>(mRequest.mDeadline - mParts.mClock.Now());
   facts.mTimeLeft = std::max(Millis(1), left);
   facts.mOrganisation = mRequest.mOrganisation;
-  facts.mUrgency = mRequest.mUrgency;
   facts.mResumeAfter = mProgress.mLastId ? mProgress.mLastId : mRequest.mCaller.mResumeAfter;
   const auto head = mParts.mCodec.Encode(mRequest.mHead, facts);
   std::optional<std::size_t> size;
@@ -150,7 +148,6 @@
   }
   auto text = net::RequestText(head, size) + mRequest.mBody;
   mSentBefore = mChannel->Sent();
-  mRequestBytes = text.size();
   mChannel->Send(std::move(text));
   mHasSent = true;
   mSentAt = mParts.mClock.Now();
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -236,10 +236,10 @@
 
 net::Task<void> RequestExchange::Serve()
 {
-  const AttemptRequest request{ mHead,        mBody,
-                                mHasBody,     mRequest,
-                                *mRoute,      mPayer == nullptr ? std::string() : mPayer->mName,
-                                std::nullopt, mDeadline };
+  const AttemptRequest request{ mHead,    mBody,
+                                mHasBody, mRequest,
+                                *mRoute,  mPayer == nullptr ? std::string() : mPayer->mName,
+                                mDeadline };
   bool goesOn = true;
   while (goesOn) {
     if (mCaller.IsGone()) {
--- a/src/routing/EndpointLoad.cpp
+++ b/src/routing/EndpointLoad.cpp
@@ -69,9 +69,9 @@
   mUsed = 0;
 }
 
-EndpointLoad::WorkId EndpointLoad::OnSent(std::int64_t aPrefillTokens, TimePoint aNow)
+EndpointLoad::WorkId EndpointLoad::OnSent(std::int64_t aPrefillTokens)
 {
-  mWork[++mNextWork] = { aPrefillTokens, aNow, false };
+  mWork[++mNextWork] = { aPrefillTokens, false };
   mPendingPrefill += aPrefillTokens;
   return mNextWork;
 }
@@ -150,11 +150,6 @@
   return own + std::max(0.0, others);
 }
 
-double EndpointLoad::Waiting(TimePoint aNow) const
-{
-  return aNow - mFiguresAt > kFiguresLife ? 0 : static_cast<double>(mFigures.mWaiting);
-}
-
 double EndpointLoad::Slowness(TimePoint aNow) const
 {
   const double passed = std::chrono::duration<double>(aNow - mSlownessAt).count();
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -89,7 +89,7 @@
                              { "X-Secret", "1" },
                              { "X-Model", "m" },
                              { "X-Deadline-Ms", "99999" } });
-    const auto out = mCodec.Encode(head, { "i-1", Millis(1'234), "org", std::nullopt, 5 });
+    const auto out = mCodec.Encode(head, { "i-1", Millis(1'234), "org", 5 });
     struct Row
     {
       std::string mName;
@@ -119,7 +119,7 @@
       }
     }
     // An anonymous request bears no organisation, not even a forged one.
-    const auto anonymous = mCodec.Encode(head, { "i-1", Millis(1), "", std::nullopt, {} });
+    const auto anonymous = mCodec.Encode(head, { "i-1", Millis(1), "", {} });
     CPPUNIT_ASSERT(!anonymous.mHeaders.Find("X-Tenant-Id"));
   }
 
--- a/tests/routing/EndpointChooserTest.cpp
+++ b/tests/routing/EndpointChooserTest.cpp
@@ -150,7 +150,7 @@
     holder->mLoad.OnPeerPending("peer", 0, mNow);
     CPPUNIT_ASSERT(Choose(endpoints, parts, 300).mEndpoint == holder);
     // Own prompts count until their first event.
-    const auto work = holder->mLoad.OnSent(60'000, mNow);
+    const auto work = holder->mLoad.OnSent(60'000);
     CPPUNIT_ASSERT(Choose(endpoints, parts, 300).mEndpoint != holder);
     CPPUNIT_ASSERT(holder->mLoad.OnStarted(work));
     CPPUNIT_ASSERT(!holder->mLoad.OnStarted(work));
@@ -183,7 +183,7 @@
     for (std::uint64_t n = 0; n < 24; ++n) {
       request.mDraw = n;
       const auto it = ChoosePlain(request, endpoints, mNow).mEndpoint;
-      it->mLoad.OnSent(0, mNow);
+      it->mLoad.OnSent(0);
       ++chosen[it->mEntry.mId];
     }
     // All slots are taken evenly but for the head start of the own availability zone.
@@ -223,7 +223,7 @@
       const auto engine =
         static_cast<std::size_t>(std::stoi(choice.mEndpoint->mEntry.mId.substr(1)));
       auto& endpointLoad = choice.mEndpoint->mLoad;
-      const auto work = endpointLoad.OnSent(choice.mPrefillTokens, now);
+      const auto work = endpointLoad.OnSent(choice.mPrefillTokens);
       endpointLoad.Cache().Touch(it.mParts);
       const double first = chosen.Serve(it, engine);
       ends.emplace_back(it.mAtMillis + first,
--- a/tests/routing/EndpointLoadTest.cpp
+++ b/tests/routing/EndpointLoadTest.cpp
@@ -40,8 +40,8 @@
   void TestFigures()
   {
     EndpointLoad load;
-    const auto first = load.OnSent(100, mNow);
-    load.OnSent(200, mNow);
+    const auto first = load.OnSent(100);
+    load.OnSent(200);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 300 }, load.PendingPrefill());
     load.OnFigures({ 5, 2, 64 }, mNow);
     CPPUNIT_ASSERT_EQUAL(7.0, load.Running(mNow));
--- a/tests/routing/RouteTableTest.cpp
+++ b/tests/routing/RouteTableTest.cpp
@@ -47,7 +47,7 @@
   void TestPayers()
   {
     RoutingConfiguration configuration;
-    configuration.mPayers = { { "one", std::nullopt, 100 }, { "two", std::nullopt, std::nullopt } };
+    configuration.mPayers = { { "one", 100 }, { "two", std::nullopt } };
     configuration.mPayerOfKey = { { "k1", 0 }, { "k2", 1 }, { "k3", 0 } };
     const auto table = RouteTable::Create(configuration);
     CPPUNIT_ASSERT_EQUAL(std::string("one"), table->PayerOf("k3")->mName);
