Names of endpoints are hashed once, and a cache's size is set where it is used

Each request hashed the name of every endpoint and told each its cache's size. Checks: build, format, unit tests, process test.

--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -39,6 +39,7 @@
 struct Endpoint
 {
   EndpointEntry mEntry;
+  std::uint64_t mHash = 0; ///< of its name; placement and news of load need it for each request
   EntryStanding mStanding = EntryStanding::Listed;
   TimePoint mSeenAt{};       ///< last read or event that showed the entry
   TimePoint mMissingSince{}; ///< with EntryStanding::Missing
--- a/src/gateway/LoadNews.cpp
+++ b/src/gateway/LoadNews.cpp
@@ -66,7 +66,7 @@
     pending[it.mEndpoint] = it.mTokens;
   }
   for (const auto& [id, endpoint] : aEndpoints.All()) {
-    const auto it = pending.find(StableHash(id));
+    const auto it = pending.find(endpoint->mHash);
     endpoint->mLoad.OnPeerPending(
       aMessage.mIncarnation, it == pending.end() ? 0 : it->second, aNow);
   }
@@ -137,7 +137,7 @@
   for (const auto& [id, it] : mEndpoints.All()) {
     const auto tokens = it->mLoad.PendingPrefill();
     if (tokens > 0 && message.mPending.size() < kMostEndpoints) {
-      message.mPending.push_back({ StableHash(id), tokens });
+      message.mPending.push_back({ it->mHash, tokens });
     }
   }
   mWasPending = !message.mPending.empty();
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -210,10 +210,12 @@
   request.mTried = mTried;
   const auto* service = mRoutes->Service(mService);
   if (service != nullptr && service->mEngine) {
-    for (const auto& it : usable) {
-      it->mLoad.Cache().SetCapacity(service->mEngine->mCacheTokens);
+    auto& model = mParts.mFirstTokens[mService];
+    auto choice = ChooseEngine(request, usable, *service->mEngine, model, now);
+    if (choice.mEndpoint) {
+      choice.mEndpoint->mLoad.Cache().SetCapacity(service->mEngine->mCacheTokens);
     }
-    return ChooseEngine(request, usable, *service->mEngine, mParts.mFirstTokens[mService], now);
+    return choice;
   }
   return ChoosePlain(request, usable, now);
 }
--- a/src/routing/EndpointChooser.cpp
+++ b/src/routing/EndpointChooser.cpp
@@ -92,7 +92,7 @@
   const auto part = SharedPart(aRequest);
   std::vector<std::pair<std::uint64_t, EndpointRegistry::Ptr>> order;
   for (const auto& it : aEndpoints) {
-    order.emplace_back(Mix(part, StableHash(it->mEntry.mId)), it);
+    order.emplace_back(Mix(part, it->mHash), it);
   }
   std::sort(order.begin(), order.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.first > aRight.first;
@@ -144,7 +144,7 @@
     double cost = (it->mLoad.Running(aNow) + 1) / slots * it->mLoad.Slowness(aNow);
     cost += it->mEntry.mZone == aRequest.mZone ? 0 : kFarLoad;
     cost += LastChoiceCost(aRequest, *it, aNow);
-    const auto draw = Mix(aRequest.mDraw, StableHash(it->mEntry.mId));
+    const auto draw = Mix(aRequest.mDraw, it->mHash);
     if (cost < best.mCost || (cost == best.mCost && draw > bestDraw)) {
       best = { it, 0, 0, 0, it->mLoad.Running(aNow), 0, cost };
       bestDraw = draw;
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/routing/EndpointRegistry.h"
 
+#include "gentianloom/base/Ids.h"
+
 #include <algorithm>
 #include <set>
 
@@ -19,6 +21,7 @@
   auto& it = mEndpoints[aEntry.mId];
   if (!it) {
     it = std::make_shared<Endpoint>();
+    it->mHash = StableHash(aEntry.mId);
   }
   it->mEntry = std::move(aEntry);
   it->mStanding = EntryStanding::Listed;
--- a/tests/routing/EndpointChooserTest.cpp
+++ b/tests/routing/EndpointChooserTest.cpp
@@ -1,5 +1,6 @@
 #include "gentianloom/routing/EndpointChooser.h"
 
+#include "gentianloom/base/Ids.h"
 #include "gentianloom/routing/PlacementPolicy.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -23,6 +24,7 @@
   for (int n = 0; n < aCount; ++n) {
     auto it = std::make_shared<Endpoint>();
     it->mEntry.mId = "e" + std::to_string(n);
+    it->mHash = StableHash(it->mEntry.mId);
     it->mEntry.mZone = n % 2 == 0 ? "near" : "far";
     it->mEntry.mSlots = 6;
     it->mLoad.Cache().SetCapacity(500'000);
