Tests of the gateway wait on conditions, not on time

Cause: sleeps in the process test and its stand-in, and loops run for some milliseconds, gave verdicts that could change with the machine's speed. Now log lines, held streams, closed connections and ended rounds are waited for, and the follower's clock is a fake one. What sleeps on is the pause between two looks in World.wait.

--- a/tests/budget/RightsDutyTest.cpp
+++ b/tests/budget/RightsDutyTest.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/budget/RightsDuty.h"
 
 #include "support/MemoryAsyncStore.h"
+#include "support/RunLoop.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr Tokens kPrepaid = 100'000;
+/// After a failed call nothing is tried for up to so long; with less, a step would have no round.
+constexpr Millis kBackOff{ 301 };
 
 BudgetSettings Settings()
 {
@@ -40,12 +43,22 @@
   {
   }
 
-  /// Lets the loop do what can be done without time passing on the manual clock.
+  /// Lets the next round run, and ends when it has ended.
   void Settle()
   {
+    const auto before = mDuty.Rounds();
     mDuty.Wake();
-    mLoop.restart();
-    mLoop.run_for(std::chrono::milliseconds(30));
+    CPPUNIT_ASSERT(testing::RunUntil(mLoop, [&] { return mDuty.Rounds() > before; }));
+  }
+
+  /// As Settle(), but a process that has not taken over yet only makes its next call to the store.
+  void Step(const MemoryAsyncStore& aStore)
+  {
+    const auto before = mDuty.Rounds();
+    const auto calls = aStore.mRanges + aStore.mCommits;
+    mDuty.Wake();
+    CPPUNIT_ASSERT(testing::RunUntil(
+      mLoop, [&] { return mDuty.Rounds() > before || aStore.mRanges + aStore.mCommits > calls; }));
   }
 
   ReserveAnswer Reserve(Tokens aTokens) { return mDuty.Reserve("b", aTokens, mSignal); }
@@ -172,10 +185,8 @@
       for (int n = 0; n < 60; ++n) {
         const auto what = draw(10);
         store.mMode = what == 0 ? StoreMode::Down : (what == 1 ? StoreMode::Lost : StoreMode::Up);
-        mClock.Advance(Millis(static_cast<std::int64_t>(draw(2'000))));
-        process->mDuty.Wake();
-        process->mLoop.restart();
-        process->mLoop.run_for(std::chrono::milliseconds(2));
+        mClock.Advance(kBackOff + Millis(static_cast<std::int64_t>(draw(2'000))));
+        process->Step(store);
         const auto tokens = static_cast<Tokens>(100 + draw(4'000));
         if (process->Reserve(tokens) == ReserveAnswer::Reserved) {
           used += tokens; // counted even if its process is killed before it is charged
--- a/tests/gateway/StoreFollowerTest.cpp
+++ b/tests/gateway/StoreFollowerTest.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/gateway/StoreFollower.h"
 
 #include "support/MemoryAsyncStore.h"
+#include "support/RunLoop.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -18,10 +19,10 @@
   void TestFollows()
   {
     net::Loop loop(1);
-    SystemClock clock;
+    const ManualClock clock;
     Metrics metrics;
     MemoryAsyncStore store;
-    store.mLoop = &loop;
+    store.WaitOn(loop);
     store.Put("p/a", "1");
     std::string seen;
     const auto note = [&seen](const std::string& aText, StoreCondition aCondition) {
@@ -30,7 +31,7 @@
     StoreFollower follower(loop,
                            store,
                            "p/",
-                           Millis(10),
+                           std::chrono::hours(1),
                            { [&](const auto& aEntries, StoreCondition aCondition) {
                               note("snapshot" + std::to_string(aEntries.size()), aCondition);
                             },
@@ -41,33 +42,27 @@
                              } },
                            clock,
                            metrics);
-    // The store answers watches at once, so that the loop is run in small steps.
-    const auto step = [&loop] {
-      loop.restart();
-      loop.run_for(std::chrono::milliseconds(5));
+    const auto expect = [&](const std::string& aWhat, const std::string& aSeen) {
+      const bool isSeen = testing::RunUntil(loop, [&] { return seen == aSeen; });
+      CPPUNIT_ASSERT_MESSAGE(aWhat + ": " + seen, isSeen);
+      seen.clear();
     };
     follower.Start();
-    step();
+    expect("reads all", "snapshot1 ");
     CPPUNIT_ASSERT(follower.HasRead());
     store.Put("p/b", "1");
     store.Put("q/c", "1");
-    step();
+    expect("other prefixes are no concern", "+p/b ");
     store.Remove("p/a");
-    step();
-    CPPUNIT_ASSERT_EQUAL(std::string("snapshot1 +p/b -p/a "), seen);
-    seen.clear();
-    store.mMode = StoreMode::Forgot;
-    step();
-    CPPUNIT_ASSERT_EQUAL_MESSAGE("reads all again", std::string("snapshot1 "), seen);
-    seen.clear();
-    store.mMode = StoreMode::Down;
-    step();
-    store.mMode = StoreMode::Up;
+    expect("removal", "-p/a ");
+    store.SetMode(StoreMode::Forgot);
+    expect("the history is gone", "snapshot1 ");
+    const auto watches = store.mWatches;
+    store.SetMode(StoreMode::Down);
+    CPPUNIT_ASSERT(testing::RunUntil(loop, [&] { return store.mWatches > watches + 1; }));
+    store.SetMode(StoreMode::Up);
     store.Remove("p/b");
-    loop.restart();
-    loop.run_for(std::chrono::milliseconds(200));
-    CPPUNIT_ASSERT_EQUAL_MESSAGE("may only have lapsed", std::string("-p/b? "), seen);
-    loop.stop();
+    expect("may only have lapsed", "-p/b? ");
   }
 };
 
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -149,6 +149,9 @@
         path = pathlib.Path(self.folder.name) / "log.txt"
         return [json.loads(it) for it in path.read_text().splitlines()]
 
+    def wait_for_line(self, condition):
+        self.wait(lambda: any(condition(it) for it in self.lines()))
+
     def close(self):
         if self.gateway and self.gateway.poll() is None:
             self.gateway.kill()
@@ -231,14 +234,14 @@
         self.assertEqual("sig-b4", answer.headers["X-Server-Signature"])
 
     def test_caller_leaves(self):
-        self.world.workers(events=200, pause=0.02)
+        self.world.workers(hold_after=1)
         link = socket.create_connection(("127.0.0.1", self.world.caller))
         link.sendall(b"POST /chat/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: g1\r\n"
                      b"X-Credential: k1\r\nX-Token-Usage: 10,2000\r\nX-Prompt-Prefix: aa:10\r\n"
                      b"Content-Length: 0\r\n\r\n")
         self.assertIn(b"200 OK", link.recv(4096))
         link.close()
-        self.world.wait(lambda: any(it.get("end") == "caller-left" for it in self.world.lines()))
+        self.world.wait_for_line(lambda it: it.get("end") == "caller-left")
         line = [it for it in self.world.lines() if it.get("request") == "g1"][-1]
         self.assertLess(int(line["total_ms"]), 500)
 
@@ -267,7 +270,8 @@
         # An older version and one that cannot be read change nothing.
         self.world.order(put="op/config", value=configuration(7))
         self.world.order(put="op/config", value={"version": "?"})
-        time.sleep(0.3)
+        for change in ("not newer was passed over", "cannot be read; the one in force stays"):
+            self.world.wait_for_line(lambda it, change=change: change in it["change"])
         self.assertEqual(401, self.world.call("/send/x", "c3").status)
         # The history is gone: everything is read again.
         self.world.order(put="op/config", value=configuration(9), forget_history=True)
@@ -277,7 +281,8 @@
         address = self.world.addresses["workers"]["w1"]
         self.world.order(put="servers/w1", value=self.world.entry(address, "draining"))
         self.world.order(put="servers/w3", value={"service": 4})
-        time.sleep(0.3)
+        self.world.wait_for_line(lambda it: it.get("endpoint") == "w1" and it.get("leaving") == "yes")
+        self.world.wait_for_line(lambda it: "names no endpoint" in it["change"])
         for n in range(6):
             self.assertEqual(200, self.world.call("/send/x", f"d{n}").status)
         self.assertEqual([], self.world.order()["seen"]["w1"])
@@ -317,7 +322,10 @@
         self.assertGreaterEqual(served, 8)
 
     def test_leaving(self):
-        self.world.workers(events=60, pause=0.02)
+        self.world.write_settings(address_life_s=1, leave_time_s=12)
+        self.world.gateway.send_signal(signal.SIGHUP)
+        self.world.wait_for_line(lambda it: it["change"] == "settings were read again")
+        self.world.workers(hold_after=1)
         link = http.client.HTTPConnection("127.0.0.1", self.world.caller, timeout=8)
         link.request("POST", "/chat/x", b"", {"Host": "h.example", "X-Attempt-Id": "l1",
                                               "X-Credential": "k1", "X-Token-Usage": "10,400",
@@ -330,8 +338,9 @@
         self.assertEqual((200, "close"), (late.status, late.headers["Connection"]))
         # Callers with an old address are turned away in time to be served elsewhere.
         self.world.wait(lambda: self.world.call("/send/x", "l3").status == 503)
+        self.world.workers(hold_after=0)
         answer = Answer(response)
-        self.assertEqual((True, 60), (answer.whole, len(self.ids(answer.body))))
+        self.assertEqual((True, 5), (answer.whole, len(self.ids(answer.body))))
         self.assertEqual(0, self.world.gateway.wait(timeout=WAIT_S))
         shards = [v for k, v in self.world.order()["items"].items() if "budget-shards" in k]
         self.assertEqual({}, json.loads(shards[0])["budgets"]["org"]["holders"])
@@ -348,7 +357,7 @@
         self.assertIn("gentianloom_request_seconds_count 1", metrics)
         self.world.write_settings(address_life_s="soon")
         self.world.gateway.send_signal(signal.SIGHUP)
-        self.world.wait(lambda: any("old ones stay" in it["change"] for it in self.world.lines()))
+        self.world.wait_for_line(lambda it: "old ones stay" in it["change"])
         self.world.write_settings(address_life_s=2)
         self.world.gateway.send_signal(signal.SIGHUP)
         self.world.wait(lambda: b'"ttl-s":2.0' in
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -13,6 +13,10 @@
 from urllib.parse import parse_qs, urlparse
 
 
+# Longest wait for a test's next order; a test that ends sooner ends the process.
+LIMIT_S = 60
+
+
 class Store:
     """Items, revisions and leases; every change wakes the waiting watches."""
 
@@ -92,7 +96,7 @@
                 return self.answer(503, {})
             if store.mode == "silent":
                 self.close_connection = True
-                time.sleep(1.5)
+                store.changed.wait_for(lambda: store.mode != "silent", timeout=LIMIT_S)
                 return None
             store.expire()
             status, out = self.route(store, method, url.path, query, body)
@@ -153,13 +157,17 @@
 
 
 class Worker:
-    """One worker; `mode` decides how it answers, `seen` holds the requests that it ran."""
+    """One worker; `mode` decides how it answers, `seen` holds the requests that it ran.
 
-    def __init__(self, name):
+    A stream stops after event `hold_after` until that is set to 0.
+    """
+
+    def __init__(self, name, changed):
         self.name = name
+        self.changed = changed
+        self.hold_after = 0
         self.mode = "good"
         self.events = 5
-        self.pause = 0.02
         self.seen = []
 
 
@@ -183,14 +191,21 @@
         if worker.mode == "foreign":
             return self.answer(200, b"x", [("X-Attempt-Id", "other"), ("X-Server-Signature", "s")])
         if worker.mode == "mute":
-            time.sleep(3)
             self.close_connection = True
+            self.wait_for_close()
             return None
         common.append(("X-Server-Signature", "sig-" + attempt))
         if "X-Token-Usage" not in self.headers:
             return self.answer(200, b"whole answer", common)
         return self.stream(worker, common)
 
+    def wait_for_close(self):
+        """Returns when the caller has closed the connection."""
+        try:
+            self.connection.recv(1)
+        except OSError:
+            pass  # reset
+
     def stream(self, worker, headers):
         self.send_response(200)
         for name, value in headers + [("Content-Type", "text/event-stream"),
@@ -206,7 +221,9 @@
             event = f"id: {n}\ndata: token {n}\n\n".encode()
             self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             self.wfile.flush()
-            time.sleep(worker.pause)
+            if n == worker.hold_after:
+                with worker.changed:
+                    worker.changed.wait_for(lambda: worker.hold_after == 0, timeout=LIMIT_S)
         self.wfile.write(b"0\r\n\r\n")
 
     do_GET = do_POST = serve
@@ -253,7 +270,7 @@
 def main():
     names = sys.argv[1:] or ["w1", "w2"]
     store = Store()
-    workers = {it: Worker(it) for it in names}
+    workers = {it: Worker(it, store.changed) for it in names}
     store_server, store_address = start(StoreHandler, store)
     addresses = {it: start(WorkerHandler, workers[it])[1] for it in names}
     world = {"store": store, "workers": workers, "store_server": store_server}
--- a/tests/support/MemoryAsyncStore.h
+++ b/tests/support/MemoryAsyncStore.h
@@ -5,6 +5,7 @@
 #include "gentianloom/net/Signal.h"
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -77,7 +78,7 @@
     co_return out;
   }
 
-  net::Task<Result<WatchAnswer>> Watch(std::string aPrefix, Revision aAfter, Millis) override
+  net::Task<Result<WatchAnswer>> Watch(std::string aPrefix, Revision aAfter, Millis aWait) override
   {
     ++mWatches;
     if (mMode == StoreMode::Down) {
@@ -94,8 +95,8 @@
         out.mEvents.push_back(it);
       }
     }
-    if (out.mEvents.empty() && mLoop != nullptr) {
-      co_await net::Signal::Sleep(*mLoop, Millis(1));
+    if (out.mEvents.empty() && !out.mIsTooOld && mChanged) {
+      co_await mChanged->WaitFor(aWait);
     }
     co_return out;
   }
@@ -113,6 +114,7 @@
     it.mValue = aValue;
     it.mModRevision = mRevision;
     mHistory.push_back({ it, false });
+    NotifyWatch();
   }
 
   void Remove(const std::string& aKey)
@@ -120,9 +122,19 @@
     ++mRevision;
     mItems.erase(aKey);
     mHistory.push_back({ { aKey, "", 0, mRevision, 0 }, true });
+    NotifyWatch();
+  }
+
+  /// @brief Lets watches wait for changes on a loop, one watch at a time.
+  void WaitOn(net::Loop& aLoop) { mChanged = std::make_unique<net::Signal>(aLoop); }
+
+  /// @brief Changes how calls are answered from now on, waiting watches too.
+  void SetMode(StoreMode aMode)
+  {
+    mMode = aMode;
+    NotifyWatch();
   }
 
-  net::Loop* mLoop = nullptr; ///< if set, a watch without events takes a millisecond
   StoreMode mMode = StoreMode::Up;
   std::map<std::string, KeyValue> mItems;
   std::vector<WatchEvent> mHistory;
@@ -132,6 +144,15 @@
   int mWatches = 0;
 
 private:
+  void NotifyWatch()
+  {
+    if (mChanged) {
+      mChanged->Notify();
+    }
+  }
+
+  std::unique_ptr<net::Signal> mChanged;
+
   static Error Failure()
   {
     return MakeError(ErrorCode::PlatformUnavailable, Step::GrantRead, "store", "down");
