Rights are held by part of demand, idle ones given back, and pooled near a budget's end

Ruled out: that rights lost with a machine's power explain the refusals alone. Change: the policy for outages knows the fleet's unspent rights and the others' demand from the record; a router holds the window's demand bounded by its own part of the demand, gives back what idles above 1.5 times of that, and holds half a second of demand once less than a tenth of a budget is unspent. A want that cannot be served draws nothing; a refusal is remembered for up to 800 ms unless a read shows more.

--- a/include/gentianloom/budget/GrantPolicy.h
+++ b/include/gentianloom/budget/GrantPolicy.h
@@ -11,13 +11,16 @@
 /// What a policy may look at.
 struct GrantInput
 {
-  Tokens mLeft = 0;      ///< granted to nobody, by the record just read
-  double mDemand = 0;    ///< tokens a second that this router reserved lately
-  Tokens mLargest = 0;   ///< largest reservation lately
-  int mHolders = 1;      ///< incarnations that hold rights of the budget, this one included
-  Tokens mFree = 0;      ///< held and not used
-  double mObserved = 0;  ///< how much of the demand estimate's memory was observed, 0 to 1
-  double mSteadyFor = 0; ///< seconds since the key-value service last failed to answer
+  Tokens mLeft = 0;         ///< granted to nobody, by the record just read
+  double mDemand = 0;       ///< tokens a second that this router reserved lately
+  Tokens mLargest = 0;      ///< largest reservation lately
+  int mHolders = 1;         ///< incarnations that hold rights of the budget, this one included
+  Tokens mFree = 0;         ///< held and not used
+  double mObserved = 0;     ///< how much of the demand estimate's memory was observed, 0 to 1
+  double mSteadyFor = 0;    ///< seconds since the key-value service last failed to answer
+  Tokens mPrepaid = 0;      ///< what the budget is in all; 0: not known
+  Tokens mOthersRest = 0;   ///< rights of other holders that they have not reported as spent
+  double mOthersDemand = 0; ///< tokens a second that other holders reported as spent lately
 };
 
 /**
@@ -50,6 +53,12 @@
   /// @brief Tokens that the router should have free after a refill.
   virtual Tokens Target(const GrantInput& aInput) const = 0;
 
+  /// @brief Tokens that the router keeps when it gives back what idles.
+  virtual Tokens Kept(const GrantInput& aInput) const;
+
+  /// @brief Free tokens above which a router gives back what idles. @param aKept see Kept()
+  virtual Tokens GiveBackAbove(const GrantInput& aInput, Tokens aKept) const;
+
   /**
    * @brief Makes the policy that the settings choose.
    * @param aSettings `policy` is `fixed`, `demand` or `shrinking`
--- a/include/gentianloom/budget/Holding.h
+++ b/include/gentianloom/budget/Holding.h
@@ -3,8 +3,10 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/budget/GrantPolicy.h"
+#include "gentianloom/budget/Record.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace gentianloom {
@@ -32,20 +34,26 @@
 
   // What the last read of the record showed.
   Tokens mLeftSeen = 0;
+  Tokens mPrepaidSeen = 0;
+  Tokens mOthersRest = 0;                 ///< see GrantInput
+  std::optional<Tokens> mOthersSpentSeen; ///< all that others have spent
   int mHoldersSeen = 1;
 
   // Demand.
   double mDemand = 0; ///< tokens a second, decayed
   double mWeight = 0; ///< share of the estimate's memory that was observed, 0 to 1
   Tokens mLargest = 0;
-  Tokens mTaken = 0;     ///< since mTicked
-  double mSteadyFor = 0; ///< see GrantInput
+  Tokens mTaken = 0;        ///< since mTicked
+  Tokens mOthersTaken = 0;  ///< what others reported as spent since mTicked
+  double mOthersDemand = 0; ///< tokens a second, decayed
+  double mSteadyFor = 0;    ///< see GrantInput
   TimePoint mTicked{};
 
   // Requests that wait.
-  Tokens mWanted = 0;     ///< sum of the bounds that wait
-  Tokens mWantedMost = 0; ///< largest of them
-  bool mLooked = false;   ///< whether a draw was planned since the first of them came
+  Tokens mWanted = 0;      ///< sum of the bounds that wait
+  Tokens mWantedMost = 0;  ///< largest of them
+  Tokens mWantedLeast = 0; ///< smallest of them
+  bool mLooked = false;    ///< whether a draw was planned since the first of them came
   Tokens mRefusedFrom = 0;
   TimePoint mRefusedUntil{};
   int mRefusals = 0; ///< rounds in a row that left requests short
@@ -59,6 +67,9 @@
   /// @brief Tokens used or set aside for requests in flight, since the incarnation started.
   Tokens Used() const { return mSpent + mStaged + mReserved; }
 
+  /// @brief Takes what a read of the record shows of all holders together.
+  void See(const BudgetRecord& aBudget, const HolderRecord& aOwn);
+
   /// @brief Whether a further draw may serve what waits.
   bool MayDraw() const;
 
--- a/src/budget/GrantPolicy.cpp
+++ b/src/budget/GrantPolicy.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/budget/GrantPolicy.h"
 
+#include "gentianloom/budget/OutagePolicy.h"
+
 #include <cmath>
 
 #include <algorithm>
@@ -67,40 +69,17 @@
 
 } // namespace
 
-/**
- * As demand, but for a router that has to live through outages and may be killed at any time.
- *
- * Before demand is known it holds a part of its equal share, and it never holds more than that
- * share. After an outage the reserve grows again only as fast as time passes: outages seldom follow
- * on each other at once, and kills often come with them.
- */
-class OutagePolicy final : public DemandPolicy
+Tokens GrantPolicy::Kept(const GrantInput& aInput) const
 {
-public:
-  using DemandPolicy::DemandPolicy;
-  Tokens Target(const GrantInput& aInput) const override
-  {
-    // Other holders probably have as much as this one.
-    const auto whole = std::max<Tokens>(0, aInput.mLeft) / aInput.mHolders + aInput.mFree;
-    const auto share = static_cast<Tokens>(static_cast<double>(whole) * kMostShare);
-    const double seconds = std::min(Seconds(), kLeastSeconds + aInput.mSteadyFor);
-    const auto demand = TokensFor(aInput.mDemand, seconds, aInput.mLargest);
-    const auto first = static_cast<double>(share) * kFirstShare * (1 - aInput.mObserved);
-    return std::min(std::max(demand, static_cast<Tokens>(first)), share);
-  }
+  const auto demand = static_cast<Tokens>(aInput.mDemand * mKeptSeconds);
+  return std::max({ Target(aInput), demand, aInput.mLargest });
+}
 
-private:
-  double RefillBelow() const override { return kRefillBelow; }
-
-  /// An outage may begin at any time, so that the reserve is kept nearly full.
-  static constexpr double kRefillBelow = 0.85;
-  /// Part of the equal share of what is not used that is held at most.
-  static constexpr double kMostShare = 0.6;
-  /// Part of the equal share that is held before demand is known.
-  static constexpr double kFirstShare = 0.25;
-  /// Seconds of demand that are held right after an outage.
-  static constexpr double kLeastSeconds = 2;
-};
+Tokens GrantPolicy::GiveBackAbove(const GrantInput& /*aInput*/, Tokens aKept) const
+{
+  constexpr Tokens kFactor = 2;
+  return kFactor * aKept;
+}
 
 std::unique_ptr<GrantPolicy> GrantPolicy::Create(const BudgetSettings& aSettings)
 {
@@ -111,7 +90,7 @@
   } else if (aSettings.mPolicy == "demand") {
     out = std::make_unique<DemandPolicy>(aSettings.mDemandWindow);
   } else if (aSettings.mPolicy == "outage") {
-    out = std::make_unique<OutagePolicy>(aSettings.mDemandWindow);
+    out = std::make_unique<OutagePolicy>(seconds(aSettings.mDemandWindow));
   } else {
     out = std::make_unique<ShrinkingPolicy>(aSettings.mDemandWindow);
   }
--- a/src/budget/Holding.cpp
+++ b/src/budget/Holding.cpp
@@ -11,8 +11,6 @@
 constexpr double kLeastWeight = 0.15;
 /// Demand below this counts as none, tokens a second.
 constexpr double kNoDemand = 0.5;
-/// Rights above this many times the target are given back.
-constexpr Tokens kExcessFactor = 2;
 
 } // namespace
 
@@ -33,6 +31,21 @@
   return mGranted + Received() - mReturned - mReturning - mSpent - mStaged - mReserved - mGiven;
 }
 
+void Holding::See(const BudgetRecord& aBudget, const HolderRecord& aOwn)
+{
+  mLeftSeen = aBudget.Left();
+  mPrepaidSeen = aBudget.mPrepaid;
+  mHoldersSeen = std::max(1, static_cast<int>(aBudget.mHolders.size()));
+  const auto spent = aBudget.Spent() - aOwn.mSpent;
+  mOthersRest = std::max<Tokens>(0, aBudget.Granted() - aOwn.Net() - spent);
+  // A holder that is closed may leave the record with less than it spent before.
+  if (mLeftSeen + Free() >= mRefusedFrom) {
+    mRefusedUntil = TimePoint{};
+  }
+  mOthersTaken += std::max<Tokens>(0, spent - mOthersSpentSeen.value_or(spent));
+  mOthersSpentSeen = spent;
+}
+
 bool Holding::MayDraw() const
 {
   return !mRevoked && (!mLooked || mLeftSeen >= mWantedMost - Free());
@@ -47,7 +60,10 @@
   const double weight = std::exp(-passed / aMemory);
   mDemand = weight * mDemand + (1.0 - weight) * static_cast<double>(mTaken) / passed;
   mWeight = weight * mWeight + (1.0 - weight);
+  mOthersDemand =
+    weight * mOthersDemand + (1.0 - weight) * static_cast<double>(mOthersTaken) / passed;
   mTaken = 0;
+  mOthersTaken = 0;
   mTicked = aNow;
   if (mDemand < kNoDemand) {
     mLargest = 0;
@@ -56,13 +72,9 @@
 
 GrantInput Holding::Input() const
 {
-  return { mLeftSeen,
-           mDemand / std::max(kLeastWeight, mWeight),
-           mLargest,
-           mHoldersSeen,
-           std::max<Tokens>(0, Free()),
-           mWeight,
-           mSteadyFor };
+  const double weight = std::max(kLeastWeight, mWeight);
+  return { mLeftSeen, mDemand / weight, mLargest,     mHoldersSeen, std::max<Tokens>(0, Free()),
+           mWeight,   mSteadyFor,       mPrepaidSeen, mOthersRest,  mOthersDemand / weight };
 }
 
 Tokens Holding::Draw(const GrantPolicy& aPolicy, Tokens aLeft) const
@@ -72,8 +84,11 @@
   const auto target = aPolicy.Target(input);
   const auto free = Free();
   // What waits is drawn in any case; more only when part of the target is used up.
-  Tokens more = std::max<Tokens>(0, mWanted - free);
-  if (static_cast<double>(free - mWanted) < static_cast<double>(target) * aPolicy.RefillBelow()) {
+  // What serves none of them is left to others.
+  const bool servesOne = aLeft + free >= mWantedLeast;
+  Tokens more = servesOne ? std::max<Tokens>(0, mWanted - free) : 0;
+  if (servesOne &&
+      static_cast<double>(free - mWanted) < static_cast<double>(target) * aPolicy.RefillBelow()) {
     more = std::max(more, target + mWanted - free);
   }
   return std::clamp<Tokens>(more, 0, std::max<Tokens>(0, aLeft));
@@ -88,10 +103,8 @@
   }
   auto input = Input();
   input.mLeft = std::max<Tokens>(0, aLeft);
-  const auto kept = std::max({ aPolicy.Target(input),
-                               static_cast<Tokens>(input.mDemand * aPolicy.KeptSeconds()),
-                               mLargest });
-  const auto idle = free > kExcessFactor * kept ? free - kept : 0;
+  const auto kept = aPolicy.Kept(input);
+  const auto idle = free > aPolicy.GiveBackAbove(input, kept) ? free - kept : 0;
   return std::max<Tokens>({ 0, overdrawn, idle });
 }
 
--- a/src/budget/Ledger.cpp
+++ b/src/budget/Ledger.cpp
@@ -11,9 +11,10 @@
 constexpr std::size_t kMostStaged = 100'000;
 /// Answered transfers that are remembered for repeated asks.
 constexpr std::size_t kMostRemembered = 4'096;
-/// A budget found short is not looked at again for 50 ms, doubled each time up to 200 ms.
+/// A budget found short is not drawn on again for 50 ms, doubled each time up to 800 ms, unless a
+/// read of its record shows more.
 constexpr Millis kFirstRefusal{ 50 };
-constexpr int kMostDoublings = 2;
+constexpr int kMostDoublings = 4;
 /// An incarnation that holds rights reports at least this often, so that operators see it is there.
 constexpr Millis kReportEvery{ 60'000 };
 
@@ -74,6 +75,7 @@
     return ReserveAnswer::Exhausted;
   }
   it.mLooked = it.mLooked && it.mWanted > 0;
+  it.mWantedLeast = it.mWanted > 0 ? std::min(it.mWantedLeast, aTokens) : aTokens;
   it.mWanted += aTokens;
   it.mWantedMost = std::max(it.mWantedMost, aTokens);
   return ReserveAnswer::Wait;
@@ -212,13 +214,15 @@
   if (it.mWantedMost > it.Free()) {
     // Others' requests settle and free rights all the time, so a first refusal is short.
     const auto doublings = std::min(it.mRefusals++, kMostDoublings);
-    it.mRefusedFrom = it.Free() + 1;
+    const auto drawable = aStoreAnswers ? std::max<Tokens>(0, it.mLeftSeen) : 0;
+    it.mRefusedFrom = it.Free() + drawable + 1;
     it.mRefusedUntil = aNow + kFirstRefusal * (std::int64_t{ 1 } << doublings);
   } else {
     it.mRefusals = 0;
   }
   it.mWanted = 0;
   it.mWantedMost = 0;
+  it.mWantedLeast = 0;
   return true;
 }
 
--- a/src/budget/LedgerPlan.cpp
+++ b/src/budget/LedgerPlan.cpp
@@ -52,9 +52,8 @@
 void Ledger::LearnBudget(ShardState& aState, const std::string& aName, const BudgetRecord& aBudget)
 {
   auto& holding = mHoldings.at(aName);
-  holding.mLeftSeen = aBudget.Left();
-  holding.mHoldersSeen = std::max(1, static_cast<int>(aBudget.mHolders.size()));
   const auto entry = aBudget.mHolders.find(mIncarnation);
+  holding.See(aBudget, entry == aBudget.mHolders.end() ? HolderRecord{} : entry->second);
   if (entry != aBudget.mHolders.end() && entry->second.mReleased && !holding.mRevoked) {
     DropRevoked(aState, aName);
   }
