Tighter caps; a loss of power is proved by wall clock and lease; requests wait for the reserve

Cause: a successor after a loss of power had no proof that its predecessor's reserve stayed closed, and after kills the cap was nearly all that was held (twice the largest request, a quarter of what was free). Ruled out: judging by the wall clock alone, which may be set; by the lease alone, which stands still while the store is down; by any time in the answers of the store (they carry none). The reserve opens after 3 s. What remains uncovered: the wall clock is set back on a machine while the store is down with leases standing still and the machine loses power, all within 3 s.

--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -74,6 +74,9 @@
   /// @brief Number of rounds that have ended.
   std::uint64_t Rounds() const { return mRounds; }
 
+  /// @brief Whether the rights of predecessors were looked at and closed.
+  bool HasTakenOver() const { return mHasTakenOver; }
+
   /// @brief Whether the key-value service does not answer.
   bool IsAway() const { return mPacer.IsAway(); }
 
@@ -109,6 +112,7 @@
 
   net::Task<void> Run();
   net::Task<void> RunRound();
+  net::Task<std::optional<PredecessorSigns>> LookForPredecessor(std::string aIncarnation);
   net::Task<bool> TakeOver();
   net::Task<void> Refresh();
   net::Task<bool> Write(std::set<int> aShards, bool aClosing);
@@ -138,7 +142,10 @@
   bool mIsClosing = false;
   bool mIsRunning = false;
   bool mIsReplaced = false; ///< another incarnation has taken over this instance's name
+  bool mHasTakenOver = false;
   TimePoint mStartedAt{};
+  Millis mStartedWallTime{ 0 };
+  std::optional<PredecessorSigns> mPredecessor; ///< once looked for
   TimePoint mFailedAt{}; ///< when the key-value service last failed to answer
   TimePoint mRefreshedAt{};
   TimePoint mRoundAt{}; ///< start of the last round
--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,17 @@
   Millis mReportedAt{ 0 }; ///< clock of the machine that also counts suspension
   Millis mOpensAfter{ 0 }; ///< time without a report after which the reserve is open
   std::map<std::string, Tokens> mCaps; ///< by budget
+  Millis mWallTime{ 0 };               ///< wall-clock time of the report
+  bool mIsWallClockSteady = false;     ///< the wall clock was not set since the process started
+};
+
+/// What a successor on the same machine knows of when its predecessor ended.
+struct PredecessorSigns
+{
+  std::string mBoot;          ///< identifies the boot of the machine; empty: not known
+  Millis mStartedAt{ 0 };     ///< when it took the address that only one process can hold
+  Millis mWallTime{ 0 };      ///< the same moment by the wall clock
+  bool mLeaseIsAlive = false; ///< the predecessor's lease had not ended at that moment
 };
 
 /// @brief Key of an instance's report in the key-value service.
@@ -39,9 +51,11 @@
 
 /**
  * @brief Whether a predecessor on the same machine ended before its reserve opened.
- * @param aStartedAt when this incarnation took the address that only one process can hold
+ *
+ * On the same boot the machine's clock shows it. After a loss of power the wall clock and the lease
+ * have to agree: the one may be set, the other stands still while the key-value service is down.
  */
-bool EndedWithinCaps(const UsageReport& aPredecessor, std::string_view aBoot, Millis aStartedAt);
+bool EndedWithinCaps(const UsageReport& aPredecessor, const PredecessorSigns& aSigns);
 
 /**
  * @brief Closes the rights of a predecessor that has ended: what it may have used counts as spent.
@@ -54,9 +68,9 @@
 /// Times of usage reports.
 struct UsageCapSettings
 {
-  Millis mOpensAfter{ 2'500 };  ///< time without a report after which the reserve is open
+  Millis mOpensAfter{ 3'000 };  ///< time without a report after which the reserve is open
   Millis mReportEvery{ 1'000 }; ///< a report is made at least this often
-  Millis mHeadroom{ 3'500 };    ///< demand that a cap leaves room for
+  Millis mHeadroom{ 1'500 };    ///< demand that a cap leaves room for
 };
 
 /**
@@ -74,7 +88,12 @@
   bool IsDue(const std::map<std::string, Holding>& aHoldings, TimePoint aNow) const;
 
   /// @brief Makes the next report; until its fate is known it counts where that is the safe side.
-  UsageReport Plan(const std::map<std::string, Holding>& aHoldings, TimePoint aNow);
+  UsageReport Plan(const std::map<std::string, Holding>& aHoldings,
+                   TimePoint aNow,
+                   Millis aWallTime);
+
+  /// @brief Notices when the wall clock is set. Called now and then.
+  void WatchWallClock(TimePoint aNow, Millis aWallTime);
 
   void OnTook(const UsageReport& aReport);   ///< the report is stored
   void OnDidNot(const UsageReport& aReport); ///< it is not and cannot come later
@@ -82,6 +101,9 @@
   /// @brief Whether the key-value service was out of reach for so long that the reserve is open.
   bool IsOpen(TimePoint aNow) const;
 
+  /// @brief Time until the reserve opens if no report is stored; unset before the first one.
+  std::optional<Millis> OpensIn(TimePoint aNow) const;
+
 private:
   Tokens CapFor(const Holding& aHolding) const;
 
@@ -89,8 +111,10 @@
   std::string mBoot;
   UsageCapSettings mSettings;
   bool mHasReported = false;
-  UsageReport mReport;            ///< last one that is known to be stored
-  std::deque<Millis> mUnresolved; ///< times of reports that may be stored
+  UsageReport mReport;               ///< last one that is known to be stored
+  std::deque<Millis> mUnresolved;    ///< times of reports that may be stored
+  std::optional<Millis> mWallOffset; ///< of the wall clock against the monotone one
+  bool mIsWallClockSteady = true;
 };
 
 } // namespace gentianloom
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -3,6 +3,7 @@
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
+#include "gentianloom/membership/InstanceDirectory.h"
 #include "gentianloom/net/HttpHead.h"
 
 #include <algorithm>
@@ -84,6 +85,7 @@
 void RightsDuty::Start()
 {
   mStartedAt = mClock.Now();
+  mStartedWallTime = mClock.WallTime();
   mFailedAt = mStartedAt - kSteadyAtStart;
   mIsRunning = true;
   net::Start(mLoop, "rights", Run());
@@ -106,6 +108,13 @@
   const auto holding = mLedger.Holdings().find(aBudget);
   const auto room =
     holding == mLedger.Holdings().end() ? Tokens{ 0 } : mCaps.Room(aBudget, holding->second, now);
+  const bool isHeld =
+    holding != mLedger.Holdings().end() && holding->second.Free() >= aTokens && room < aTokens;
+  if (mPacer.IsAway() && isHeld && mCaps.OpensIn(now)) {
+    // Only the reserve covers it, which opens within moments.
+    mWaiters.push_back(aWaiter);
+    return ReserveAnswer::Wait;
+  }
   const auto answer = mLedger.Reserve(aBudget, aTokens, now, room);
   if (answer == ReserveAnswer::Wait) {
     if (mPacer.IsAway()) {
@@ -131,6 +140,7 @@
   bool isTaken = false;
   while (!mIsClosing && !isTaken) {
     isTaken = co_await TakeOver();
+    mHasTakenOver = isTaken;
     if (!isTaken) {
       co_await net::Signal::Sleep(mLoop, std::chrono::duration_cast<Micros>(kTakeOverPause));
     }
@@ -155,6 +165,30 @@
   mIsRunning = false;
 }
 
+/// Looks once for what tells when the predecessor ended; unset if the service does not answer.
+net::Task<std::optional<PredecessorSigns>> RightsDuty::LookForPredecessor(std::string aIncarnation)
+{
+  if (mPredecessor) {
+    co_return mPredecessor;
+  }
+  std::string key(kInstancePrefix);
+  key += mOwner.mInstance;
+  const auto range = co_await mStore.Range(std::move(key));
+  if (!range) {
+    NoteStore(false, ToString(range.error()));
+    co_return std::nullopt;
+  }
+  PredecessorSigns out{ mOwner.mBoot, Millis(0), mStartedWallTime, false };
+  out.mStartedAt = std::chrono::duration_cast<Millis>(mStartedAt.time_since_epoch());
+  for (const auto& it : range.value().mEntries) {
+    const auto record = ParseInstanceRecord(it.mValue);
+    out.mLeaseIsAlive =
+      out.mLeaseIsAlive || (record && record.value().mIncarnation == aIncarnation);
+  }
+  mPredecessor = out;
+  co_return out;
+}
+
 net::Task<bool> RightsDuty::TakeOver()
 {
   const bool isRead = co_await ReadAll();
@@ -165,8 +199,11 @@
   if (!report || report->mIncarnation == mOwner.mIncarnation) {
     co_return true;
   }
-  const auto startedAt = std::chrono::duration_cast<Millis>(mStartedAt.time_since_epoch());
-  const bool isWithinCaps = EndedWithinCaps(*report, mOwner.mBoot, startedAt);
+  const auto signs = co_await LookForPredecessor(report->mIncarnation);
+  if (!signs) {
+    co_return false;
+  }
+  const bool isWithinCaps = EndedWithinCaps(*report, *signs);
   Transaction transaction;
   Tokens freed = 0;
   bool isLast = true;
@@ -184,14 +221,17 @@
     transaction.mWrites.push_back({ ShardKey(shard), ShardText(known.mRecord) });
   }
   if (isLast) {
-    AddReport(transaction, mCaps.Plan(mLedger.Holdings(), mClock.Now()));
+    AddReport(transaction, mCaps.Plan(mLedger.Holdings(), mClock.Now(), mClock.WallTime()));
   }
   LogChange(LogLevel::Info,
             "budget",
             "the rights of a predecessor are closed",
             { { "predecessor", report->mIncarnation },
               { "within_caps", isWithinCaps ? "yes" : "no" },
-              { "ran_for_ms", std::to_string((startedAt - report->mReportedAt).count()) },
+              { "ran_for_ms", std::to_string((signs->mStartedAt - report->mReportedAt).count()) },
+              { "wall_ms", std::to_string((signs->mWallTime - report->mWallTime).count()) },
+              { "wall_steady", report->mIsWallClockSteady ? "yes" : "no" },
+              { "lease_alive", signs->mLeaseIsAlive ? "yes" : "no" },
               { "freed", std::to_string(freed) } });
   const auto answer = co_await mStore.Commit(std::move(transaction));
   // Whatever came of it is read again: the predecessor's report stays until all is closed.
@@ -314,7 +354,7 @@
     out.mTransaction.mWrites.push_back({ ShardKey(it), ShardText(record) });
     out.mShards[it] = { batch, std::move(record) };
   }
-  out.mReport = mCaps.Plan(mLedger.Holdings(), input.mNow);
+  out.mReport = mCaps.Plan(mLedger.Holdings(), input.mNow, input.mWallTime);
   AddReport(out.mTransaction, out.mReport);
   return out;
 }
@@ -443,7 +483,8 @@
     text += text.empty() ? "" : ", ";
     text += name + " granted=" + std::to_string(it.mGranted - it.mReturned) +
             " spent=" + std::to_string(it.mSpent) + " free=" + std::to_string(it.Free()) +
-            " left=" + std::to_string(it.mLeftSeen);
+            " left=" + std::to_string(it.mLeftSeen) +
+            " prepaid=" + std::to_string(mLinks.mStated(name).mPrepaid);
   }
   LogChange(LogLevel::Info, "budget", "rights were written", { { "budgets", text } });
 }
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -9,8 +9,14 @@
 
 namespace {
 
-/// Of what is free at least this part is within the cap, for requests that come without notice.
-constexpr Tokens kLeastShare = 4;
+/// Part of what is free that is within the cap before demand is known.
+constexpr double kFirstShare = 0.25;
+
+/// A predecessor on the same boot whose last report is older than this is not judged by the clock
+/// of the boot: after a loss of power it starts anywhere.
+constexpr Millis kMostRestartTime{ 600'000 };
+/// Wall time that gains or loses more than this against the monotone clock was set.
+constexpr Millis kMostDrift{ 200 };
 
 Millis MillisOf(TimePoint aTime)
 {
@@ -35,6 +41,8 @@
                                { "boot", aReport.mBoot },
                                { "reported_at_ms", aReport.mReportedAt.count() },
                                { "opens_after_ms", aReport.mOpensAfter.count() },
+                               { "wall_ms", aReport.mWallTime.count() },
+                               { "wall_steady", aReport.mIsWallClockSteady },
                                { "caps", aReport.mCaps } };
   return out.dump();
 }
@@ -48,6 +56,8 @@
     out.mBoot = json.at("boot").get<std::string>();
     out.mReportedAt = Millis(json.at("reported_at_ms").get<std::int64_t>());
     out.mOpensAfter = Millis(json.at("opens_after_ms").get<std::int64_t>());
+    out.mWallTime = Millis(json.value("wall_ms", std::int64_t{ 0 }));
+    out.mIsWallClockSteady = json.value("wall_steady", false);
     out.mCaps = json.at("caps").get<std::map<std::string, Tokens>>();
     return out;
   } catch (const nlohmann::json::exception& ex) {
@@ -55,11 +65,20 @@
   }
 }
 
-bool EndedWithinCaps(const UsageReport& aPredecessor, std::string_view aBoot, Millis aStartedAt)
+bool EndedWithinCaps(const UsageReport& aPredecessor, const PredecessorSigns& aSigns)
 {
-  const auto ranFor = aStartedAt - aPredecessor.mReportedAt;
-  return !aBoot.empty() && aPredecessor.mBoot == aBoot && ranFor >= Millis(0) &&
-         ranFor <= aPredecessor.mOpensAfter;
+  const auto isShort = [&](Millis aTime) {
+    return aTime >= Millis(0) && aTime <= aPredecessor.mOpensAfter;
+  };
+  const auto ranFor = aSigns.mStartedAt - aPredecessor.mReportedAt;
+  const bool isSameBoot = !aSigns.mBoot.empty() && aPredecessor.mBoot == aSigns.mBoot;
+  if (isSameBoot && ranFor >= Millis(0) && ranFor < kMostRestartTime) {
+    return isShort(ranFor);
+  }
+  // After a loss of power only the wall clock goes on. It may have been set meanwhile, so the
+  // lease, which the key-value service times, has to agree.
+  return aSigns.mLeaseIsAlive && aPredecessor.mIsWallClockSteady &&
+         isShort(aSigns.mWallTime - aPredecessor.mWallTime);
 }
 
 Tokens FoldPredecessor(ShardRecord& aShard, const UsageReport& aPredecessor, bool aIsWithinCaps)
@@ -96,16 +115,22 @@
 }
 
 bool UsageCaps::IsOpen(TimePoint aNow) const
+{
+  const auto left = OpensIn(aNow);
+  return left && *left < Millis(0);
+}
+
+std::optional<Millis> UsageCaps::OpensIn(TimePoint aNow) const
 {
   if (!mHasReported) {
-    return false;
+    return std::nullopt;
   }
   // A report that may be stored is the one by which a successor would judge.
   auto last = mReport.mReportedAt;
   for (const auto it : mUnresolved) {
     last = std::max(last, it);
   }
-  return MillisOf(aNow) > last + mSettings.mOpensAfter;
+  return last + mSettings.mOpensAfter - MillisOf(aNow);
 }
 
 Tokens UsageCaps::Room(const std::string& aBudget, const Holding& aHolding, TimePoint aNow) const
@@ -120,10 +145,10 @@
 Tokens UsageCaps::CapFor(const Holding& aHolding) const
 {
   const auto input = aHolding.Input();
-  const auto demand = TokensFor(input.mDemand, SecondsOf(mSettings.mHeadroom), input.mLargest);
   const auto free = std::max<Tokens>(0, aHolding.Free() + aHolding.mDrawing);
-  const auto room =
-    std::max({ demand, 2 * aHolding.mLargest, free / kLeastShare }) + aHolding.mWanted;
+  const double demand = input.mDemand * SecondsOf(mSettings.mHeadroom);
+  const double first = static_cast<double>(free) * kFirstShare * (1 - input.mObserved);
+  const auto room = static_cast<Tokens>(std::max(demand, first)) + aHolding.mWanted;
   return aHolding.Used() + std::min(room, free);
 }
 
@@ -139,9 +164,23 @@
   });
 }
 
-UsageReport UsageCaps::Plan(const std::map<std::string, Holding>& aHoldings, TimePoint aNow)
+void UsageCaps::WatchWallClock(TimePoint aNow, Millis aWallTime)
+{
+  const auto offset = aWallTime - MillisOf(aNow);
+  if (mWallOffset && (offset - *mWallOffset > kMostDrift || *mWallOffset - offset > kMostDrift)) {
+    mIsWallClockSteady = false;
+  }
+  mWallOffset = offset;
+}
+
+UsageReport UsageCaps::Plan(const std::map<std::string, Holding>& aHoldings,
+                            TimePoint aNow,
+                            Millis aWallTime)
 {
+  WatchWallClock(aNow, aWallTime);
   UsageReport out;
+  out.mWallTime = aWallTime;
+  out.mIsWallClockSteady = mIsWallClockSteady;
   out.mIncarnation = mIncarnation;
   out.mBoot = mBoot;
   out.mReportedAt = MillisOf(aNow);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -394,7 +394,8 @@
   bool isWritten = false;
   bool saidLeaving = false;
   while (true) {
-    if (IsReady() || mSelf.mIsLeaving) {
+    // The predecessor's key, which this one replaces, tells when it ended.
+    if ((IsReady() && mRights.HasTakenOver()) || mSelf.mIsLeaving) {
       if (!isWritten || saidLeaving != mSelf.mIsLeaving) {
         const bool leaving = mSelf.mIsLeaving;
         isWritten = co_await WriteOwnKey();
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -13,6 +13,8 @@
 
 /// When callers may come back after a refusal for lack of endpoints or of the key-value service.
 constexpr Millis kComeBack{ 400 };
+/// How often a request that waits for tokens asks again, if no round ends before.
+constexpr Millis kReserveLook{ 250 };
 /// Time limit of a request whose caller and route state none.
 constexpr Millis kDefaultPatience{ 30'000 };
 
@@ -167,9 +169,10 @@
       break;
     }
     const auto round = mParts.mRights.Rounds();
+    const auto until = mParts.mClock.Now() + kReserveLook;
     while (answer == ReserveAnswer::Wait && round == mParts.mRights.Rounds() && !mCaller.IsGone() &&
-           TimeLeft() > Micros(0)) {
-      co_await mSignal->WaitFor(TimeLeft());
+           TimeLeft() > Micros(0) && mParts.mClock.Now() < until) {
+      co_await mSignal->WaitFor(std::min<Micros>(TimeLeft(), until - mParts.mClock.Now()));
     }
     if (mCaller.IsGone()) {
       mRefusal = "the caller left while tokens were drawn";
