A channel lives until its tasks have ended

A trial that printed its stack at the signal ended in Channel::RunReads at shared_from_this(): the task took its own reference only when it first ran, one turn of the loop after it was started, and the user had dropped the channel by then. Ruled out: memory (the limit kills otherwise), the log, the changed waits. Change: the tasks get the reference as an argument. Test: ChannelTest, seen failing before.

--- a/include/gentianloom/net/Channel.h
+++ b/include/gentianloom/net/Channel.h
@@ -27,7 +27,7 @@
  * Received bytes wait in a bounded buffer; bytes to send wait in a queue. Each change notifies the
  * listener, so that one coroutine can wait for several connections and a timeout at once.
  */
-class Channel : public std::enable_shared_from_this<Channel>
+class Channel
 {
 public:
   using Ptr = std::shared_ptr<Channel>;
@@ -76,9 +76,10 @@
   Channel(Loop& aLoop, Socket aSocket, ChannelState aState);
 
   void Prepare();
-  Task<void> RunConnect(Address aAddress);
-  Task<void> RunReads();
-  Task<void> RunWrites();
+  // The tasks own the channel from the moment they are made: its user may drop it before they run.
+  static Task<void> RunConnect(Ptr aSelf, Address aAddress);
+  static Task<void> RunReads(Ptr aSelf);
+  static Task<void> RunWrites(Ptr aSelf);
   void Notify();
   void Break();
 
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -40,15 +40,15 @@
 {
   Ptr out(new Channel(aLoop, std::move(aSocket), ChannelState::Open));
   out->Prepare();
-  Start(aLoop, "channel.read", out->RunReads());
-  Start(aLoop, "channel.write", out->RunWrites());
+  Start(aLoop, "channel.read", RunReads(out));
+  Start(aLoop, "channel.write", RunWrites(out));
   return out;
 }
 
 Channel::Ptr Channel::Connect(Loop& aLoop, const Address& aAddress)
 {
   Ptr out(new Channel(aLoop, Socket(aLoop), ChannelState::Connecting));
-  Start(aLoop, "channel.connect", out->RunConnect(aAddress));
+  Start(aLoop, "channel.connect", RunConnect(out, aAddress));
   return out;
 }
 
@@ -61,95 +61,92 @@
   (void)setsockopt(mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
-Task<void> Channel::RunConnect(Address aAddress)
+Task<void> Channel::RunConnect(Ptr aSelf, Address aAddress)
 {
-  const auto self = shared_from_this();
   boost::system::error_code ec;
-  co_await mSocket.async_connect(aAddress,
-                                 boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-  if (mState != ChannelState::Connecting) {
+  co_await aSelf->mSocket.async_connect(
+    aAddress, boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  if (aSelf->mState != ChannelState::Connecting) {
     co_return;
   }
   if (ec) {
-    Break();
+    aSelf->Break();
     co_return;
   }
-  mState = ChannelState::Open;
-  Prepare();
-  Start(mLoop, "channel.read", RunReads());
-  Start(mLoop, "channel.write", RunWrites());
-  Notify();
+  aSelf->mState = ChannelState::Open;
+  aSelf->Prepare();
+  Start(aSelf->mLoop, "channel.read", RunReads(aSelf));
+  Start(aSelf->mLoop, "channel.write", RunWrites(aSelf));
+  aSelf->Notify();
 }
 
-Task<void> Channel::RunReads()
+Task<void> Channel::RunReads(Ptr aSelf)
 {
-  const auto self = shared_from_this();
   std::array<char, kReadBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  while (mState == ChannelState::Open) {
-    if (mReceived.size() >= kMostReceived) {
-      co_await mRoom.WaitFor(kIdleWait);
+  while (aSelf->mState == ChannelState::Open) {
+    if (aSelf->mReceived.size() >= kMostReceived) {
+      co_await aSelf->mRoom.WaitFor(kIdleWait);
       continue;
     }
     boost::system::error_code ec;
-    const auto n = co_await mSocket.async_read_some(
+    const auto n = co_await aSelf->mSocket.async_read_some(
       boost::asio::buffer(buf), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-    if (mState != ChannelState::Open) {
+    if (aSelf->mState != ChannelState::Open) {
       co_return;
     }
     if (ec == boost::asio::error::eof) {
-      mState = ChannelState::Ended;
-      Notify();
-      mWork.Notify();
+      aSelf->mState = ChannelState::Ended;
+      aSelf->Notify();
+      aSelf->mWork.Notify();
       co_return;
     }
     if (ec) {
-      Break();
+      aSelf->Break();
       co_return;
     }
-    mReceived.append(buf.data(), n);
-    Notify();
+    aSelf->mReceived.append(buf.data(), n);
+    aSelf->Notify();
   }
 }
 
-Task<void> Channel::RunWrites()
+Task<void> Channel::RunWrites(Ptr aSelf)
 {
-  const auto self = shared_from_this();
-  while (mState == ChannelState::Open || mState == ChannelState::Ended) {
-    if (mQueue.empty()) {
-      if (mCloseAfterSending) {
+  while (aSelf->mState == ChannelState::Open || aSelf->mState == ChannelState::Ended) {
+    if (aSelf->mQueue.empty()) {
+      if (aSelf->mCloseAfterSending) {
         boost::system::error_code ec;
-        mSocket.shutdown(Socket::shutdown_send, ec);
-        if (ec || mState == ChannelState::Ended) {
-          Close();
+        aSelf->mSocket.shutdown(Socket::shutdown_send, ec);
+        if (ec || aSelf->mState == ChannelState::Ended) {
+          aSelf->Close();
         }
         co_return;
       }
-      if (mState == ChannelState::Ended) {
+      if (aSelf->mState == ChannelState::Ended) {
         co_return;
       }
-      co_await mWork.WaitFor(kIdleWait);
+      co_await aSelf->mWork.WaitFor(kIdleWait);
       continue;
     }
-    const auto bytes = std::move(mQueue.front());
-    mQueue.pop_front();
+    const auto bytes = std::move(aSelf->mQueue.front());
+    aSelf->mQueue.pop_front();
     std::size_t done = 0;
     while (done < bytes.size()) {
       boost::system::error_code ec;
-      const auto n = co_await mSocket.async_write_some(
+      const auto n = co_await aSelf->mSocket.async_write_some(
         boost::asio::buffer(bytes.data() + done, bytes.size() - done),
         boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-      if (mState == ChannelState::Broken) {
+      if (aSelf->mState == ChannelState::Broken) {
         co_return;
       }
       if (ec) {
-        Break();
+        aSelf->Break();
         co_return;
       }
       done += n;
-      mSent += n;
-      mUnsent -= n;
+      aSelf->mSent += n;
+      aSelf->mUnsent -= n;
     }
-    Notify();
+    aSelf->Notify();
   }
 }
 
