Refills and reports are rarer in large fleets; all shards are written; young demand counts for less

Change: all due shards are written in parts; nothing is given back while a quarter is left to all; in fleets of more than twelve refills wait for 0.35 of the target; reports of what was spent and regular rounds are paced by the fleet's size; routers hold at most half of what is unspent (0.6 if alone), after RECOVER broke on a small twin when an outage of the store and a loss of power followed on each other; a boot is the same only if both clocks agree. Conflicts remain what binds the grown sites: each shard is one record for the whole fleet.

--- a/include/gentianloom/budget/GrantPolicy.h
+++ b/include/gentianloom/budget/GrantPolicy.h
@@ -48,7 +48,10 @@
   Millis ChargeInterval() const { return mChargeInterval; }
 
   /// @brief Part of the target below which a refill is due.
-  virtual double RefillBelow() const { return 0.5; }
+  virtual double RefillBelow(const GrantInput& /*aInput*/) const { return kRefillUsual; }
+
+  /// @brief Part of the target below which a budget is refilled along with others that are due.
+  virtual double RefillAlongBelow(const GrantInput& /*aInput*/) const { return kRefillUsual; }
 
   /// @brief Tokens that the router should have free after a refill.
   virtual Tokens Target(const GrantInput& aInput) const = 0;
@@ -66,6 +69,8 @@
   static std::unique_ptr<GrantPolicy> Create(const BudgetSettings& aSettings);
 
 private:
+  static constexpr double kRefillUsual = 0.5;
+
   double mDemandMemory = 0;
   double mKeptSeconds = 0;
   Millis mChargeInterval{ 0 };
--- a/include/gentianloom/budget/Ledger.h
+++ b/include/gentianloom/budget/Ledger.h
@@ -169,6 +169,7 @@
   Holding& Of(const std::string& aBudget);
   void Apply(ShardState& aState, const Pending& aPending);
   void Recount(ShardState& aState);
+  std::int64_t ChargeSteps(const ShardState& aState) const;
   void ChargeBills(ShardState& aState, ShardRecord& aRecord, Pending& aPending, Millis aWallTime);
   void PlanBudget(const std::string& aName,
                   ShardRecord& aRecord,
--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -111,6 +111,7 @@
   };
 
   net::Task<void> Run();
+  Millis QuietInterval() const;
   net::Task<void> RunRound();
   net::Task<std::optional<PredecessorSigns>> LookForPredecessor(std::string aIncarnation);
   net::Task<bool> TakeOver();
--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -5,7 +5,6 @@
 #include "gentianloom/budget/Holding.h"
 #include "gentianloom/budget/Record.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -68,8 +67,8 @@
 /// Times of usage reports.
 struct UsageCapSettings
 {
-  Millis mOpensAfter{ 3'000 };  ///< time without a report after which the reserve is open
   Millis mReportEvery{ 1'000 }; ///< a report is made at least this often
+  Millis mOpensAfter{ 2'000 };  ///< time after a due report after which the reserve is open
   Millis mHeadroom{ 1'500 };    ///< demand that a cap leaves room for
 };
 
@@ -84,6 +83,9 @@
   /// @brief Tokens of a budget that may be used before the next report; Tokens::max if open.
   Tokens Room(const std::string& aBudget, const Holding& aHolding, TimePoint aNow) const;
 
+  /// @brief Changes how often a report is made, and with it when the reserve opens.
+  void SetReportInterval(Millis aInterval) { mSettings.mReportEvery = aInterval; }
+
   /// @brief Whether a report is due.
   bool IsDue(const std::map<std::string, Holding>& aHoldings, TimePoint aNow) const;
 
@@ -105,15 +107,16 @@
   std::optional<Millis> OpensIn(TimePoint aNow) const;
 
 private:
+  Millis OpensAfter() const { return mSettings.mReportEvery + mSettings.mOpensAfter; }
   Tokens CapFor(const Holding& aHolding) const;
 
   std::string mIncarnation;
   std::string mBoot;
   UsageCapSettings mSettings;
   bool mHasReported = false;
-  UsageReport mReport;               ///< last one that is known to be stored
-  std::deque<Millis> mUnresolved;    ///< times of reports that may be stored
-  std::optional<Millis> mWallOffset; ///< of the wall clock against the monotone one
+  UsageReport mReport;                  ///< last one that is known to be stored
+  std::map<Millis, Millis> mUnresolved; ///< reports that may be stored: made at, reserve opens at
+  std::optional<Millis> mWallOffset;    ///< of the wall clock against the monotone one
   bool mIsWallClockSteady = true;
 };
 
--- a/include/gentianloom/budget/WritePacer.h
+++ b/include/gentianloom/budget/WritePacer.h
@@ -46,8 +46,13 @@
   int mFailures = 0;
 };
 
-/// @brief Time between writes that keeps a fleet inside the service's rate.
-Millis FleetInterval(Millis aInterval, std::size_t aRouters);
+/// Writes a second that budgets may make in the whole fleet.
+inline constexpr std::int64_t kFleetWrites = 250;
+
+/// @brief Time between writes that keeps a fleet inside a rate.
+Millis FleetInterval(Millis aInterval,
+                     std::size_t aRouters,
+                     std::int64_t aFleetWrites = kFleetWrites);
 
 } // namespace gentianloom
 
--- a/src/budget/Holding.cpp
+++ b/src/budget/Holding.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// A young estimate is raised as if it were at least this part of the memory old.
-constexpr double kLeastWeight = 0.15;
+constexpr double kLeastWeight = 0.4;
 /// Demand below this counts as none, tokens a second.
 constexpr double kNoDemand = 0.5;
 
@@ -87,8 +87,8 @@
   // What serves none of them is left to others.
   const bool servesOne = aLeft + free >= mWantedLeast;
   Tokens more = servesOne ? std::max<Tokens>(0, mWanted - free) : 0;
-  if (servesOne &&
-      static_cast<double>(free - mWanted) < static_cast<double>(target) * aPolicy.RefillBelow()) {
+  if (servesOne && static_cast<double>(free - mWanted) <
+                     static_cast<double>(target) * aPolicy.RefillAlongBelow(input)) {
     more = std::max(more, target + mWanted - free);
   }
   return std::clamp<Tokens>(more, 0, std::max<Tokens>(0, aLeft));
@@ -110,9 +110,17 @@
 
 bool Holding::IsLow(const GrantPolicy& aPolicy) const
 {
-  const auto target = static_cast<double>(aPolicy.Target(Input()));
+  const auto input = Input();
+  const auto target = static_cast<double>(aPolicy.Target(input));
   return mWanted > 0 ||
-         (mLeftSeen > 0 && static_cast<double>(Free()) < target * aPolicy.RefillBelow());
+         (mLeftSeen > 0 && static_cast<double>(Free()) < target * aPolicy.RefillBelow(input));
+}
+
+bool Holding::IsRefilledAlong(const GrantPolicy& aPolicy) const
+{
+  const auto input = Input();
+  const auto target = static_cast<double>(aPolicy.Target(input));
+  return mLeftSeen > 0 && static_cast<double>(Free()) < target * aPolicy.RefillAlongBelow(input);
 }
 
 } // namespace gentianloom
--- a/src/budget/Ledger.cpp
+++ b/src/budget/Ledger.cpp
@@ -15,6 +15,8 @@
 /// read of its record shows more.
 constexpr Millis kFirstRefusal{ 50 };
 constexpr int kMostDoublings = 4;
+/// Holders by which the time between reports of what was spent grows by one interval.
+constexpr int kHoldersAStep = 12;
 /// An incarnation that holds rights reports at least this often, so that operators see it is there.
 constexpr Millis kReportEvery{ 60'000 };
 
@@ -143,8 +145,9 @@
 std::set<int> Ledger::DueShards(TimePoint aNow)
 {
   std::set<int> out;
+  std::set<int> along;
   for (auto& [shard, state] : mShards) {
-    const bool charges = aNow - state.mReported >= mPolicy.ChargeInterval();
+    const bool charges = aNow - state.mReported >= mPolicy.ChargeInterval() * ChargeSteps(state);
     bool due = (!state.mStaged.empty() && charges) || !state.mPending.empty();
     const bool quiet = aNow - state.mReported >= kReportEvery;
     for (const auto& name : state.mBudgets) {
@@ -155,15 +158,33 @@
         it.mTicked = aNow; // before the first request of all nothing is learnt about demand
       }
       const bool acts = it.mChanged || it.IsLow(mPolicy) || it.Excess(mPolicy, it.mLeftSeen) > 0;
+      if (!it.mRevoked && it.IsRefilledAlong(mPolicy)) {
+        along.insert(shard);
+      }
       due = due || ((acts || (quiet && it.mGranted != it.mReturned)) && !it.mRevoked);
     }
     if (due) {
       out.insert(shard);
     }
   }
+  // A write that is made anyway costs the same with more in it.
+  if (!out.empty()) {
+    out.merge(along);
+  }
   return out;
 }
 
+/// Charge intervals between reports: the more holders there are, the rarer each of them reports
+/// what it spent.
+std::int64_t Ledger::ChargeSteps(const ShardState& aState) const
+{
+  int n = 1;
+  for (const auto& name : aState.mBudgets) {
+    n = std::max(n, mHoldings.at(name).mHoldersSeen);
+  }
+  return 1 + n / kHoldersAStep;
+}
+
 bool Ledger::IsClosed(int aShard) const
 {
   const auto it = mShards.find(aShard);
--- a/src/budget/OutagePolicy.cpp
+++ b/src/budget/OutagePolicy.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/budget/OutagePolicy.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace gentianloom {
 
@@ -8,10 +9,16 @@
 
 /// An outage may begin at any time, so that the reserve is kept nearly full.
 constexpr double kRefillBelow = 0.85;
+/// The same in a fleet of more than kManyHolders, where most writes meet others' writes.
+constexpr double kRefillBelowOfMany = 0.35;
+constexpr double kRefillAlongBelowOfMany = 0.6;
+constexpr int kManyHolders = 12;
+/// While at least this part of what is unspent is granted to nobody, nobody needs what idles.
+constexpr double kPlenty = 0.25;
 /// Part of what the fleet has not spent that routers hold at most, by their part of the demand.
-constexpr double kMostShare = 0.6;
+constexpr double kMostShare = 0.5;
 /// The same for a router that nearly all of the demand meets.
-constexpr double kMostShareAlone = 0.85;
+constexpr double kMostShareAlone = 0.6;
 /// Part of the equal share that is held before demand is known.
 constexpr double kFirstShare = 0.25;
 /// Seconds of demand that are held right after an outage.
@@ -20,6 +27,10 @@
 constexpr double kPooledShare = 0.1;
 /// Seconds of demand that are held of a pooled budget.
 constexpr double kPooledSeconds = 0.5;
+/// The same for a router that nearly all of the demand meets: there is no one to pool with.
+constexpr double kPooledSecondsAlone = 2;
+/// Part of the demand from which on a router counts as such.
+constexpr double kAlone = 0.7;
 /// Free rights of a pooled budget that are not worth a write, as a part of the budget.
 constexpr double kPooledSlack = 0.0005;
 /// Free rights beyond this many times what is kept are given back.
@@ -30,12 +41,14 @@
   return std::max<Tokens>(0, aInput.mLeft) + aInput.mFree + aInput.mOthersRest;
 }
 
-/// Part of the fleet's demand that meets this router; equal parts as long as nothing is known.
+/// Part of the fleet's demand that meets this router. What others spent is known late, so equal
+/// parts count for as much as demand is not observed yet.
 double PartOfDemand(const GrantInput& aInput)
 {
   const double equal = 1.0 / aInput.mHolders;
   const double all = aInput.mDemand + aInput.mOthersDemand;
-  return all > 0 ? std::max(equal, aInput.mDemand / all) : equal;
+  const double seen = all > 0 ? std::max(equal, aInput.mDemand / all) : equal;
+  return aInput.mObserved * seen + (1 - aInput.mObserved) * equal;
 }
 
 } // namespace
@@ -59,7 +72,8 @@
 Tokens OutagePolicy::Target(const GrantInput& aInput) const
 {
   if (IsPooled(aInput)) {
-    return static_cast<Tokens>(aInput.mDemand * kPooledSeconds);
+    const bool isAlone = PartOfDemand(aInput) >= kAlone;
+    return static_cast<Tokens>(aInput.mDemand * (isAlone ? kPooledSecondsAlone : kPooledSeconds));
   }
   const auto bound = Bound(aInput);
   const double seconds = std::min(mSeconds, kLeastSeconds + aInput.mSteadyFor);
@@ -75,13 +89,22 @@
 
 Tokens OutagePolicy::GiveBackAbove(const GrantInput& aInput, Tokens aKept) const
 {
+  const auto plenty = static_cast<double>(Unspent(aInput)) * kPlenty;
+  if (!IsPooled(aInput) && static_cast<double>(aInput.mLeft) > plenty) {
+    return std::numeric_limits<Tokens>::max();
+  }
   const double slack = IsPooled(aInput) ? static_cast<double>(aInput.mPrepaid) * kPooledSlack : 0;
   return static_cast<Tokens>(static_cast<double>(aKept) * kGiveBackFactor + slack);
 }
 
-double OutagePolicy::RefillBelow() const
+double OutagePolicy::RefillBelow(const GrantInput& aInput) const
+{
+  return aInput.mHolders > kManyHolders ? kRefillBelowOfMany : kRefillBelow;
+}
+
+double OutagePolicy::RefillAlongBelow(const GrantInput& aInput) const
 {
-  return kRefillBelow;
+  return aInput.mHolders > kManyHolders ? kRefillAlongBelowOfMany : kRefillBelow;
 }
 
 } // namespace gentianloom
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -21,16 +21,17 @@
 constexpr Micros kConflictPause{ 4'000 };
 /// Pause before rights of a predecessor are looked at again.
 constexpr Millis kTakeOverPause{ 60 };
-/// How often what is left of all budgets is looked at.
-constexpr Millis kRefreshEvery{ 1'000 };
+/// Regular writes, and regular reads, a second in the whole fleet.
+constexpr std::int64_t kFleetRegularCalls = 25;
 /// Pause between tries to return all rights.
 constexpr Millis kClosePause{ 20 };
 /// A process that starts has seen no outage: it counts as steady for so long.
 constexpr Millis kSteadyAtStart{ 10'000 };
 /// Longest pause before the key-value service is tried again.
 constexpr Millis kLongestBackOff{ 300 };
-/// Time between rounds that no request waits for.
+/// Least and most time between rounds that no request waits for.
 constexpr Millis kQuietEvery{ 1'000 };
+constexpr Millis kMostQuiet{ 2'000 };
 /// Shortest pause between rounds.
 constexpr Millis kLeastPause{ 1 };
 /// Longest sleep between rounds.
@@ -150,7 +151,7 @@
     const auto now = mClock.Now();
     auto at = mPacer.NextWrite(now, true);
     if (!mIsUrgent && !mPacer.IsAway()) {
-      at = std::max(at, mRoundAt + kQuietEvery);
+      at = std::max(at, mRoundAt + QuietInterval());
     }
     if (at > now) {
       co_await mWake.WaitFor(std::min<Micros>(at - now, kMostSleep));
@@ -245,6 +246,13 @@
   co_return isOver;
 }
 
+/// Time between rounds that no request waits for: longer in large fleets, which share the service.
+Millis RightsDuty::QuietInterval() const
+{
+  const auto needed = FleetInterval(kQuietEvery, mLinks.mInstances(), kFleetRegularCalls);
+  return std::min(needed, kMostQuiet);
+}
+
 net::Task<void> RightsDuty::RunRound()
 {
   const auto now = mClock.Now();
@@ -253,10 +261,17 @@
   }
   mLedger.SetSteadyFor(std::chrono::duration<double>(now - mFailedAt).count());
   co_await Refresh();
-  const auto due = mLedger.DueShards(now);
-  const bool reportIsDue = !mLedger.Holdings().empty() && mCaps.IsDue(mLedger.Holdings(), now);
-  if (!due.empty() || reportIsDue) {
-    co_await Write(due, false);
+  mCaps.SetReportInterval(QuietInterval());
+  auto due = mLedger.DueShards(now);
+  bool writes =
+    !due.empty() || (!mLedger.Holdings().empty() && mCaps.IsDue(mLedger.Holdings(), now));
+  while (writes) {
+    const auto part = FirstOf(due, kMostShards);
+    for (const auto it : part) {
+      due.erase(it);
+    }
+    const bool isWritten = co_await Write(part, false);
+    writes = isWritten && !due.empty();
   }
   EndRound();
 }
@@ -363,7 +378,7 @@
 net::Task<void> RightsDuty::Refresh()
 {
   const auto now = mClock.Now();
-  if (now - mRefreshedAt < kRefreshEvery || mPacer.IsAway() || !mIsKnown) {
+  if (now - mRefreshedAt < QuietInterval() || mPacer.IsAway() || !mIsKnown) {
     co_return;
   }
   mRefreshedAt = now;
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -12,9 +12,9 @@
 /// Part of what is free that is within the cap before demand is known.
 constexpr double kFirstShare = 0.25;
 
-/// A predecessor on the same boot whose last report is older than this is not judged by the clock
-/// of the boot: after a loss of power it starts anywhere.
-constexpr Millis kMostRestartTime{ 600'000 };
+/// On the same boot the monotone clock and the wall clock agree but for what the latter was set by;
+/// after a loss of power the former starts anywhere.
+constexpr Millis kMostSet{ 10'000 };
 /// Wall time that gains or loses more than this against the monotone clock was set.
 constexpr Millis kMostDrift{ 200 };
 
@@ -71,14 +71,14 @@
     return aTime >= Millis(0) && aTime <= aPredecessor.mOpensAfter;
   };
   const auto ranFor = aSigns.mStartedAt - aPredecessor.mReportedAt;
-  const bool isSameBoot = !aSigns.mBoot.empty() && aPredecessor.mBoot == aSigns.mBoot;
-  if (isSameBoot && ranFor >= Millis(0) && ranFor < kMostRestartTime) {
+  const auto ranForByWall = aSigns.mWallTime - aPredecessor.mWallTime;
+  const bool agrees = ranFor - ranForByWall < kMostSet && ranForByWall - ranFor < kMostSet;
+  if (!aSigns.mBoot.empty() && aPredecessor.mBoot == aSigns.mBoot && agrees) {
     return isShort(ranFor);
   }
   // After a loss of power only the wall clock goes on. It may have been set meanwhile, so the
   // lease, which the key-value service times, has to agree.
-  return aSigns.mLeaseIsAlive && aPredecessor.mIsWallClockSteady &&
-         isShort(aSigns.mWallTime - aPredecessor.mWallTime);
+  return aSigns.mLeaseIsAlive && aPredecessor.mIsWallClockSteady && isShort(ranForByWall);
 }
 
 Tokens FoldPredecessor(ShardRecord& aShard, const UsageReport& aPredecessor, bool aIsWithinCaps)
@@ -126,11 +126,11 @@
     return std::nullopt;
   }
   // A report that may be stored is the one by which a successor would judge.
-  auto last = mReport.mReportedAt;
-  for (const auto it : mUnresolved) {
-    last = std::max(last, it);
+  auto opensAt = mReport.mReportedAt + mReport.mOpensAfter;
+  for (const auto& [reportedAt, it] : mUnresolved) {
+    opensAt = std::max(opensAt, it);
   }
-  return last + mSettings.mOpensAfter - MillisOf(aNow);
+  return opensAt - MillisOf(aNow);
 }
 
 Tokens UsageCaps::Room(const std::string& aBudget, const Holding& aHolding, TimePoint aNow) const
@@ -184,14 +184,14 @@
   out.mIncarnation = mIncarnation;
   out.mBoot = mBoot;
   out.mReportedAt = MillisOf(aNow);
-  out.mOpensAfter = mSettings.mOpensAfter;
+  out.mOpensAfter = OpensAfter();
   for (const auto& [name, it] : aHoldings) {
     const auto known = mReport.mCaps.find(name);
     const auto before = known == mReport.mCaps.end() ? Tokens{ 0 } : known->second;
     // What is used by now may be above the cap, if the reserve was open.
     out.mCaps[name] = std::max({ before, it.Used(), CapFor(it) });
   }
-  mUnresolved.push_back(out.mReportedAt);
+  mUnresolved[out.mReportedAt] = out.mReportedAt + out.mOpensAfter;
   return out;
 }
 
@@ -200,12 +200,12 @@
   mHasReported = true;
   mReport = aReport;
   // Later writes are conditional on this one's predecessors: older unresolved ones cannot come.
-  std::erase_if(mUnresolved, [&](Millis it) { return it <= aReport.mReportedAt; });
+  mUnresolved.erase(mUnresolved.begin(), mUnresolved.upper_bound(aReport.mReportedAt));
 }
 
 void UsageCaps::OnDidNot(const UsageReport& aReport)
 {
-  std::erase(mUnresolved, aReport.mReportedAt);
+  mUnresolved.erase(aReport.mReportedAt);
 }
 
 } // namespace gentianloom
--- a/src/budget/WritePacer.cpp
+++ b/src/budget/WritePacer.cpp
@@ -8,8 +8,6 @@
 
 /// Urgent writes that may be made ahead of the interval.
 constexpr double kUrgentWrites = 3.0;
-/// Writes a second that budgets may make in the whole fleet.
-constexpr std::int64_t kFleetWrites = 250;
 /// Intervals between writes that no request waits for; the rest is kept for urgent ones.
 constexpr int kQuietIntervals = 2;
 constexpr int kMostDoublings = 6;
@@ -66,9 +64,9 @@
   mNotBefore = aNow + std::chrono::duration_cast<Micros>(wait * (0.5 + 0.5 * aJitter));
 }
 
-Millis FleetInterval(Millis aInterval, std::size_t aRouters)
+Millis FleetInterval(Millis aInterval, std::size_t aRouters, std::int64_t aFleetWrites)
 {
-  const auto needed = Millis(static_cast<std::int64_t>(aRouters) * 1'000 / kFleetWrites);
+  const auto needed = Millis(static_cast<std::int64_t>(aRouters) * 1'000 / aFleetWrites);
   return std::max(aInterval, needed);
 }
 
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -172,7 +172,8 @@
     const auto until = mParts.mClock.Now() + kReserveLook;
     while (answer == ReserveAnswer::Wait && round == mParts.mRights.Rounds() && !mCaller.IsGone() &&
            TimeLeft() > Micros(0) && mParts.mClock.Now() < until) {
-      co_await mSignal->WaitFor(std::min<Micros>(TimeLeft(), until - mParts.mClock.Now()));
+      const auto wait = std::min<Micros>(TimeLeft(), until - mParts.mClock.Now());
+      co_await mSignal->WaitFor(wait);
     }
     if (mCaller.IsGone()) {
       mRefusal = "the caller left while tokens were drawn";
@@ -322,7 +323,8 @@
   Tokens used = 0;
   if (mMayHaveRun) {
     const auto* service = mRoutes->Service(mService);
-    const auto perEvent = service->mEngine ? service->mEngine->mTokensPerEvent : 1;
+    const bool isEngine = service != nullptr && service->mEngine;
+    const auto perEvent = isEngine ? service->mEngine->mTokensPerEvent : 1;
     const auto output =
       std::min(mProgress.mEvents * perEvent, mRequest.mMostOutputTokens.value_or(0));
     used = mRequest.mPromptTokens.value_or(0) + output;
