--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -80,6 +80,9 @@
   /// @brief Whether the key-value service does not answer.
   bool IsAway() const { return mPacer.IsAway(); }
 
+  /// @brief For how long it has not answered; zero if it does.
+  Millis AwayFor() const;
+
   const std::map<std::string, Holding>& Holdings() const { return mLedger.Holdings(); }
 
 private:
@@ -115,6 +118,12 @@
   net::Task<void> RunRound();
   net::Task<std::optional<PredecessorSigns>> LookForPredecessor(std::string aIncarnation);
   net::Task<bool> TakeOver();
+  std::optional<int> NextShardOf(const std::string& aIncarnation) const;
+  net::Task<bool> CloseShardOf(UsageReport aPredecessor, bool aIsWithinCaps);
+  void LogPredecessor(const UsageReport& aPredecessor,
+                      int aShard,
+                      bool aIsWithinCaps,
+                      Tokens aFreed) const;
   net::Task<void> Refresh();
   net::Task<bool> Write(std::set<int> aShards, bool aClosing);
   net::Task<bool> ReadAll();
@@ -147,6 +156,7 @@
   TimePoint mStartedAt{};
   Millis mStartedWallTime{ 0 };
   std::optional<PredecessorSigns> mPredecessor; ///< once looked for
+  TimePoint mAwaySince{};                       ///< with mPacer.IsAway()
   TimePoint mFailedAt{}; ///< when the key-value service last failed to answer
   TimePoint mRefreshedAt{};
   TimePoint mRoundAt{}; ///< start of the last round
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -190,60 +190,95 @@
   co_return out;
 }
 
+/// Closes the rights of a predecessor, shard by shard. Returns whether nothing of it is left.
 net::Task<bool> RightsDuty::TakeOver()
 {
-  const bool isRead = co_await ReadAll();
-  if (!isRead) {
-    co_return false;
+  for (bool goesOn = true; goesOn;) {
+    if (!mIsKnown) {
+      const bool isRead = co_await ReadAll();
+      if (!isRead) {
+        co_return false;
+      }
+    }
+    const auto report = mKnownReport.mReport;
+    if (!report || report->mIncarnation == mOwner.mIncarnation) {
+      co_return true;
+    }
+    const auto signs = co_await LookForPredecessor(report->mIncarnation);
+    if (!signs) {
+      co_return false;
+    }
+    goesOn = co_await CloseShardOf(*report, EndedWithinCaps(*report, *signs));
   }
-  const auto& report = mKnownReport.mReport;
-  if (!report || report->mIncarnation == mOwner.mIncarnation) {
-    co_return true;
+  co_return false;
+}
+
+/// A shard that the predecessor wrote. All instances may start at once, so each begins elsewhere.
+std::optional<int> RightsDuty::NextShardOf(const std::string& aIncarnation) const
+{
+  std::vector<int> open;
+  for (const auto& [shard, known] : mKnown) {
+    if (known.mRecord.mWriters.contains(aIncarnation)) {
+      open.push_back(shard);
+    }
   }
-  const auto signs = co_await LookForPredecessor(report->mIncarnation);
-  if (!signs) {
-    co_return false;
+  if (open.empty()) {
+    return std::nullopt;
   }
-  const bool isWithinCaps = EndedWithinCaps(*report, *signs);
+  return open[StableHash(mOwner.mInstance) % open.size()];
+}
+
+/// Closes one shard, or if none is left replaces the report. Returns whether to go on at once.
+net::Task<bool> RightsDuty::CloseShardOf(UsageReport aPredecessor, bool aIsWithinCaps)
+{
+  const auto shard = NextShardOf(aPredecessor.mIncarnation);
   Transaction transaction;
+  ShardRecord record;
   Tokens freed = 0;
-  bool isLast = true;
-  for (auto& [shard, known] : mKnown) {
-    if (!known.mRecord.mWriters.contains(report->mIncarnation)) {
-      continue;
-    }
-    if (transaction.mWrites.size() >= kMostShards) {
-      isLast = false;
-      break;
-    }
-    freed += FoldPredecessor(known.mRecord, *report, isWithinCaps);
-    ++known.mRecord.mCommits;
-    transaction.mCompares.push_back({ ShardKey(shard), known.mRevision });
-    transaction.mWrites.push_back({ ShardKey(shard), ShardText(known.mRecord) });
-  }
-  if (isLast) {
+  if (shard) {
+    const auto& known = mKnown.at(*shard);
+    record = known.mRecord;
+    freed = FoldPredecessor(record, aPredecessor, aIsWithinCaps);
+    ++record.mCommits;
+    transaction.mCompares.push_back({ ShardKey(*shard), known.mRevision });
+    transaction.mWrites.push_back({ ShardKey(*shard), ShardText(record) });
+  } else {
     AddReport(transaction, mCaps.Plan(mLedger.Holdings(), mClock.Now(), mClock.WallTime()));
   }
-  LogChange(LogLevel::Info,
-            "budget",
-            "the rights of a predecessor are closed",
-            { { "predecessor", report->mIncarnation },
-              { "within_caps", isWithinCaps ? "yes" : "no" },
-              { "ran_for_ms", std::to_string((signs->mStartedAt - report->mReportedAt).count()) },
-              { "wall_ms", std::to_string((signs->mWallTime - report->mWallTime).count()) },
-              { "wall_steady", report->mIsWallClockSteady ? "yes" : "no" },
-              { "lease_alive", signs->mLeaseIsAlive ? "yes" : "no" },
-              { "freed", std::to_string(freed) } });
   const auto answer = co_await mStore.Commit(std::move(transaction));
-  // Whatever came of it is read again: the predecessor's report stays until all is closed.
-  mIsKnown = false;
   const bool took = answer.mCommit.mEffect == Effect::TookEffect;
   NoteStore(took || answer.mCommit.mConflict, answer.mCommit.mError.mText);
-  if (!took) {
-    co_return false;
-  }
-  const bool isOver = co_await TakeOver();
-  co_return isOver;
+  if (took && shard) {
+    LogPredecessor(aPredecessor, *shard, aIsWithinCaps, freed);
+    mKnown[*shard] = { answer.mCommit.mRevision, std::move(record) };
+  } else if (answer.mCommit.mConflict) {
+    OnConflict(answer.mCurrent);
+    const auto pause = std::chrono::duration_cast<Micros>(kConflictPause * Jitter());
+    co_await net::Signal::Sleep(mLoop, pause);
+  } else {
+    mIsKnown = false; // read again: also after the report was replaced
+  }
+  co_return took || answer.mCommit.mConflict;
+}
+
+void RightsDuty::LogPredecessor(const UsageReport& aPredecessor,
+                                int aShard,
+                                bool aIsWithinCaps,
+                                Tokens aFreed) const
+{
+  const auto& signs = *mPredecessor;
+  LogChange(
+    LogLevel::Info,
+    "budget",
+    "the rights of a predecessor are closed",
+    { { "predecessor", aPredecessor.mIncarnation },
+      { "shard", std::to_string(aShard) },
+      { "within_caps", aIsWithinCaps ? "yes" : "no" },
+      { "ran_for_ms", std::to_string((signs.mStartedAt - aPredecessor.mReportedAt).count()) },
+      { "wall_ms", std::to_string((signs.mWallTime - aPredecessor.mWallTime).count()) },
+      { "wall_steady", aPredecessor.mIsWallClockSteady ? "yes" : "no" },
+      { "lease_alive", signs.mLeaseIsAlive ? "yes" : "no" },
+      { "freed", std::to_string(aFreed) } });
 }
 
 /// Time between rounds that no request waits for: longer in large fleets, which share the service.
@@ -486,11 +521,20 @@
     mPacer.OnSuccess();
     return;
   }
+  if (!mPacer.IsAway()) {
+    mAwaySince = mClock.Now();
+  }
   mFailedAt = mClock.Now();
   mMetrics.CounterOf("gentianloom_budget_commit_failures_total").Add();
   mPacer.OnFailure(mClock.Now(), Jitter());
 }
 
+Millis RightsDuty::AwayFor() const
+{
+  return mPacer.IsAway() ? std::chrono::duration_cast<Millis>(mClock.Now() - mAwaySince)
+                         : Millis(0);
+}
+
 void RightsDuty::LogHoldings() const
 {
   std::string text;
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/Log.h"
+#include "gentianloom/outcome/ComeBack.h"
 
 #include <algorithm>
 #include <array>
@@ -193,7 +194,7 @@
                              Step::RequestReserve,
                              mPayer->mName,
                              "tokens cannot be drawn now; the request did not run");
-      error.mRetryAfter = kComeBack;
+      error.mRetryAfter = ComeBackAfter(mParts.mRights.AwayFor());
       Refuse(kUnavailable, error);
       co_return false;
     }
