--- a/src/budget/OutagePolicy.cpp
+++ b/src/budget/OutagePolicy.cpp
@@ -13,7 +13,8 @@
 constexpr double kRefillBelowOfMany = 0.35;
 constexpr double kRefillAlongBelowOfMany = 0.6;
 constexpr int kManyHolders = 12;
-/// While at least this part of what is unspent is granted to nobody, nobody needs what idles.
+/// In such a fleet nothing is given back while at least this part of what is unspent is granted to
+/// nobody.
 constexpr double kPlenty = 0.25;
 /// Part of what the fleet has not spent that routers hold at most, by their part of the demand.
 constexpr double kMostShare = 0.5;
@@ -90,7 +91,8 @@
 Tokens OutagePolicy::GiveBackAbove(const GrantInput& aInput, Tokens aKept) const
 {
   const auto plenty = static_cast<double>(Unspent(aInput)) * kPlenty;
-  if (!IsPooled(aInput) && static_cast<double>(aInput.mLeft) > plenty) {
+  const bool isLarge = aInput.mHolders > kManyHolders;
+  if (isLarge && !IsPooled(aInput) && static_cast<double>(aInput.mLeft) > plenty) {
     return std::numeric_limits<Tokens>::max();
   }
   const double slack = IsPooled(aInput) ? static_cast<double>(aInput.mPrepaid) * kPooledSlack : 0;
