--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -23,6 +23,7 @@
   std::string mStoreAddress;      ///< key-value service, IP:PORT
   Millis mLeaveTime{ 8'000 };     ///< a process that was told to stop is killed after this time
   Millis mAddressLife{ 1'000 };   ///< how long callers keep an answer with addresses
+  double mStoreWrites = 400;      ///< writes a second that the key-value service takes in all
   double mRetryShare = 0.2;       ///< retries of the whole fleet for each request
   Millis mRightsWindow{ 10'000 }; ///< rights are held for so long a demand
   double mRetrySlack = 20;        ///< retries of the whole fleet beyond the share, in one window
--- a/include/gentianloom/settings/Settings.h
+++ b/include/gentianloom/settings/Settings.h
@@ -58,6 +58,7 @@
   Millis mKeptTime{ 5'000 };       ///< rights for so long a demand are never given back
   Millis mChargeInterval{ 0 };     ///< what was used is written at most so late
   Millis mCommitInterval{ 1'000 }; ///< one key-value write at most each interval
+  std::int64_t mFleetWrites = 250; ///< key-value writes a second of the whole fleet
 };
 
 /// How work that must not repeat is kept from repeating.
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -145,7 +145,8 @@
     }
   }
   while (!mIsClosing && !mIsReplaced) {
-    mPacer.SetInterval(FleetInterval(mSettings.mCommitInterval, mLinks.mInstances()));
+    mPacer.SetInterval(
+      FleetInterval(mSettings.mCommitInterval, mLinks.mInstances(), mSettings.mFleetWrites));
     const auto now = mClock.Now();
     auto at = mPacer.NextWrite(now, true);
     if (!mIsUrgent && !mPacer.IsAway()) {
--- a/src/budget/RightsTakeOver.cpp
+++ b/src/budget/RightsTakeOver.cpp
@@ -116,7 +116,7 @@
                                 bool aIsWithinCaps,
                                 Tokens aFreed) const
 {
-  const auto& signs = *mPredecessor;
+  const auto signs = mPredecessor.value_or(PredecessorSigns{});
   LogChange(
     LogLevel::Info,
     "budget",
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -16,6 +16,8 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
+/// Part of the writes that the key-value service takes that rights may use.
+constexpr double kWritesForRights = 0.6;
 /// Longest wait of one watch; bounds how long a silent connection goes unnoticed.
 constexpr Millis kWatchWait{ 2'200 };
 /// As above for the list of instances, which is not urgent.
@@ -56,6 +58,8 @@
   out.mKeptTime = Millis(0);
   out.mCommitInterval = Millis(60);
   out.mChargeInterval = Millis(4'000);
+  out.mFleetWrites =
+    std::max<std::int64_t>(1, static_cast<std::int64_t>(aSettings.mStoreWrites * kWritesForRights));
   return out;
 }
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -136,6 +136,7 @@
   it.mAddressLife = MillisOf(life * kMillisPerSecond);
   const auto window = reader.Number("rights_window_s", 10, 0.1, kMostSeconds);
   it.mRightsWindow = MillisOf(window * kMillisPerSecond);
+  it.mStoreWrites = reader.Number("store_writes_per_s", it.mStoreWrites, 1, 1e9);
   it.mRetryShare = reader.Number("retry_share", it.mRetryShare, 0, 10);
   it.mRetrySlack = reader.Number("retry_slack", it.mRetrySlack, 0, 1e9);
   return out;
--- a/tests/budget/RightsDutyTest.cpp
+++ b/tests/budget/RightsDutyTest.cpp
@@ -33,7 +33,8 @@
   Process(MemoryAsyncStore& aStore,
           const ManualClock& aClock,
           const std::string& aIncarnation,
-          const std::string& aBoot = "boot")
+          const std::string& aBoot = "boot",
+          std::vector<std::string> aBudgets = { "b" })
     : mDuty(mLoop,
             aStore,
             Settings(),
@@ -42,7 +43,7 @@
                return StatedBudget{ kPrepaid, 1 };
              },
               [] { return std::size_t{ 1 }; },
-              [] { return std::vector<std::string>{ "b" }; } },
+              [budgets = std::move(aBudgets)] { return budgets; } },
             aClock,
             mMetrics)
   {
@@ -86,6 +87,7 @@
 {
   CPPUNIT_TEST_SUITE(RightsDutyTest);
   CPPUNIT_TEST(TestRightsBeforeDemand);
+  CPPUNIT_TEST(TestManyBudgets);
   CPPUNIT_TEST(TestOutage);
   CPPUNIT_TEST(TestLostAnswer);
   CPPUNIT_TEST(TestSuccessor);
@@ -105,6 +107,23 @@
     CPPUNIT_ASSERT(process.Reserve(500) == ReserveAnswer::Reserved);
   }
 
+  // More budgets than one transaction holds: one round draws on all of them.
+  void TestManyBudgets()
+  {
+    constexpr int kBudgets = 40;
+    std::vector<std::string> names;
+    names.reserve(kBudgets);
+    for (int n = 0; n < kBudgets; ++n) {
+      names.push_back("budget-" + std::to_string(n));
+    }
+    Process process(mStore, mClock, "run-1", "boot", names);
+    process.mDuty.Start();
+    process.Settle();
+    for (const auto& it : names) {
+      CPPUNIT_ASSERT_MESSAGE(it, process.mDuty.Holdings().at(it).mGranted > 0);
+    }
+  }
+
   // Within the first seconds of an outage the cap binds, then all that is held may be used.
   void TestOutage()
   {
