--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -63,10 +63,12 @@
   /**
    * @brief Sets tokens aside. After an answer of Wait, @p aWaiter is notified when the next round
    *        has ended, and the caller asks again.
+   * @param aTimeLeft until the request's deadline; one that would wait too long is refused at once
    */
   ReserveAnswer Reserve(const std::string& aBudget,
                         Tokens aTokens,
-                        const std::shared_ptr<net::Signal>& aWaiter);
+                        const std::shared_ptr<net::Signal>& aWaiter,
+                        Micros aTimeLeft);
 
   /// @brief Frees a reservation and charges what was used.
   void Settle(const std::string& aBudget, Tokens aReserved, Tokens aUsed);
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -32,6 +32,8 @@
 constexpr Millis kMostQuiet{ 2'000 };
 /// Shortest pause between rounds.
 constexpr Millis kLeastPause{ 1 };
+/// A request waits for the reserve to open for at most one part in so many of its time.
+constexpr int kWaitShare = 3;
 /// Longest sleep between rounds.
 constexpr Millis kMostSleep{ 1'000 };
 /// Common start of the keys of all shards.
@@ -98,7 +100,8 @@
 
 ReserveAnswer RightsDuty::Reserve(const std::string& aBudget,
                                   Tokens aTokens,
-                                  const std::shared_ptr<net::Signal>& aWaiter)
+                                  const std::shared_ptr<net::Signal>& aWaiter,
+                                  Micros aTimeLeft)
 {
   const auto now = mClock.Now();
   if (mIsReplaced || mIsClosing) {
@@ -109,8 +112,11 @@
     holding == mLedger.Holdings().end() ? Tokens{ 0 } : mCaps.Room(aBudget, holding->second, now);
   const bool isHeld =
     holding != mLedger.Holdings().end() && holding->second.Free() >= aTokens && room < aTokens;
-  if (mPacer.IsAway() && isHeld && mCaps.OpensIn(now)) {
-    // Only the reserve covers it, which opens within moments.
+  const auto opensIn = mCaps.OpensIn(now);
+  if (mPacer.IsAway() && isHeld && opensIn) {
+    if (*opensIn > aTimeLeft / kWaitShare) {
+      return ReserveAnswer::Unavailable; // too late for it, so its caller is told at once
+    }
     mWaiters.push_back(aWaiter);
     return ReserveAnswer::Wait;
   }
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// A cap leaves room for so many of the largest requests, if that is no more than one part in
+/// kFewShare of what is free.
+constexpr Tokens kFewRequests = 3;
+constexpr Tokens kFewShare = 3;
 /// Part of what is free that is within the cap before demand is known.
 constexpr double kFirstShare = 0.25;
 
@@ -148,7 +152,10 @@
   const auto free = std::max<Tokens>(0, aHolding.Free() + aHolding.mDrawing);
   const double demand = input.mDemand * SecondsOf(mSettings.mHeadroom);
   const double first = static_cast<double>(free) * kFirstShare * (1 - input.mObserved);
-  const auto room = static_cast<Tokens>(std::max(demand, first)) + aHolding.mWanted;
+  // The first requests of an outage should not have to wait for the reserve.
+  const auto few =
+    static_cast<double>(std::min(kFewRequests * aHolding.mLargest, free / kFewShare));
+  const auto room = static_cast<Tokens>(std::max({ demand, first, few })) + aHolding.mWanted;
   return aHolding.Used() + std::min(room, free);
 }
 
--- a/src/configuration/ConfigurationDuty.cpp
+++ b/src/configuration/ConfigurationDuty.cpp
@@ -191,12 +191,13 @@
     if (!mGuard.Take(id)) {
       return;
     }
+    // Peers that see the version in force can fetch it at once.
+    mShelf.Put(aVersion);
     mHeld = aVersion;
     mTakenAt = mClock.WallTime();
     mMetrics.GaugeOf("gentianloom_configuration_provisional").Set(mGuard.Provisional() ? 1 : 0);
     ShowAlarmLocked();
   }
-  mShelf.Put(aVersion);
   mChanged.notify_all();
   mMetrics.GaugeOf("gentianloom_configuration_version").Set(id.mVersion);
   mMetrics.CounterOf("gentianloom_configuration_taken_total", "from=\"" + std::string(aFrom) + "\"")
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -164,7 +164,7 @@
   }
   const auto wanted = *mRequest.mPromptTokens + mRequest.mMostOutputTokens.value_or(0);
   while (true) {
-    const auto answer = mParts.mRights.Reserve(mPayer->mName, wanted, mSignal);
+    const auto answer = mParts.mRights.Reserve(mPayer->mName, wanted, mSignal, TimeLeft());
     if (answer == ReserveAnswer::Reserved) {
       mReserved = wanted;
       break;
--- a/tests/budget/RightsDutyTest.cpp
+++ b/tests/budget/RightsDutyTest.cpp
@@ -17,6 +17,9 @@
 /// After a failed call nothing is tried for up to so long; with less, a step would have no round.
 constexpr Millis kBackOff{ 301 };
 
+/// Time left of a request that can wait for the reserve to open.
+constexpr Millis kPatience{ 15'000 };
+
 BudgetSettings Settings()
 {
   BudgetSettings out;
@@ -67,7 +70,10 @@
       mLoop, [&] { return mDuty.Rounds() > before || aStore.mRanges + aStore.mCommits > calls; }));
   }
 
-  ReserveAnswer Reserve(Tokens aTokens) { return mDuty.Reserve("b", aTokens, mSignal); }
+  ReserveAnswer Reserve(Tokens aTokens, Millis aTimeLeft = kPatience)
+  {
+    return mDuty.Reserve("b", aTokens, mSignal, aTimeLeft);
+  }
 
   net::Loop mLoop{ 1 };
   Metrics mMetrics;
@@ -138,6 +144,9 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("not more than the cap; the request waits for the reserve",
                                  static_cast<int>(ReserveAnswer::Wait),
                                  static_cast<int>(process.Reserve(held)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("one that cannot wait so long is refused at once",
+                                 static_cast<int>(ReserveAnswer::Unavailable),
+                                 static_cast<int>(process.Reserve(held, Millis(3'000))));
     CPPUNIT_ASSERT_EQUAL_MESSAGE("what is not held is refused at once",
                                  static_cast<int>(ReserveAnswer::Unavailable),
                                  static_cast<int>(process.Reserve(held + 1)));
