--- a/src/budget/BudgetDuty.cpp
+++ b/src/budget/BudgetDuty.cpp
@@ -1,8 +1,8 @@
 #include "gentianloom/budget/BudgetDuty.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
+#include "gentianloom/budget/StoreNote.h"
 
 #include <algorithm>
 
@@ -248,20 +248,8 @@
 
 void BudgetDuty::NoteStore(bool aWorks, const std::string& aWhy)
 {
-  if (aWorks == mPacer.IsAway()) {
-    LogChange(aWorks ? LogLevel::Info : LogLevel::Warning,
-              "budget",
-              aWorks ? "the key-value service answers again"
-                     : "the key-value service is away; selling what is held",
-              { { "why", aWhy } });
-  }
+  NoteStoreResult(mPacer, mMetrics, aWorks, aWhy, mClock.Now());
   mAway = !aWorks;
-  if (aWorks) {
-    mPacer.OnSuccess();
-    return;
-  }
-  mMetrics.CounterOf("gentianloom_budget_commit_failures_total").Add();
-  mPacer.OnFailure(mClock.Now(), Jitter());
 }
 
 void BudgetDuty::AskPeers()
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
+#include "gentianloom/budget/StoreNote.h"
 #include "gentianloom/net/HttpHead.h"
 
 #include <algorithm>
@@ -400,23 +401,12 @@
 
 void RightsDuty::NoteStore(bool aWorks, const std::string& aWhy)
 {
-  if (aWorks == mPacer.IsAway()) {
-    LogChange(aWorks ? LogLevel::Info : LogLevel::Warning,
-              "budget",
-              aWorks ? "the key-value service answers again"
-                     : "the key-value service is away; selling what is held",
-              { { "why", aWhy } });
-  }
-  if (aWorks) {
-    mPacer.OnSuccess();
-    return;
-  }
-  if (!mPacer.IsAway()) {
-    mAwaySince = mClock.Now();
+  const auto now = mClock.Now();
+  if (!aWorks) {
+    mAwaySince = mPacer.IsAway() ? mAwaySince : now;
+    mFailedAt = now;
   }
-  mFailedAt = mClock.Now();
-  mMetrics.CounterOf("gentianloom_budget_commit_failures_total").Add();
-  mPacer.OnFailure(mClock.Now(), Jitter());
+  NoteStoreResult(mPacer, mMetrics, aWorks, aWhy, now);
 }
 
 Millis RightsDuty::AwayFor() const
