The fleet's rate of writes stands once, in the settings

WritePacer.h had the figure as a constant and BudgetSettings as a default, and the daemon used the one, the gateway the other. Behaviour is unchanged; the expected times of WritePacerTest are as they were.

--- a/bench/BudgetsBench.cpp
+++ b/bench/BudgetsBench.cpp
@@ -107,8 +107,9 @@
     order.mSeconds = std::max(20, static_cast<int>(kScaleSeconds * aOptions.mScale));
     order.mSeed = aOptions.mSeed;
     // The interval of the whole fleet, so that the rate of one router is the target's.
-    order.mBudget.mCommitInterval =
-      FleetInterval(order.mBudget.mCommitInterval, static_cast<std::size_t>(kTargetNodes));
+    order.mBudget.mCommitInterval = FleetInterval(order.mBudget.mCommitInterval,
+                                                  static_cast<std::size_t>(kTargetNodes),
+                                                  order.mBudget.mFleetWrites);
     const auto figures = RunFleet(order);
     aReport.mRuns.push_back(RunJson(order, figures));
     rates.push_back(figures.mWrites / static_cast<double>(order.mSeconds));
--- a/include/gentianloom/budget/WritePacer.h
+++ b/include/gentianloom/budget/WritePacer.h
@@ -46,13 +46,12 @@
   int mFailures = 0;
 };
 
-/// Writes a second that budgets may make in the whole fleet.
-inline constexpr std::int64_t kFleetWrites = 250;
-
-/// @brief Time between writes that keeps a fleet inside a rate.
-Millis FleetInterval(Millis aInterval,
-                     std::size_t aRouters,
-                     std::int64_t aFleetWrites = kFleetWrites);
+/**
+ * @brief Time between calls of one router that keeps a fleet inside a rate.
+ * @param aInterval shortest time
+ * @param aFleetCalls calls a second of the whole fleet
+ */
+Millis FleetInterval(Millis aInterval, std::size_t aRouters, std::int64_t aFleetCalls);
 
 } // namespace gentianloom
 
--- a/src/budget/WritePacer.cpp
+++ b/src/budget/WritePacer.cpp
@@ -64,9 +64,9 @@
   mNotBefore = aNow + std::chrono::duration_cast<Micros>(wait * (0.5 + 0.5 * aJitter));
 }
 
-Millis FleetInterval(Millis aInterval, std::size_t aRouters, std::int64_t aFleetWrites)
+Millis FleetInterval(Millis aInterval, std::size_t aRouters, std::int64_t aFleetCalls)
 {
-  const auto needed = Millis(static_cast<std::int64_t>(aRouters) * 1'000 / aFleetWrites);
+  const auto needed = Millis(static_cast<std::int64_t>(aRouters) * 1'000 / aFleetCalls);
   return std::max(aInterval, needed);
 }
 
--- a/tests/budget/WritePacerTest.cpp
+++ b/tests/budget/WritePacerTest.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/budget/WritePacer.h"
 
+#include "gentianloom/settings/Settings.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace gentianloom {
@@ -49,10 +51,12 @@
 
   void TestFleetInterval()
   {
+    const auto rate = BudgetSettings{}.mFleetWrites;
     for (const auto& [routers, ms] : { std::pair{ 7, 1'000 }, { 250, 1'000 }, { 720, 2'880 } }) {
       CPPUNIT_ASSERT_EQUAL(
         std::int64_t{ ms },
-        std::int64_t{ FleetInterval(Millis(1'000), static_cast<std::size_t>(routers)).count() });
+        std::int64_t{
+          FleetInterval(Millis(1'000), static_cast<std::size_t>(routers), rate).count() });
     }
   }
 };
