Refills along with others are taken out

They were a second threshold beside the one below which a refill is due, meant to save writes in large fleets. Checks: budget-tests, budget-exploration.

--- a/include/gentianloom/budget/GrantPolicy.h
+++ b/include/gentianloom/budget/GrantPolicy.h
@@ -50,9 +50,6 @@
   /// @brief Part of the target below which a refill is due.
   virtual double RefillBelow(const GrantInput& /*aInput*/) const { return kRefillUsual; }
 
-  /// @brief Part of the target below which a budget is refilled along with others that are due.
-  virtual double RefillAlongBelow(const GrantInput& /*aInput*/) const { return kRefillUsual; }
-
   /// @brief Tokens that the router should have free after a refill.
   virtual Tokens Target(const GrantInput& aInput) const = 0;
 
--- a/include/gentianloom/budget/Holding.h
+++ b/include/gentianloom/budget/Holding.h
@@ -86,9 +86,6 @@
 
   /// @brief Whether a refill is due before requests have to wait for it.
   bool IsLow(const GrantPolicy& aPolicy) const;
-
-  /// @brief Whether it is refilled along with others that are due.
-  bool IsRefilledAlong(const GrantPolicy& aPolicy) const;
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/budget/OutagePolicy.h
+++ b/include/gentianloom/budget/OutagePolicy.h
@@ -32,7 +32,6 @@
   Tokens GiveBackAbove(const GrantInput& aInput, Tokens aKept) const override;
 
   double RefillBelow(const GrantInput& aInput) const override;
-  double RefillAlongBelow(const GrantInput& aInput) const override;
 
   /// @brief Whether so little is left in the whole fleet that it is pooled.
   static bool IsPooled(const GrantInput& aInput);
--- a/src/budget/Holding.cpp
+++ b/src/budget/Holding.cpp
@@ -88,7 +88,7 @@
   const bool servesOne = aLeft + free >= mWantedLeast;
   Tokens more = servesOne ? std::max<Tokens>(0, mWanted - free) : 0;
   if (servesOne && static_cast<double>(free - mWanted) <
-                     static_cast<double>(target) * aPolicy.RefillAlongBelow(input)) {
+                     static_cast<double>(target) * aPolicy.RefillBelow(input)) {
     more = std::max(more, target + mWanted - free);
   }
   return std::clamp<Tokens>(more, 0, std::max<Tokens>(0, aLeft));
@@ -116,11 +116,4 @@
          (mLeftSeen > 0 && static_cast<double>(Free()) < target * aPolicy.RefillBelow(input));
 }
 
-bool Holding::IsRefilledAlong(const GrantPolicy& aPolicy) const
-{
-  const auto input = Input();
-  const auto target = static_cast<double>(aPolicy.Target(input));
-  return mLeftSeen > 0 && static_cast<double>(Free()) < target * aPolicy.RefillAlongBelow(input);
-}
-
 } // namespace gentianloom
--- a/src/budget/Ledger.cpp
+++ b/src/budget/Ledger.cpp
@@ -145,7 +145,6 @@
 std::set<int> Ledger::DueShards(TimePoint aNow)
 {
   std::set<int> out;
-  std::set<int> along;
   for (auto& [shard, state] : mShards) {
     const bool charges = aNow - state.mReported >= mPolicy.ChargeInterval() * ChargeSteps(state);
     bool due = (!state.mStaged.empty() && charges) || !state.mPending.empty();
@@ -158,19 +157,12 @@
         it.mTicked = aNow; // before the first request of all nothing is learnt about demand
       }
       const bool acts = it.mChanged || it.IsLow(mPolicy) || it.Excess(mPolicy, it.mLeftSeen) > 0;
-      if (!it.mRevoked && it.IsRefilledAlong(mPolicy)) {
-        along.insert(shard);
-      }
       due = due || ((acts || (quiet && it.mGranted != it.mReturned)) && !it.mRevoked);
     }
     if (due) {
       out.insert(shard);
     }
   }
-  // A write that is made anyway costs the same with more in it.
-  if (!out.empty()) {
-    out.merge(along);
-  }
   return out;
 }
 
--- a/src/budget/OutagePolicy.cpp
+++ b/src/budget/OutagePolicy.cpp
@@ -11,7 +11,6 @@
 constexpr double kRefillBelow = 0.85;
 /// The same in a fleet of more than kManyHolders, where most writes meet others' writes.
 constexpr double kRefillBelowOfMany = 0.35;
-constexpr double kRefillAlongBelowOfMany = 0.6;
 constexpr int kManyHolders = 12;
 /// In such a fleet nothing is given back while at least this part of what is unspent is granted to
 /// nobody.
@@ -104,9 +103,4 @@
   return aInput.mHolders > kManyHolders ? kRefillBelowOfMany : kRefillBelow;
 }
 
-double OutagePolicy::RefillAlongBelow(const GrantInput& aInput) const
-{
-  return aInput.mHolders > kManyHolders ? kRefillAlongBelowOfMany : kRefillBelow;
-}
-
 } // namespace gentianloom
