The take-over of rights reads the records once, in functions of one job each

Cause: after a successor had replaced the report of its predecessor it read all shards and the report again, and the first round read them a third time: six reads at each start where three do, at moments when all processes start at once. One function closed a shard or replaced the report, by what was left. The pause after a conflict stood in two files; noticing that the wall clock was set was public for a test. Test: RightsDutyTest, three reads (six before).

--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -88,6 +88,9 @@
   const std::map<std::string, Holding>& Holdings() const { return mLedger.Holdings(); }
 
 private:
+  /// Pause after a conflict, so that two routers do not conflict again and again.
+  static constexpr Micros kConflictPause{ 4'000 };
+
   /// What is known of a shard in the key-value service.
   struct KnownShard
   {
@@ -121,7 +124,9 @@
   net::Task<std::optional<PredecessorSigns>> LookForPredecessor(std::string aIncarnation);
   net::Task<bool> TakeOver();
   std::optional<int> NextShardOf(const std::string& aIncarnation) const;
-  net::Task<bool> CloseShardOf(UsageReport aPredecessor, bool aIsWithinCaps);
+  net::Task<bool> CloseShard(int aShard, UsageReport aPredecessor, bool aIsWithinCaps);
+  net::Task<bool> ReplaceReport();
+  net::Task<bool> TakeOverAnswer(AsyncCommitAnswer aAnswer);
   void LogPredecessor(const UsageReport& aPredecessor,
                       int aShard,
                       bool aIsWithinCaps,
--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -94,9 +94,6 @@
                    TimePoint aNow,
                    Millis aWallTime);
 
-  /// @brief Notices when the wall clock is set. Called now and then.
-  void WatchWallClock(TimePoint aNow, Millis aWallTime);
-
   void OnTook(const UsageReport& aReport);   ///< the report is stored
   void OnDidNot(const UsageReport& aReport); ///< it is not and cannot come later
 
@@ -108,6 +105,7 @@
 
 private:
   Millis OpensAfter() const { return mSettings.mReportEvery + mSettings.mOpensAfter; }
+  void WatchWallClock(TimePoint aNow, Millis aWallTime);
   Tokens CapFor(const Holding& aHolding) const;
 
   std::string mIncarnation;
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t kMostShards = 15;
 /// Tries of one round against conflicts.
 constexpr int kMostConflicts = 4;
-/// Pause between tries, so that two routers do not conflict again and again.
-constexpr Micros kConflictPause{ 4'000 };
 /// Pause before rights of a predecessor are looked at again.
 constexpr Millis kTakeOverPause{ 60 };
 /// Regular writes, and regular reads, a second in the whole fleet.
@@ -260,6 +258,7 @@
     NoteStore(false, ToString(reports.error()));
     co_return false;
   }
+  mRefreshedAt = mClock.Now();
   mKnown.clear();
   mKnownReport = {};
   bool isGood = true;
--- a/src/budget/RightsTakeOver.cpp
+++ b/src/budget/RightsTakeOver.cpp
@@ -9,13 +9,6 @@
 
 namespace gentianloom {
 
-namespace {
-
-/// Pause after a conflict, so that two routers do not conflict again and again.
-constexpr Micros kConflictPause{ 4'000 };
-
-} // namespace
-
 /// Looks once for what tells when the predecessor ended; unset if the service does not answer.
 net::Task<std::optional<PredecessorSigns>> RightsDuty::LookForPredecessor(std::string aIncarnation)
 {
@@ -58,7 +51,12 @@
     if (!signs) {
       co_return false;
     }
-    goesOn = co_await CloseShardOf(*report, EndedWithinCaps(*report, *signs));
+    const auto shard = NextShardOf(report->mIncarnation);
+    if (shard) {
+      goesOn = co_await CloseShard(*shard, *report, EndedWithinCaps(*report, *signs));
+    } else {
+      goesOn = co_await ReplaceReport();
+    }
   }
   co_return false;
 }
@@ -78,37 +76,56 @@
   return open[StableHash(mOwner.mInstance) % open.size()];
 }
 
-/// Closes one shard, or if none is left replaces the report. Returns whether to go on at once.
-net::Task<bool> RightsDuty::CloseShardOf(UsageReport aPredecessor, bool aIsWithinCaps)
+/// Closes one shard of a predecessor. Returns whether to go on at once.
+net::Task<bool> RightsDuty::CloseShard(int aShard, UsageReport aPredecessor, bool aIsWithinCaps)
 {
-  const auto shard = NextShardOf(aPredecessor.mIncarnation);
+  const auto& known = mKnown.at(aShard);
+  auto record = known.mRecord;
+  const auto freed = FoldPredecessor(record, aPredecessor, aIsWithinCaps);
+  ++record.mCommits;
   Transaction transaction;
-  ShardRecord record;
-  Tokens freed = 0;
-  if (shard) {
-    const auto& known = mKnown.at(*shard);
-    record = known.mRecord;
-    freed = FoldPredecessor(record, aPredecessor, aIsWithinCaps);
-    ++record.mCommits;
-    transaction.mCompares.push_back({ ShardKey(*shard), known.mRevision });
-    transaction.mWrites.push_back({ ShardKey(*shard), ShardText(record) });
-  } else {
-    AddReport(transaction, mCaps.Plan(mLedger.Holdings(), mClock.Now(), mClock.WallTime()));
+  transaction.mCompares.push_back({ ShardKey(aShard), known.mRevision });
+  transaction.mWrites.push_back({ ShardKey(aShard), ShardText(record) });
+  const auto answer = co_await mStore.Commit(std::move(transaction));
+  if (answer.mCommit.mEffect == Effect::TookEffect) {
+    LogPredecessor(aPredecessor, aShard, aIsWithinCaps, freed);
+    mKnown[aShard] = { answer.mCommit.mRevision, std::move(record) };
   }
+  const bool goesOn = co_await TakeOverAnswer(answer);
+  co_return goesOn;
+}
+
+/// Puts this incarnation's report in the place of a predecessor's that is closed everywhere.
+net::Task<bool> RightsDuty::ReplaceReport()
+{
+  const auto report = mCaps.Plan(mLedger.Holdings(), mClock.Now(), mClock.WallTime());
+  Transaction transaction;
+  AddReport(transaction, report);
   const auto answer = co_await mStore.Commit(std::move(transaction));
-  const bool took = answer.mCommit.mEffect == Effect::TookEffect;
-  NoteStore(took || answer.mCommit.mConflict, answer.mCommit.mError.mText);
-  if (took && shard) {
-    LogPredecessor(aPredecessor, *shard, aIsWithinCaps, freed);
-    mKnown[*shard] = { answer.mCommit.mRevision, std::move(record) };
-  } else if (answer.mCommit.mConflict) {
-    OnConflict(answer.mCurrent);
+  if (answer.mCommit.mEffect == Effect::TookEffect) {
+    mCaps.OnTook(report);
+    mKnownReport = { answer.mCommit.mRevision, report };
+  } else if (answer.mCommit.mEffect == Effect::DidNot) {
+    mCaps.OnDidNot(report);
+  }
+  const bool goesOn = co_await TakeOverAnswer(answer);
+  co_return goesOn;
+}
+
+/// Takes the answer to a write of the take-over. Returns whether to go on at once.
+net::Task<bool> RightsDuty::TakeOverAnswer(AsyncCommitAnswer aAnswer)
+{
+  const bool took = aAnswer.mCommit.mEffect == Effect::TookEffect;
+  const bool isConflict = aAnswer.mCommit.mConflict;
+  NoteStore(took || isConflict, aAnswer.mCommit.mError.mText);
+  if (isConflict) {
+    OnConflict(aAnswer.mCurrent);
     const auto pause = std::chrono::duration_cast<Micros>(kConflictPause * Jitter());
     co_await net::Signal::Sleep(mLoop, pause);
-  } else {
-    mIsKnown = false; // read again: also after the report was replaced
+  } else if (!took) {
+    mIsKnown = false;
   }
-  co_return took || answer.mCommit.mConflict;
+  co_return took || isConflict;
 }
 
 void RightsDuty::LogPredecessor(const UsageReport& aPredecessor,
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -171,6 +171,7 @@
   });
 }
 
+/// Notices when the wall clock is set. Each report is made with it.
 void UsageCaps::WatchWallClock(TimePoint aNow, Millis aWallTime)
 {
   const auto offset = aWallTime - MillisOf(aNow);
--- a/tests/budget/RightsDutyTest.cpp
+++ b/tests/budget/RightsDutyTest.cpp
@@ -97,6 +97,7 @@
   CPPUNIT_TEST(TestOutage);
   CPPUNIT_TEST(TestLostAnswer);
   CPPUNIT_TEST(TestSuccessor);
+  CPPUNIT_TEST(TestTakeOverReadsOnce);
   CPPUNIT_TEST(TestNeverOver);
   CPPUNIT_TEST(TestReplacedProcessStops);
   CPPUNIT_TEST_SUITE_END();
@@ -216,6 +217,20 @@
     }
   }
 
+  // All processes may start at once: each reads the records once.
+  void TestTakeOverReadsOnce()
+  {
+    Process first(mStore, mClock, "run-1");
+    first.mDuty.Start();
+    first.Settle();
+    Process second(mStore, mClock, "run-2");
+    const auto before = mStore.mRanges;
+    second.mDuty.Start();
+    CPPUNIT_ASSERT(testing::RunUntil(second.mLoop, [&] { return second.mDuty.HasTakenOver(); }));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "shards, report, lease", 3, static_cast<int>(mStore.mRanges - before));
+  }
+
   // Kills, outages and lost answers in any order: what was reserved never exceeds the budget.
   void TestNeverOver()
   {
--- a/tests/budget/UsageCapsTest.cpp
+++ b/tests/budget/UsageCapsTest.cpp
@@ -135,7 +135,8 @@
     CPPUNIT_ASSERT(caps.Plan(holdings, mNow, kWall).mIsWallClockSteady);
     const auto steady = caps.Plan(holdings, mNow + Millis(1'000), kWall + Millis(1'050));
     CPPUNIT_ASSERT(steady.mIsWallClockSteady);
-    caps.WatchWallClock(mNow + Millis(2'000), kWall + Millis(4'000));
+    const auto ahead = caps.Plan(holdings, mNow + Millis(2'000), kWall + Millis(4'000));
+    CPPUNIT_ASSERT(!ahead.mIsWallClockSteady);
     const auto back = caps.Plan(holdings, mNow + Millis(3'000), kWall + Millis(3'000));
     CPPUNIT_ASSERT_MESSAGE("also after it was set back", !back.mIsWallClockSteady);
   }
