A request that waits for the reserve is told when it opens

Cause: such a request asked again every 250 ms, a special case on top of the notice that every waiting request gets. The same loop also ran for requests that wait for a draw: while a round took longer than 250 ms (a slow or silent store) each request added its tokens to what is wanted again, and more was drawn than needed. Change: those that wait are told after a round, and when the reserve opens; the poll goes. Test: RightsDutyTest 'told when reserve opens', seen failing without the notice.

--- a/include/gentianloom/budget/RightsDuty.h
+++ b/include/gentianloom/budget/RightsDuty.h
@@ -61,8 +61,8 @@
   net::Task<void> Close(TimePoint aDeadline);
 
   /**
-   * @brief Sets tokens aside. After an answer of Wait, @p aWaiter is notified when the next round
-   *        has ended, and the caller asks again.
+   * @brief Sets tokens aside. After an answer of Wait, @p aWaiter is notified when it is worth to
+   *        ask again: TimesTold() has grown by then.
    * @param aTimeLeft until the request's deadline; one that would wait too long is refused at once
    */
   ReserveAnswer Reserve(const std::string& aBudget,
@@ -76,6 +76,9 @@
   /// @brief Number of rounds that have ended.
   std::uint64_t Rounds() const { return mRounds; }
 
+  /// @brief How often those that wait were told to ask again.
+  std::uint64_t TimesTold() const { return mTold; }
+
   /// @brief Whether the rights of predecessors were looked at and closed.
   bool HasTakenOver() const { return mHasTakenOver; }
 
@@ -141,6 +144,12 @@
   bool Remember(const KeyValue& aEntry);
   void NoteStore(bool aWorks, const std::string& aWhy);
   void EndRound();
+  void TellWaiters();
+  net::Task<void> TellWhenOpen(Micros aTime);
+  std::optional<ReserveAnswer> WaitForReserve(const Holding& aHolding,
+                                              Tokens aTokens,
+                                              Micros aTimeLeft,
+                                              TimePoint aNow);
   void LogHoldings() const;
 
   net::Loop& mLoop;
@@ -168,6 +177,8 @@
   TimePoint mRefreshedAt{};
   TimePoint mRoundAt{}; ///< start of the last round
   std::uint64_t mRounds = 0;
+  std::uint64_t mTold = 0;
+  bool mTellsWhenOpen = false; ///< a task waits until the reserve opens
   bool mIsKnown = false; ///< whether the members below are up to date as far as this process knows
   std::map<int, KnownShard> mKnown;
   KnownReport mKnownReport;
--- a/src/budget/RightsDuty.cpp
+++ b/src/budget/RightsDuty.cpp
@@ -106,18 +106,19 @@
   if (mIsReplaced || mIsClosing) {
     return ReserveAnswer::Unavailable;
   }
+  Tokens room = 0;
   const auto holding = mLedger.Holdings().find(aBudget);
-  const auto room =
-    holding == mLedger.Holdings().end() ? Tokens{ 0 } : mCaps.Room(aBudget, holding->second, now);
-  const bool isHeld =
-    holding != mLedger.Holdings().end() && holding->second.Free() >= aTokens && room < aTokens;
-  const auto opensIn = mCaps.OpensIn(now);
-  if (mPacer.IsAway() && isHeld && opensIn) {
-    if (*opensIn > aTimeLeft / kWaitShare) {
-      return ReserveAnswer::Unavailable; // too late for it, so its caller is told at once
+  if (holding != mLedger.Holdings().end()) {
+    room = mCaps.Room(aBudget, holding->second, now);
+    if (room < aTokens && mPacer.IsAway()) {
+      const auto answer = WaitForReserve(holding->second, aTokens, aTimeLeft, now);
+      if (answer == ReserveAnswer::Wait) {
+        mWaiters.push_back(aWaiter);
+      }
+      if (answer) {
+        return *answer;
+      }
     }
-    mWaiters.push_back(aWaiter);
-    return ReserveAnswer::Wait;
   }
   const auto answer = mLedger.Reserve(aBudget, aTokens, now, room);
   if (answer == ReserveAnswer::Wait) {
@@ -133,6 +134,33 @@
                                                                : answer;
 }
 
+/// What a request is told whose tokens are held but above the cap; unset if that is not so.
+std::optional<ReserveAnswer> RightsDuty::WaitForReserve(const Holding& aHolding,
+                                                        Tokens aTokens,
+                                                        Micros aTimeLeft,
+                                                        TimePoint aNow)
+{
+  const auto opensIn = mCaps.OpensIn(aNow);
+  if (aHolding.Free() < aTokens || !opensIn) {
+    return std::nullopt;
+  }
+  if (*opensIn > aTimeLeft / kWaitShare) {
+    return ReserveAnswer::Unavailable; // too late for it, so its caller is told at once
+  }
+  if (!mTellsWhenOpen) {
+    mTellsWhenOpen = true;
+    net::Start(mLoop, "reserve", TellWhenOpen(*opensIn + kLeastPause));
+  }
+  return ReserveAnswer::Wait;
+}
+
+net::Task<void> RightsDuty::TellWhenOpen(Micros aTime)
+{
+  co_await net::Signal::Sleep(mLoop, aTime);
+  mTellsWhenOpen = false;
+  TellWaiters();
+}
+
 void RightsDuty::Settle(const std::string& aBudget, Tokens aReserved, Tokens aUsed)
 {
   // Tries of callers have identifiers of their own, so no other run bills the same work.
@@ -209,6 +237,12 @@
     }
   }
   ++mRounds;
+  TellWaiters();
+}
+
+void RightsDuty::TellWaiters()
+{
+  ++mTold;
   const auto waiters = std::exchange(mWaiters, {});
   for (const auto& it : waiters) {
     if (const auto signal = it.lock()) {
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -14,8 +14,6 @@
 
 /// When callers may come back after a refusal for lack of endpoints or of the key-value service.
 constexpr Millis kComeBack{ 400 };
-/// How often a request that waits for tokens asks again, if no round ends before.
-constexpr Millis kReserveLook{ 250 };
 /// Time limit of a request whose caller and route state none.
 constexpr Millis kDefaultPatience{ 30'000 };
 
@@ -169,12 +167,10 @@
       mReserved = wanted;
       break;
     }
-    const auto round = mParts.mRights.Rounds();
-    const auto until = mParts.mClock.Now() + kReserveLook;
-    while (answer == ReserveAnswer::Wait && round == mParts.mRights.Rounds() && !mCaller.IsGone() &&
-           TimeLeft() > Micros(0) && mParts.mClock.Now() < until) {
-      const auto wait = std::min<Micros>(TimeLeft(), until - mParts.mClock.Now());
-      co_await mSignal->WaitFor(wait);
+    const auto told = mParts.mRights.TimesTold();
+    while (answer == ReserveAnswer::Wait && told == mParts.mRights.TimesTold() &&
+           !mCaller.IsGone() && TimeLeft() > Micros(0)) {
+      co_await mSignal->WaitFor(TimeLeft());
     }
     if (mCaller.IsGone()) {
       mRefusal = "the caller left while tokens were drawn";
--- a/tests/budget/RightsDutyTest.cpp
+++ b/tests/budget/RightsDutyTest.cpp
@@ -95,6 +95,7 @@
   CPPUNIT_TEST(TestRightsBeforeDemand);
   CPPUNIT_TEST(TestManyBudgets);
   CPPUNIT_TEST(TestOutage);
+  CPPUNIT_TEST(TestToldWhenReserveOpens);
   CPPUNIT_TEST(TestLostAnswer);
   CPPUNIT_TEST(TestSuccessor);
   CPPUNIT_TEST(TestTakeOverReadsOnce);
@@ -158,6 +159,28 @@
                                  static_cast<int>(process.Reserve(1)));
   }
 
+  // A request that waits for the reserve is told when it opens, though no round ends then.
+  void TestToldWhenReserveOpens()
+  {
+    Process process(mStore, mClock, "run-1");
+    process.mDuty.Start();
+    process.Settle();
+    const auto held = kPrepaid - LeftIn(mStore);
+    mStore.mMode = StoreMode::Down;
+    mClock.Advance(Millis(2'900));
+    process.Settle();
+    CPPUNIT_ASSERT(process.mDuty.IsAway());
+    CPPUNIT_ASSERT(process.Reserve(held) == ReserveAnswer::Wait);
+    const auto told = process.mDuty.TimesTold();
+    const auto rounds = process.mDuty.Rounds();
+    // The store is not tried again as long as the clock stands still.
+    CPPUNIT_ASSERT(
+      testing::RunUntil(process.mLoop, [&] { return process.mDuty.TimesTold() > told; }));
+    CPPUNIT_ASSERT_EQUAL(rounds, process.mDuty.Rounds());
+    mClock.Advance(Millis(101));
+    CPPUNIT_ASSERT(process.Reserve(held) == ReserveAnswer::Reserved);
+  }
+
   // A write took effect and its answer was lost: the record is read, nothing is drawn twice.
   void TestLostAnswer()
   {
