Code that nothing uses any more is taken out

GrantPolicy's KeptSeconds has no reader since Kept() took its place. Checks: budget, platform and gateway tests, process-gateway.

--- a/include/gentianloom/budget/GrantPolicy.h
+++ b/include/gentianloom/budget/GrantPolicy.h
@@ -41,9 +41,6 @@
   /// @brief Time constant of the demand estimate, seconds.
   double DemandMemory() const { return mDemandMemory; }
 
-  /// @brief Rights for so many seconds of demand are never given back.
-  double KeptSeconds() const { return mKeptSeconds; }
-
   /// @brief Longest time before what was used is written.
   Millis ChargeInterval() const { return mChargeInterval; }
 
@@ -69,7 +66,7 @@
   static constexpr double kRefillUsual = 0.5;
 
   double mDemandMemory = 0;
-  double mKeptSeconds = 0;
+  double mKeptSeconds = 0; ///< rights for so long a demand are never given back
   Millis mChargeInterval{ 0 };
 };
 
