Retries beyond the share are divided among the instances that are listed

Cause: the slack of the fleet was divided by a constant of eight, so 75 instances of a grown site could together make 872 retries at once where the stated slack is 186. Change: SlackOf divides half of it among the listed instances, at least eight and never less than one retry each, looked at with the other housekeeping. Test: RetryPolicyTest TestFleet, seen failing at 75 instances with the constant.

--- a/include/gentianloom/outcome/RetryPolicy.h
+++ b/include/gentianloom/outcome/RetryPolicy.h
@@ -18,6 +18,9 @@
 public:
   explicit RetryBudget(double aShare = 0.1, double aMostSaved = 20);
 
+  /// @brief Changes what may be saved up; what is saved beyond it is lost.
+  void SetMostSaved(double aMostSaved);
+
   /// @brief Notes a request's first attempt.
   void OnRequest();
 
@@ -31,6 +34,16 @@
   double mSaved;
 };
 
+/**
+ * @brief Retries beyond the share that one instance may save up.
+ *
+ * Half of the fleet's, divided among as many instances as are known and at least eight: some may
+ * not be known, and all may use theirs at once. Never less than one, so that the share can be used.
+ *
+ * @param aFleetSlack retries beyond the share that the whole fleet may make in one window
+ */
+double SlackOf(double aFleetSlack, std::size_t aInstances);
+
 /// What an attempt left behind.
 struct AttemptFacts
 {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -28,10 +28,8 @@
 constexpr Millis kLeaseRetry{ 200 };
 /// How often idle connections and vanished entries are looked at.
 constexpr Millis kHousekeeping{ 250 };
-/// Part of the retry limits that one instance uses by itself, for changes of the fleet's size.
+/// Part of the retries for each request that is used, for changes of the fleet's size.
 constexpr double kRetryCaution = 0.5;
-/// Instances among which the retries beyond the share are divided.
-constexpr double kRetryInstances = 8;
 /// Callers keep an answer with addresses up to so many times its stated life.
 constexpr int kAddressLives = 3;
 /// Part of the time before the kill in which new requests are still taken.
@@ -94,8 +92,7 @@
             {},
             ConnectionPool(aLoop, aClock),
             mRights,
-            RetryBudget(mSettings.mRetryShare * kRetryCaution,
-                        mSettings.mRetrySlack * kRetryCaution / kRetryInstances) }
+            RetryBudget(mSettings.mRetryShare * kRetryCaution, SlackOf(mSettings.mRetrySlack, 1)) }
   , mLoadNews(
       aLoop,
       mSelf.mIncarnation,
@@ -426,6 +423,7 @@
   while (true) {
     mParts.mEndpoints.Advance(mClock.Now());
     mParts.mConnections.Prune();
+    mParts.mRetries.SetMostSaved(SlackOf(mSettings.mRetrySlack, mInstances.Size(mSelf.mName)));
     mMetrics.GaugeOf("gentianloom_open_requests").Set(mParts.mOpenRequests);
     co_await net::Signal::Sleep(mLoop, kHousekeeping);
   }
--- a/src/outcome/RetryPolicy.cpp
+++ b/src/outcome/RetryPolicy.cpp
@@ -4,6 +4,17 @@
 
 namespace gentianloom {
 
+namespace {
+
+/// Part of the fleet's slack that is used, for changes of the fleet's size.
+constexpr double kSlackCaution = 0.5;
+/// The slack is divided among no fewer instances, since some may not be known yet.
+constexpr std::size_t kLeastInstances = 8;
+/// With less, no instance could ever save up one retry of its share.
+constexpr double kLeastSlack = 1;
+
+} // namespace
+
 RetryBudget::RetryBudget(double aShare, double aMostSaved)
   : mShare(aShare)
   , mMost(aMostSaved)
@@ -11,6 +22,13 @@
 {
 }
 
+void RetryBudget::SetMostSaved(double aMostSaved)
+{
+  const std::lock_guard lock(mMutex);
+  mMost = aMostSaved;
+  mSaved = std::min(mSaved, mMost);
+}
+
 void RetryBudget::OnRequest()
 {
   const std::lock_guard lock(mMutex);
@@ -27,6 +45,12 @@
   return true;
 }
 
+double SlackOf(double aFleetSlack, std::size_t aInstances)
+{
+  const auto instances = std::max(kLeastInstances, aInstances);
+  return std::max(kLeastSlack, aFleetSlack * kSlackCaution / static_cast<double>(instances));
+}
+
 RetryOrder RetryDecision::OnFailure(const AttemptFacts& aFacts,
                                     TimePoint aNow,
                                     RetryBudget& aBudget)
--- a/tests/outcome/RetryPolicyTest.cpp
+++ b/tests/outcome/RetryPolicyTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(RetryPolicyTest);
   CPPUNIT_TEST(TestDecision);
   CPPUNIT_TEST(TestBudget);
+  CPPUNIT_TEST(TestFleet);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +73,24 @@
     }
     CPPUNIT_ASSERT(granted >= 100 && granted <= 106);
   }
+
+  // Load pattern: all instances retry at once. Beyond the share the fleet stays within its slack.
+  void TestFleet()
+  {
+    constexpr double kSlack = 186;
+    for (const std::size_t instances : { 1U, 7U, 8U, 75U, 720U }) {
+      double granted = 0;
+      for (std::size_t n = 0; n < instances; ++n) {
+        RetryBudget budget(0.1, SlackOf(kSlack, 1));
+        budget.SetMostSaved(SlackOf(kSlack, instances));
+        while (budget.TryTake()) {
+          ++granted;
+        }
+      }
+      const auto most = std::max(kSlack / 2, static_cast<double>(instances));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(instances), granted <= most);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryPolicyTest);
