Stand-ins hold work until they are told, and pace by a wait that can be cancelled

Three of the five sleeps in tests are gone. AtMostOnceTest let a run take 0.3 or 1 s and counted on killing the router meanwhile: on a slow machine the run would have ended before, with another outcome. The run is now held by a switch until the test lets go; each check is as it was, and CheckTwoAtOnce also asserts that the run began. The engine's first token is waited for as its further tokens are. The relay's delay had no user. What remains: the pause between two looks at a condition (Fleet.cpp, gateway_test.py), and the delay of the key-value stand-in, on which CheckFrozenRouter relies to stop a router between its intent and the send.

--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -100,15 +100,19 @@
 
   static void CheckTwoAtOnce(const Fleet& aFleet)
   {
-    aFleet.Fault("templates-1", { { "runMs", 300 } });
     for (int n = 0; n < 5; ++n) {
       const auto key = "two-" + std::to_string(n);
+      aFleet.Fault("templates-1", { { "holdRunOn", 1 } });
       Told told[3];
       std::thread one([&] { told[0] = Call(aFleet, "router-1", key); });
       std::thread two([&] { told[1] = Call(aFleet, "router-2", key); });
-      told[2] = Call(aFleet, "router-2", key);
+      std::thread three([&] { told[2] = Call(aFleet, "router-2", key); });
+      const bool begun = WaitFor([&] { return Runs(aFleet, key) == 1; }, Millis(5'000));
+      aFleet.Fault("templates-1", { { "holdRunOn", 0 } });
       one.join();
       two.join();
+      three.join();
+      CPPUNIT_ASSERT(begun);
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Runs(aFleet, key));
       int done = 0;
       for (const auto& it : told) {
@@ -117,7 +121,6 @@
       }
       CPPUNIT_ASSERT(done >= 1);
     }
-    aFleet.Fault("templates-1", { { "runMs", 0 } });
   }
 
   static void CheckLostAnswers(const Fleet& aFleet)
@@ -203,7 +206,7 @@
 
   static void CheckKilledRouter(const Fleet& aFleet)
   {
-    aFleet.Fault("templates-1", { { "runMs", 1'000 } });
+    aFleet.Fault("templates-1", { { "holdRunOn", 1 } });
     std::thread caller([&] { Call(aFleet, "router-1", "killed", "{}", "1500"); });
     CPPUNIT_ASSERT(WaitFor([&] { return Runs(aFleet, "killed") == 1; }, Millis(5'000)));
     aFleet.Signal("router-1", SIGKILL);
@@ -215,6 +218,7 @@
         return told.mCode == "outcome_unknown";
       },
       Millis(8'000));
+    aFleet.Fault("templates-1", { { "holdRunOn", 0 } });
     CPPUNIT_ASSERT_MESSAGE(told.mBody, final);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, Runs(aFleet, "killed"));
   }
--- a/tests/standin/EngineRole.cpp
+++ b/tests/standin/EngineRole.cpp
@@ -235,10 +235,13 @@
     const auto stream = std::make_shared<GeneratedStream>(
       CountPrompt(aBody), wanted, aRequest.get("Gentianloom-Attempt", ""));
     mStreams.Keep(KeyOf(aRequest, id), stream);
-    std::this_thread::sleep_for(std::chrono::microseconds(mOptions.mFirstTokenMicros));
+    auto next = std::chrono::steady_clock::now();
+    next += std::chrono::microseconds(mOptions.mFirstTokenMicros);
+    if (!stream->WaitUntil(next)) {
+      return;
+    }
     std::ostream* out = &StartStream(aResponse);
     std::string heldBack; // event that the fault `reorder` sends after the next one
-    auto next = std::chrono::steady_clock::now();
     for (std::int64_t n = 1; n <= wanted; ++n) {
       stream->Advance();
       NoteTokens(aEntry, n, n == wanted);
@@ -298,12 +301,9 @@
                          { "method", aRequest.getMethod() },
                          { "path", uri },
                          { "body", ReadAll(aRequest) } });
-    const auto slow = std::chrono::milliseconds(mFaults.Value("runMs"));
-    if (slow.count() > 0) {
-      lock.unlock();
-      std::this_thread::sleep_for(slow);
-      lock.lock();
-    }
+    lock.unlock();
+    mFaults.WaitWhileOn("holdRunOn");
+    lock.lock();
     if (mFaults.Take("loseAnswer")) {
       throw std::runtime_error("told to lose the answer");
     }
--- a/tests/standin/RelayRole.cpp
+++ b/tests/standin/RelayRole.cpp
@@ -27,7 +27,7 @@
 
 /**
  * @brief A relay between two processes that can be cut: `cutOn` both ways, `cutToOn` towards the
- *        target only, `cutFromOn` from it only, `delayMs` for each block.
+ *        target only, `cutFromOn` from it only.
  *
  * A cut is silent, as a partition is: bytes are held and go on after it, and a connection made
  * during it stays without an answer. `POST /target` sets where it leads; `GET /address` tells where
@@ -109,7 +109,6 @@
         if (n <= 0) {
           break;
         }
-        std::this_thread::sleep_for(std::chrono::milliseconds(mFaults.Value("delayMs")));
         aTo.sendBytes(buf.data(), n);
       }
       aTo.shutdownSend();
