--- a/tests/standin/StandinServer.h
+++ b/tests/standin/StandinServer.h
@@ -20,7 +20,8 @@
  *
  * A positive number is used up one request at a time unless the key ends with `Ms` (a delay) or
  * `On` (a switch). Known keys: `refuse`, `stallOn`, `delayMs`, `loseAnswer`, `goAwayAfterTokens`,
- * `reorder`, `duplicate`, `crossEvent`, `cannotResumeOn`, `crashOnMarkOn`, `leavingOn`, `holdRunOn`.
+ * `reorder`, `duplicate`, `crossEvent`, `cannotResumeOn`, `crashOnMarkOn`, `leavingOn`,
+ * `holdRunOn`.
  */
 class Faults
 {
