--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "gentianloom/gateway/PrefixWatcher.h"
 #include "gentianloom/membership/InstanceDirectory.h"
 #include "gentianloom/net/HttpService.h"
+#include "gentianloom/net/LoopMonitor.h"
 
 #include <memory>
 
@@ -65,6 +66,8 @@
   /// Returns whether the write took effect.
   net::Task<bool> WriteInstanceRecord();
   net::Task<void> RunHousekeeping();
+  /// Logs the bytes exchanged with the key-value service and with the peers.
+  net::Task<void> RunTrafficLog();
   net::Task<void> RunShutdown();
 
   net::Loop& mLoop;
@@ -73,6 +76,7 @@
   AsyncStore& mStore;
   const Clock& mClock;
   Metrics mMetrics;
+  net::LoopMonitor mLoopMonitor;
   InstanceRecord mSelf;
   InstanceDirectory mInstances;
   GrantManager mRights;
--- a/include/gentianloom/gateway/PeerLoadExchange.h
+++ b/include/gentianloom/gateway/PeerLoadExchange.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Error.h"
 #include "gentianloom/base/Metrics.h"
+#include "gentianloom/net/HttpClient.h"
 #include "gentianloom/net/Signal.h"
 #include "gentianloom/routing/EndpointRegistry.h"
 
@@ -73,6 +74,9 @@
   /// @brief Schedules a message to all peers after a change of the pending load.
   void NotifyChange();
 
+  /// @brief Bytes of all datagrams sent and received so far, without their headers.
+  net::BodyBytes Bytes() const { return { mBytesSent, mBytesReceived }; }
+
 private:
   net::Task<void> RunSender();
   net::Task<void> RunReceiver();
@@ -89,6 +93,8 @@
   bool mHasUnsentChange = false;
   bool mHasReportedPending = false;
   std::uint64_t mSequence = 0;
+  std::uint64_t mBytesSent = 0;
+  std::uint64_t mBytesReceived = 0;
   std::map<std::string, std::uint64_t> mLastSequences; ///< by the sender's incarnation
 };
 
--- a/include/gentianloom/net/HttpClient.h
+++ b/include/gentianloom/net/HttpClient.h
@@ -5,6 +5,7 @@
 #include "gentianloom/net/Channel.h"
 #include "gentianloom/net/HttpHead.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,13 @@
   std::string mBody;
 };
 
+/// Bytes of message bodies sent and received since the start of a client.
+struct BodyBytes
+{
+  std::uint64_t mSent = 0;
+  std::uint64_t mReceived = 0;
+};
+
 /// Why a call returned no response.
 enum class HttpFailure
 {
@@ -51,6 +59,9 @@
    */
   Task<boost::outcome_v2::checked<HttpReply, HttpFailure>> Call(HttpCall aCall, Millis aTimeout);
 
+  /// @brief Bytes of all bodies so far, including those of calls that failed.
+  const BodyBytes& Bytes() const { return mBytes; }
+
 private:
   Channel::Ptr TakeIdle();
   void CloseIdle();
@@ -59,6 +70,7 @@
   Channel::Address mServer;
   std::string mHostHeader;
   std::vector<Channel::Ptr> mIdle;
+  BodyBytes mBytes;
 };
 
 /**
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -38,6 +38,8 @@
 /// Time reserved at the end of the termination grace period to return budget rights.
 constexpr Millis kRightsReturnTime{ 1'000 };
 constexpr Millis kShutdownPollInterval{ 50 };
+/// Interval of the log lines on network traffic.
+constexpr Millis kTrafficLogInterval{ 5'000 };
 
 /// Returns the boot ID of the operating system; empty if it cannot be read.
 std::string ReadBootId()
@@ -76,6 +78,7 @@
   , mClock(aClock)
   , mSelf{ mSettings.mInstance,      MakeId("run"),          mSettings.mZone,
            mSettings.mCallerAddress, mSettings.mPeerAddress, false }
+  , mLoopMonitor(aLoop, aClock, mMetrics)
   , mRights(aLoop,
             aStore,
             MakeRightsSettings(mSettings),
@@ -245,6 +248,8 @@
   mRights.Start();
   net::Start(mLoop, "instance record", MaintainInstanceRecord());
   net::Start(mLoop, "housekeeping", RunHousekeeping());
+  net::Start(mLoop, "traffic log", RunTrafficLog());
+  mLoopMonitor.Start();
   LogChange(LogLevel::Info,
             "gateway",
             "started",
@@ -443,6 +448,35 @@
   }
 }
 
+net::Task<void> Gateway::RunTrafficLog()
+{
+  net::BodyBytes lastStore;
+  net::BodyBytes lastPeers;
+  while (true) {
+    co_await net::Signal::Sleep(mLoop, kTrafficLogInterval);
+    const auto store = mStore.Bytes();
+    const auto peers = mPeerLoadExchange.Bytes();
+    mMetrics.GaugeOf("gentianloom_store_bytes", "direction=\"sent\"")
+      .Set(static_cast<std::int64_t>(store.mSent));
+    mMetrics.GaugeOf("gentianloom_store_bytes", "direction=\"received\"")
+      .Set(static_cast<std::int64_t>(store.mReceived));
+    mMetrics.GaugeOf("gentianloom_load_news_bytes", "direction=\"sent\"")
+      .Set(static_cast<std::int64_t>(peers.mSent));
+    mMetrics.GaugeOf("gentianloom_load_news_bytes", "direction=\"received\"")
+      .Set(static_cast<std::int64_t>(peers.mReceived));
+    LogChange(LogLevel::Info,
+              "net",
+              "network traffic since the last such line",
+              { { "store_sent_bytes", std::to_string(store.mSent - lastStore.mSent) },
+                { "store_received_bytes", std::to_string(store.mReceived - lastStore.mReceived) },
+                { "peers_sent_bytes", std::to_string(peers.mSent - lastPeers.mSent) },
+                { "peers_received_bytes", std::to_string(peers.mReceived - lastPeers.mReceived) },
+                { "open_requests", std::to_string(mRelay.mOpenRequests) } });
+    lastStore = store;
+    lastPeers = peers;
+  }
+}
+
 void Gateway::Reload(const GatewaySettings& aSettings)
 {
   mSettings.mTerminationGracePeriod = aSettings.mTerminationGracePeriod;
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -157,6 +157,7 @@
                     ec);
     // A failed send is not retried: the next message replaces this one.
     mMetrics.CounterOf("gentianloom_load_news_total", ec ? "sent=\"no\"" : "sent=\"yes\"").Add();
+    mBytesSent += ec ? 0 : bytes.size();
   }
 }
 
@@ -176,6 +177,7 @@
     if (ec) {
       continue; // ICMP error for an earlier datagram: a peer's port is closed
     }
+    mBytesReceived += n;
     const auto message = DecodePeerLoad(std::string_view(buf.data(), n));
     if (!message) {
       mMetrics.CounterOf("gentianloom_load_news_malformed_total").Add();
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -82,6 +82,7 @@
     size = aCall.mBody.size();
   }
   channel->Send(SerializeRequestHead(head, size) + aCall.mBody);
+  mBytes.mSent += aCall.mBody.size();
   ResponseParser parser;
   HttpReply reply;
   while (parser.State() != ParseState::Done && parser.State() != ParseState::Failed) {
@@ -100,6 +101,7 @@
     co_await signal->WaitFor(RemainingTime(deadline));
   }
   channel->SetListener(nullptr);
+  mBytes.mReceived += reply.mBody.size();
   if (parser.State() != ParseState::Done) {
     channel->Close();
     CloseIdle(); // the other connections to this server may be unresponsive as well
