--- a/tests/gateway/PeerLoadExchangeTest.cpp
+++ b/tests/gateway/PeerLoadExchangeTest.cpp
@@ -2,6 +2,8 @@
 
 #include "gentianloom/base/Ids.h"
 
+#include "support/RunLoop.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
@@ -13,6 +15,7 @@
   CPPUNIT_TEST_SUITE(PeerLoadExchangeTest);
   CPPUNIT_TEST(TestApplyReplacesPending);
   CPPUNIT_TEST(TestMalformedDatagrams);
+  CPPUNIT_TEST(TestTrafficOfLargeFleet);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,6 +55,53 @@
       CPPUNIT_ASSERT(!DecodePeerLoad(it));
     }
   }
+
+  // With one message to every peer for each change, the traffic of an instance grows with the fleet
+  // until it fills the link, and callers' requests and disconnects wait behind it.
+  void TestTrafficOfLargeFleet()
+  {
+    constexpr std::size_t kPeers = 74;
+    constexpr std::size_t kEndpoints = 60;
+    constexpr Millis kDuration{ 1'000 };
+    constexpr double kSlowestLinkBytesPerSecond = 10e6 / 8;
+    constexpr double kMaxLinkShare = 0.1;
+    constexpr std::uint64_t kHeaderBytes = 28; // IP and UDP
+    net::Loop loop(1);
+    const SystemClock clock;
+    Metrics metrics;
+    EndpointRegistry registry;
+    for (std::size_t n = 0; n < kEndpoints; ++n) {
+      EndpointEntry entry;
+      entry.mId = "e" + std::to_string(n);
+      registry.Put(entry, clock.Now());
+      registry.All().at(entry.mId)->mLoad.OnSent(1'000);
+    }
+    boost::asio::ip::udp::socket peer(loop, { boost::asio::ip::address_v4::loopback(), 0 });
+    const auto address = "127.0.0.1:" + std::to_string(peer.local_endpoint().port());
+    const std::vector<std::string> peers(kPeers, address);
+    PeerLoadExchange exchange(
+      loop, "run-1", [&] { return peers; }, registry, clock, metrics);
+    CPPUNIT_ASSERT(exchange.Start("127.0.0.1:" + std::to_string(FreeUdpPort(loop))));
+    const auto start = clock.Now();
+    CPPUNIT_ASSERT(testing::RunUntil(loop, [&] {
+      exchange.NotifyChange();
+      return clock.Now() - start >= kDuration;
+    }));
+    const auto seconds = std::chrono::duration<double>(clock.Now() - start).count();
+    auto& sent = metrics.CounterOf("gentianloom_load_news_total", "sent=\"yes\"");
+    const auto bytes = static_cast<double>(exchange.Bytes().mSent + sent.Value() * kHeaderBytes);
+    const double oneMessage = bytes / static_cast<double>(sent.Value()) * kPeers;
+    CPPUNIT_ASSERT_MESSAGE("the peers must be told of changes", sent.Value() >= kPeers);
+    CPPUNIT_ASSERT_LESSEQUAL(kSlowestLinkBytesPerSecond * kMaxLinkShare * seconds + oneMessage,
+                             bytes);
+  }
+
+private:
+  static std::uint16_t FreeUdpPort(net::Loop& aLoop)
+  {
+    boost::asio::ip::udp::socket it(aLoop, { boost::asio::ip::address_v4::loopback(), 0 });
+    return it.local_endpoint().port();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerLoadExchangeTest);
