--- a/tests/budget/GrantManagerTest.cpp
+++ b/tests/budget/GrantManagerTest.cpp
@@ -37,11 +37,12 @@
           const ManualClock& aClock,
           const std::string& aIncarnation,
           const std::string& aBoot = "boot",
-          std::vector<std::string> aBudgets = { "b" })
+          std::vector<std::string> aBudgets = { "b" },
+          const std::string& aInstance = "instance-1")
     : mManager(mLoop,
                aStore,
                Settings(),
-               { "instance-1", aIncarnation, aBoot },
+               { aInstance, aIncarnation, aBoot },
                { [](const std::string&) {
                   return ConfiguredBudget{ kPrepaid, 1 };
                 },
@@ -96,6 +97,7 @@
   CPPUNIT_TEST_SUITE(GrantManagerTest);
   CPPUNIT_TEST(TestTokensHeldBeforeDemand);
   CPPUNIT_TEST(TestManyBudgets);
+  CPPUNIT_TEST(TestRecordsOfLargeFleet);
   CPPUNIT_TEST(TestOutage);
   CPPUNIT_TEST(TestNotifiedWhenReserveOpens);
   CPPUNIT_TEST(TestLostAnswer);
@@ -134,6 +136,35 @@
     }
   }
 
+  // If the shared records held an entry of each instance, every write and refresh of one instance
+  // would grow with the fleet, fill its link and delay callers' requests and disconnects.
+  void TestRecordsOfLargeFleet()
+  {
+    constexpr int kInstances = 75;
+    constexpr int kBudgets = 24;
+    constexpr std::size_t kSlowestLinkBytesPerSecond = 10'000'000 / 8;
+    constexpr std::size_t kMaxLinkShareDivisor = 20; // 5 %, for all shards once a second
+    std::vector<std::string> names;
+    for (int n = 0; n < kBudgets; ++n) {
+      names.push_back("budget-" + std::to_string(n));
+    }
+    std::vector<std::unique_ptr<Process>> fleet;
+    for (int n = 0; n < kInstances; ++n) {
+      const auto id = std::to_string(n);
+      const auto incarnation = "run-" + std::string(30, 'x') + id;
+      fleet.push_back(
+        std::make_unique<Process>(mStore, mClock, incarnation, "boot", names, "instance-" + id));
+      fleet.back()->mManager.Start();
+      fleet.back()->RunRound();
+    }
+    std::size_t bytes = 0;
+    for (const auto& [key, it] : mStore.mItems) {
+      bytes += key.starts_with("/gentianloom/budget-shards/") ? it.mValue.size() : 0;
+    }
+    CPPUNIT_ASSERT(bytes > 0);
+    CPPUNIT_ASSERT_LESSEQUAL(kSlowestLinkBytesPerSecond / kMaxLinkShareDivisor, bytes);
+  }
+
   // In the first seconds of an outage only tokens within the cap may be used, then all held tokens.
   void TestOutage()
   {
