--- a/include/gentianloom/gateway/PeerLoadExchange.h
+++ b/include/gentianloom/gateway/PeerLoadExchange.h
@@ -80,7 +80,8 @@
 private:
   net::Task<void> RunSender();
   net::Task<void> RunReceiver();
-  void SendToPeers();
+  /// @return bytes of the datagrams, including their headers
+  std::size_t SendToPeers();
 
   net::Loop& mLoop;
   std::string mIncarnation;
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace gentianloom {
@@ -19,6 +20,10 @@
 
 /// Minimum time between two messages.
 constexpr Millis kMinSendInterval{ 3 };
+/// Bytes per second that an instance sends to all of its peers at most: 5 % of a link of 10 Mbit/s.
+constexpr double kMaxBytesPerSecond = 62'500;
+/// IP and UDP header of a datagram.
+constexpr std::size_t kHeaderBytes = 28;
 /// Resend interval while tokens are pending, since datagrams can be lost.
 constexpr Millis kResendInterval{ 200 };
 /// Maximum endpoints in one message; further endpoints are omitted.
@@ -28,6 +33,14 @@
 /// Maximum peer incarnations whose last sequence number is stored.
 constexpr std::size_t kMaxTrackedIncarnations = 4'096;
 
+/// Returns the time for which nothing more is sent. A message to a large fleet takes so many bytes
+/// that one message for each change would fill a slow link; a later message replaces those left out.
+Micros PauseAfterSending(std::size_t aBytes)
+{
+  const std::chrono::duration<double> needed(static_cast<double>(aBytes) / kMaxBytesPerSecond);
+  return std::max<Micros>(kMinSendInterval, std::chrono::ceil<Micros>(needed));
+}
+
 } // namespace
 
 std::string EncodePeerLoad(const PeerLoadMessage& aMessage)
@@ -128,14 +141,15 @@
     co_await mSendSignal.WaitFor(kResendInterval);
     if (mHasUnsentChange || mHasReportedPending) {
       mHasUnsentChange = false;
-      SendToPeers();
-      co_await net::Signal::Sleep(mLoop, kMinSendInterval);
+      const auto bytes = SendToPeers();
+      co_await net::Signal::Sleep(mLoop, PauseAfterSending(bytes));
     }
   }
 }
 
-void PeerLoadExchange::SendToPeers()
+std::size_t PeerLoadExchange::SendToPeers()
 {
+  std::size_t sentBytes = 0;
   PeerLoadMessage message{ mIncarnation, ++mSequence, {} };
   for (const auto& [id, it] : mEndpoints.All()) {
     const auto tokens = it->mLoad.PendingPrefillTokens();
@@ -158,7 +172,9 @@
     // A failed send is not retried: the next message replaces this one.
     mMetrics.CounterOf("gentianloom_load_news_total", ec ? "sent=\"no\"" : "sent=\"yes\"").Add();
     mBytesSent += ec ? 0 : bytes.size();
+    sentBytes += bytes.size() + kHeaderBytes;
   }
+  return sentBytes;
 }
 
 net::Task<void> PeerLoadExchange::RunReceiver()
