GONE: shared budget records hold sums, each instance's holdings are in its own report

Cause: a budget record held an entry of every instance, and every write carries and every refresh reads it. Change: an instance's holdings and its last batch are in its usage report, whose only writer it is; the shard holds their sums. One transaction writes both under conditions on both, so they agree. A successor closes holdings from the predecessor's report, and those of older versions from the shard. An older version reads the sums as closed holdings, so no mix of versions oversells. TestNoOverspend now also runs four instances and checks after each step that the sums match the reports. TestSuccessor read what was closed from the shard's sum, which now includes open holdings; it takes these out and also checks that one holder is open, so it is as strict.

--- a/include/gentianloom/budget/BudgetRecord.h
+++ b/include/gentianloom/budget/BudgetRecord.h
@@ -4,7 +4,10 @@
 #include "gentianloom/base/Error.h"
 #include "gentianloom/billing/Bill.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -50,7 +53,10 @@
   Tokens mPrepaid = 0;       ///< size of the budget
   std::int64_t mVersion = 0; ///< configuration version that mPrepaid comes from
   std::map<std::string, HolderRecord> mHolders;
-  HolderRecord mClosed; ///< sum of closed holders; mReceived has only givers that are still open
+  /// Sum of the closed holders and of those whose entries are kept elsewhere; mReceived has only
+  /// givers that are still open.
+  HolderRecord mClosed;
+  int mSeparateHolders = 0; ///< open holders whose entries are kept elsewhere
   std::map<UsageKey, Tokens> mUsage;
 
   /// @brief Tokens granted to all holders and not returned. No draw may raise it above mPrepaid.
@@ -69,6 +75,9 @@
   /// @brief Sets the prepaid figure if it comes from a newer configuration version.
   void UpdatePrepaid(Tokens aPrepaid, std::int64_t aVersion);
 
+  /// @brief Number of holders that are not closed.
+  int OpenHolders() const { return static_cast<int>(mHolders.size()) + mSeparateHolders; }
+
   /// @brief Removes a holder that has no unspent tokens, and adds its figures to mClosed.
   void CloseHolder(const std::string& aIncarnation);
 };
@@ -109,6 +118,33 @@
   void PruneBills(Millis aNow);
 };
 
+/// What one incarnation has in a shard, kept apart from it.
+struct SeparateHoldings
+{
+  WriterRecord mWriter;
+  std::map<std::string, HolderRecord> mHolders; ///< by budget
+};
+
+/**
+ * @brief Takes the entries of one incarnation out of a shard, so that the shard holds only sums and
+ *        does not grow with the number of incarnations.
+ *
+ * Entries with transfers from or to other incarnations stay in the shard.
+ * @return the entries; unset if the incarnation is not a writer of the shard
+ */
+std::optional<SeparateHoldings> SeparateHolder(ShardRecord& aShard, const std::string& aIncarnation);
+
+/// @brief Puts entries that SeparateHolder() returned back into the shard.
+void InsertHolder(ShardRecord& aShard,
+                  const std::string& aIncarnation,
+                  const SeparateHoldings& aHoldings);
+
+/// @brief Converts to JSON, for the key-value service.
+nlohmann::json ToJson(const SeparateHoldings& aHoldings);
+
+/// @brief Converts from JSON. Throws nlohmann::json::exception if the JSON is malformed.
+SeparateHoldings ParseSeparateHoldings(const nlohmann::json& aJson);
+
 /// Number of shards; part of the stored format.
 inline constexpr int kShards = 256;
 
--- a/include/gentianloom/budget/GrantManager.h
+++ b/include/gentianloom/budget/GrantManager.h
@@ -103,7 +103,8 @@
   /// random number and, in rounds, by the number of the attempt.
   static constexpr Micros kConflictPause{ 4'000 };
 
-  /// Last known state of a shard in the key-value service.
+  /// Last known state of a shard in the key-value service. It holds the sums of all instances; what
+  /// this instance holds is in its usage report.
   struct CachedShard
   {
     Revision mRevision = 0;
@@ -153,6 +154,8 @@
   /// @return whether the cache is valid
   net::Task<bool> ReadAll();
   PlannedWrite Plan(const std::set<int>& aShards, bool aIsClosing);
+  /// @return the cached shard with the entries of the incarnation that wrote the cached report
+  ShardRecord MakeFullShard(int aShard) const;
   void AddReport(Transaction& aTransaction, const UsageReport& aReport) const;
   /// @return whether the round is over; false after a conflict
   bool OnCommitAnswer(PlannedWrite& aPlanned, const AsyncCommitResult& aAnswer);
--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -30,6 +30,7 @@
   std::map<std::string, Tokens> mCaps; ///< cumulative tokens that may be used, by budget
   Millis mWallTime{ 0 };               ///< wall-clock time of the report
   bool mIsWallClockSteady = false;     ///< no jump of the wall clock since the process start
+  std::map<int, SeparateHoldings> mShards; ///< what the incarnation holds, by shard
 };
 
 /// What a successor under the same instance name knows about the end of its predecessor.
--- a/src/budget/BudgetRecord.cpp
+++ b/src/budget/BudgetRecord.cpp
@@ -104,6 +104,46 @@
   std::erase_if(mBills, [this](const auto& it) { return it.second.mCommit <= mPruned; });
 }
 
+std::optional<SeparateHoldings> SeparateHolder(ShardRecord& aShard, const std::string& aIncarnation)
+{
+  const auto writer = aShard.mWriters.find(aIncarnation);
+  if (writer == aShard.mWriters.end()) {
+    return std::nullopt;
+  }
+  SeparateHoldings out;
+  out.mWriter = writer->second;
+  aShard.mWriters.erase(writer);
+  for (auto& [name, budget] : aShard.mBudgets) {
+    const auto found = budget.mHolders.find(aIncarnation);
+    if (found == budget.mHolders.end() || found->second.mGiven != 0 ||
+        !found->second.mReceived.empty() || found->second.mReleased) {
+      continue;
+    }
+    out.mHolders[name] = found->second;
+    budget.mClosed.mGranted += found->second.mGranted;
+    budget.mClosed.mReturned += found->second.mReturned;
+    budget.mClosed.mSpent += found->second.mSpent;
+    ++budget.mSeparateHolders;
+    budget.mHolders.erase(found);
+  }
+  return out;
+}
+
+void InsertHolder(ShardRecord& aShard,
+                  const std::string& aIncarnation,
+                  const SeparateHoldings& aHoldings)
+{
+  aShard.mWriters[aIncarnation] = aHoldings.mWriter;
+  for (const auto& [name, it] : aHoldings.mHolders) {
+    auto& budget = aShard.mBudgets[name];
+    budget.mClosed.mGranted -= it.mGranted;
+    budget.mClosed.mReturned -= it.mReturned;
+    budget.mClosed.mSpent -= it.mSpent;
+    budget.mSeparateHolders = std::max(0, budget.mSeparateHolders - 1);
+    budget.mHolders[aIncarnation] = it;
+  }
+}
+
 int ShardOf(std::string_view aBudget)
 {
   return static_cast<int>(StableHash(aBudget) % kShards);
@@ -148,6 +188,18 @@
   return out;
 }
 
+Json WriterJson(const WriterRecord& aWriter)
+{
+  return Json::array({ aWriter.mBatch, aWriter.mCommit, aWriter.mWritten.count() });
+}
+
+WriterRecord ReadWriter(const Json& aJson)
+{
+  return { aJson.at(0).get<std::int64_t>(),
+           aJson.at(1).get<std::int64_t>(),
+           Millis(aJson.at(2).get<std::int64_t>()) };
+}
+
 Json BudgetJson(const BudgetRecord& aBudget)
 {
   Json holders = Json::object();
@@ -158,11 +210,15 @@
   for (const auto& [key, tokens] : aBudget.mUsage) {
     usage.push_back(Json::array({ key.mOrganisation, key.mModel, key.mDay, tokens }));
   }
-  return { { "prepaid", aBudget.mPrepaid },
-           { "version", aBudget.mVersion },
-           { "holders", std::move(holders) },
-           { "closed", HolderJson(aBudget.mClosed) },
-           { "usage", std::move(usage) } };
+  Json out = { { "prepaid", aBudget.mPrepaid },
+               { "version", aBudget.mVersion },
+               { "holders", std::move(holders) },
+               { "closed", HolderJson(aBudget.mClosed) },
+               { "usage", std::move(usage) } };
+  if (aBudget.mSeparateHolders != 0) {
+    out["separate"] = aBudget.mSeparateHolders;
+  }
+  return out;
 }
 
 BudgetRecord ReadBudget(const Json& aJson)
@@ -174,6 +230,7 @@
     out.mHolders[name] = ReadHolder(it);
   }
   out.mClosed = ReadHolder(aJson.at("closed"));
+  out.mSeparateHolders = aJson.value("separate", 0);
   for (const auto& it : aJson.at("usage")) {
     out.mUsage[{
       it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<std::int64_t>() }] =
@@ -188,9 +245,7 @@
   out.mCommits = aJson.at("commits").get<std::int64_t>();
   out.mPruned = aJson.at("pruned").get<std::int64_t>();
   for (const auto& [name, it] : aJson.at("writers").items()) {
-    out.mWriters[name] = { it.at(0).get<std::int64_t>(),
-                           it.at(1).get<std::int64_t>(),
-                           Millis(it.at(2).get<std::int64_t>()) };
+    out.mWriters[name] = ReadWriter(it);
   }
   for (const auto& [name, it] : aJson.at("budgets").items()) {
     out.mBudgets[name] = ReadBudget(it);
@@ -205,6 +260,25 @@
 
 } // namespace
 
+nlohmann::json ToJson(const SeparateHoldings& aHoldings)
+{
+  Json holders = Json::object();
+  for (const auto& [name, it] : aHoldings.mHolders) {
+    holders[name] = HolderJson(it);
+  }
+  return { { "writer", WriterJson(aHoldings.mWriter) }, { "holders", std::move(holders) } };
+}
+
+SeparateHoldings ParseSeparateHoldings(const nlohmann::json& aJson)
+{
+  SeparateHoldings out;
+  out.mWriter = ReadWriter(aJson.at("writer"));
+  for (const auto& [name, it] : aJson.at("holders").items()) {
+    out.mHolders[name] = ReadHolder(it);
+  }
+  return out;
+}
+
 Result<ShardRecord> ParseShard(std::string_view aText)
 {
   if (aText.empty()) {
@@ -225,7 +299,7 @@
 {
   Json writers = Json::object();
   for (const auto& [name, it] : aShard.mWriters) {
-    writers[name] = Json::array({ it.mBatch, it.mCommit, it.mWritten.count() });
+    writers[name] = WriterJson(it);
   }
   Json budgets = Json::object();
   for (const auto& [name, it] : aShard.mBudgets) {
--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -316,6 +316,21 @@
   co_return isValid;
 }
 
+ShardRecord GrantManager::MakeFullShard(int aShard) const
+{
+  const auto known = mCachedShards.find(aShard);
+  auto out = known == mCachedShards.end() ? ShardRecord{} : known->second.mRecord;
+  const auto& report = mCachedReport.mReport;
+  if (!report) {
+    return out;
+  }
+  const auto own = report->mShards.find(aShard);
+  if (own != report->mShards.end()) {
+    InsertHolder(out, report->mIncarnation, own->second);
+  }
+  return out;
+}
+
 void GrantManager::AddReport(Transaction& aTransaction, const UsageReport& aReport) const
 {
   const auto key = UsageReportKey(mIdentity.mInstance);
@@ -329,18 +344,25 @@
     mClock.Now(), mClock.WallTime(), mDependencies.mConfiguredBudget, aIsClosing
   };
   PlannedWrite out;
+  auto shards = mCachedReport.mReport ? mCachedReport.mReport->mShards
+                                      : std::map<int, SeparateHoldings>();
   for (const auto it : aShards) {
-    const auto& known = mCachedShards[it];
-    if (!mLedger.Reconcile(it, known.mRecord) || mLedger.IsClosed(it)) {
+    auto record = MakeFullShard(it);
+    if (!mLedger.Reconcile(it, record) || mLedger.IsClosed(it)) {
       continue;
     }
-    auto record = known.mRecord;
     const auto batch = mLedger.Plan(it, record, input);
-    out.mTransaction.mCompares.push_back({ ShardKey(it), known.mRevision });
+    auto own = SeparateHolder(record, mIdentity.mIncarnation);
+    shards.erase(it);
+    if (own) {
+      shards[it] = std::move(*own);
+    }
+    out.mTransaction.mCompares.push_back({ ShardKey(it), mCachedShards[it].mRevision });
     out.mTransaction.mWrites.push_back({ ShardKey(it), SerializeShard(record) });
     out.mShards[it] = { batch, std::move(record) };
   }
   out.mReport = mCaps.Plan(mLedger.Holdings(), input.mNow, input.mWallTime);
+  out.mReport.mShards = std::move(shards);
   AddReport(out.mTransaction, out.mReport);
   return out;
 }
@@ -365,7 +387,7 @@
       continue;
     }
     if (CacheEntry(it)) {
-      mLedger.Reconcile(*shard, mCachedShards[*shard].mRecord);
+      mLedger.Reconcile(*shard, MakeFullShard(*shard));
     }
   }
 }
--- a/src/budget/GrantTakeOver.cpp
+++ b/src/budget/GrantTakeOver.cpp
@@ -70,7 +70,9 @@
 {
   std::vector<int> open;
   for (const auto& [shard, known] : mCachedShards) {
-    if (known.mRecord.mWriters.contains(aIncarnation)) {
+    // Older versions keep their entries in the shard.
+    if (known.mRecord.mWriters.contains(aIncarnation) ||
+        mCachedReport.mReport->mShards.contains(shard)) {
       open.push_back(shard);
     }
   }
@@ -80,20 +82,23 @@
   return open[StableHash(mIdentity.mInstance) % open.size()];
 }
 
-/// Closes the predecessor's holdings in one shard.
+/// Closes the predecessor's holdings in one shard, and takes them out of its usage report.
 net::Task<bool> GrantManager::CloseShard(int aShard, UsageReport aPredecessor, bool aIsWithinCaps)
 {
-  const auto& known = mCachedShards.at(aShard);
-  auto record = known.mRecord;
+  auto record = MakeFullShard(aShard);
   const auto freed = ClosePredecessor(record, aPredecessor, aIsWithinCaps);
   ++record.mCommits;
+  auto report = aPredecessor;
+  report.mShards.erase(aShard);
   Transaction transaction;
-  transaction.mCompares.push_back({ ShardKey(aShard), known.mRevision });
+  transaction.mCompares.push_back({ ShardKey(aShard), mCachedShards.at(aShard).mRevision });
   transaction.mWrites.push_back({ ShardKey(aShard), SerializeShard(record) });
+  AddReport(transaction, report);
   const auto answer = co_await mStore.Commit(std::move(transaction));
   if (answer.mCommit.mEffect == Effect::Applied) {
     LogPredecessor(aPredecessor, aShard, aIsWithinCaps, freed);
     mCachedShards[aShard] = { answer.mCommit.mRevision, std::move(record) };
+    mCachedReport = { answer.mCommit.mRevision, std::move(report) };
   }
   const bool continues = co_await OnTakeOverAnswer(answer);
   co_return continues;
--- a/src/budget/Holding.cpp
+++ b/src/budget/Holding.cpp
@@ -37,7 +37,7 @@
 {
   mLastUnallocated = aBudget.Unallocated();
   mLastPrepaid = aBudget.mPrepaid;
-  mLastHolderCount = std::max(1, static_cast<int>(aBudget.mHolders.size()));
+  mLastHolderCount = std::max(1, aBudget.OpenHolders());
   const auto spent = aBudget.Spent() - aOwn.mSpent;
   mOthersUnspent = std::max<Tokens>(0, aBudget.Granted() - aOwn.NetGranted() - spent);
   if (mLastUnallocated + Free() >= mMinRefusedTokens) {
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -42,13 +42,19 @@
 
 std::string ToText(const UsageReport& aReport)
 {
+  auto shards = nlohmann::json::array();
+  for (const auto& [shard, it] : aReport.mShards) {
+    shards.push_back(ToJson(it));
+    shards.back()["shard"] = shard;
+  }
   const nlohmann::json out = { { "incarnation", aReport.mIncarnation },
                                { "boot", aReport.mBoot },
                                { "reported_at_ms", aReport.mReportedAt.count() },
                                { "opens_after_ms", aReport.mReserveDelay.count() },
                                { "wall_ms", aReport.mWallTime.count() },
                                { "wall_steady", aReport.mIsWallClockSteady },
-                               { "caps", aReport.mCaps } };
+                               { "caps", aReport.mCaps },
+                               { "shards", std::move(shards) } };
   return out.dump();
 }
 
@@ -64,6 +70,11 @@
     out.mWallTime = Millis(json.value("wall_ms", std::int64_t{ 0 }));
     out.mIsWallClockSteady = json.value("wall_steady", false);
     out.mCaps = json.at("caps").get<std::map<std::string, Tokens>>();
+    // Reports of older versions have no shards: their entries are in the shards themselves.
+    const auto shards = json.value("shards", nlohmann::json::array());
+    for (const auto& it : shards) {
+      out.mShards[it.at("shard").get<int>()] = ParseSeparateHoldings(it);
+    }
     return out;
   } catch (const nlohmann::json::exception& ex) {
     return MakeError(ErrorCode::MalformedJson, Step::GrantRead, "key-value service", ex.what());
--- a/tests/budget/GrantManagerTest.cpp
+++ b/tests/budget/GrantManagerTest.cpp
@@ -84,6 +84,17 @@
   std::shared_ptr<net::Signal> mSignal = std::make_shared<net::Signal>(mLoop);
 };
 
+/// The stored budget "b" with the entry of the incarnation that wrote instance-1's usage report.
+BudgetRecord StoredBudget(const MemoryAsyncStore& aStore)
+{
+  const auto shard = ShardOf("b");
+  auto record = ParseShard(aStore.mItems.at(ShardKey(shard)).mValue).value();
+  const auto report =
+    ParseUsageReport(aStore.mItems.at(UsageReportKey("instance-1")).mValue).value();
+  InsertHolder(record, report.mIncarnation, report.mShards.at(shard));
+  return record.mBudgets.at("b");
+}
+
 Tokens UnallocatedTokens(const MemoryAsyncStore& aStore)
 {
   const auto it = aStore.mItems.find(ShardKey(ShardOf("b")));
@@ -102,6 +113,7 @@
   CPPUNIT_TEST(TestNotifiedWhenReserveOpens);
   CPPUNIT_TEST(TestLostAnswer);
   CPPUNIT_TEST(TestSuccessor);
+  CPPUNIT_TEST(TestPredecessorOfOlderVersion);
   CPPUNIT_TEST(TestTakeOverReadsOnce);
   CPPUNIT_TEST(TestNoOverspend);
   CPPUNIT_TEST(TestReplacedProcessStops);
@@ -265,9 +277,9 @@
       Process second(store, mClock, "run-2", row.mBoot);
       second.mManager.Start();
       second.RunRound();
-      const auto& budget =
-        ParseShard(store.mItems.at(ShardKey(ShardOf("b"))).mValue).value().mBudgets.at("b");
-      CPPUNIT_ASSERT_MESSAGE(row.mName, !budget.mHolders.contains("run-1"));
+      const auto budget = StoredBudget(store);
+      CPPUNIT_ASSERT_MESSAGE(row.mName, budget.mHolders.contains("run-2"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, 1, budget.OpenHolders());
       const auto closed = budget.mClosed.NetGranted();
       CPPUNIT_ASSERT_MESSAGE("tokens that may have been used are charged", closed >= 1'000);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mFrees, closed < kPrepaid - unallocatedBefore);
@@ -275,6 +287,31 @@
     }
   }
 
+  // A predecessor of an older version kept its holding in the shard and none in its usage report.
+  // If its successor looked only into the report, the tokens would stay granted for ever.
+  void TestPredecessorOfOlderVersion()
+  {
+    Process first(mStore, mClock, "run-1");
+    first.mManager.Start();
+    first.RunRound();
+    const auto shard = ShardOf("b");
+    auto& storedReport = mStore.mItems.at(UsageReportKey("instance-1"));
+    auto& storedShard = mStore.mItems.at(ShardKey(shard));
+    auto report = ParseUsageReport(storedReport.mValue).value();
+    auto record = ParseShard(storedShard.mValue).value();
+    InsertHolder(record, "run-1", report.mShards.at(shard));
+    report.mShards.clear();
+    storedReport.mValue = ToText(report);
+    storedShard.mValue = SerializeShard(record);
+    Process second(mStore, mClock, "run-2");
+    second.mManager.Start();
+    second.RunRound();
+    const auto budget = StoredBudget(mStore);
+    CPPUNIT_ASSERT(!budget.mHolders.contains("run-1"));
+    CPPUNIT_ASSERT_EQUAL(1, budget.OpenHolders());
+    CPPUNIT_ASSERT(budget.mClosed.NetGranted() < kPrepaid - UnallocatedTokens(mStore));
+  }
+
   // All processes may start at once, so each may read the records only once to limit the load.
   void TestTakeOverReadsOnce()
   {
@@ -290,35 +327,14 @@
   }
 
   // After any sequence of kills, outages and lost answers the reserved tokens must not exceed the
-  // budget.
+  // budget, and the sums in the shards must match what the instances state that they hold.
   void TestNoOverspend()
   {
-    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-      MemoryAsyncStore store;
-      std::uint64_t state = seed * 7'919;
-      const auto randomBelow = [&state](std::uint64_t aBelow) {
-        state = state * 6'364'136'223'846'793'005ULL + 1'442'695'040'888'963'407ULL;
-        return (state >> 33U) % aBelow;
-      };
-      Tokens used = 0;
-      auto process = std::make_unique<Process>(store, mClock, "run-0");
-      process->mManager.Start();
-      for (int n = 0; n < 60; ++n) {
-        const auto choice = randomBelow(10);
-        store.mMode =
-          choice == 0 ? StoreMode::Down : (choice == 1 ? StoreMode::LosesResponses : StoreMode::Up);
-        mClock.Advance(kBackOff + Millis(static_cast<std::int64_t>(randomBelow(2'000))));
-        process->RunRoundOrStoreCall(store);
-        const auto tokens = static_cast<Tokens>(100 + randomBelow(4'000));
-        if (process->Reserve(tokens) == ReserveAnswer::Reserved) {
-          used += tokens; // counts even if the process is killed before it reports
-        }
-        if (randomBelow(12) == 0) {
-          process = std::make_unique<Process>(store, mClock, "run-" + std::to_string(n + 1));
-          process->mManager.Start();
-        }
+    for (const int instances : { 1, 4 }) {
+      for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const auto name = std::to_string(instances) + " instances, seed " + std::to_string(seed);
+        RunRandomFleet(instances, seed, name);
       }
-      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), used <= kPrepaid);
     }
   }
 
@@ -338,6 +354,71 @@
   }
 
 private:
+  void RunRandomFleet(int aInstances, std::uint64_t aSeed, const std::string& aName)
+  {
+    MemoryAsyncStore store;
+    std::uint64_t state = aSeed * 7'919;
+    const auto randomBelow = [&state](std::uint64_t aBelow) {
+      state = state * 6'364'136'223'846'793'005ULL + 1'442'695'040'888'963'407ULL;
+      return (state >> 33U) % aBelow;
+    };
+    const auto start = [&](int aInstance, const std::string& aIncarnation) {
+      const auto instance = "instance-" + std::to_string(aInstance + 1);
+      auto out = std::make_unique<Process>(
+        store, mClock, aIncarnation, "boot", std::vector<std::string>{ "b" }, instance);
+      out->mManager.Start();
+      return out;
+    };
+    std::vector<std::unique_ptr<Process>> fleet;
+    for (int n = 0; n < aInstances; ++n) {
+      fleet.push_back(start(n, "run-0-" + std::to_string(n)));
+    }
+    Tokens used = 0;
+    for (int n = 0; n < 60 * aInstances; ++n) {
+      const auto choice = randomBelow(10);
+      store.mMode =
+        choice == 0 ? StoreMode::Down : (choice == 1 ? StoreMode::LosesResponses : StoreMode::Up);
+      mClock.Advance(kBackOff + Millis(static_cast<std::int64_t>(randomBelow(2'000))));
+      const auto which = randomBelow(static_cast<std::uint64_t>(aInstances));
+      auto& process = fleet[which];
+      process->RunRoundOrStoreCall(store);
+      const auto tokens = static_cast<Tokens>(100 + randomBelow(4'000));
+      if (process->Reserve(tokens) == ReserveAnswer::Reserved) {
+        used += tokens; // counts even if the process is killed before it reports
+      }
+      if (randomBelow(12) == 0) {
+        process = start(static_cast<int>(which), "run-" + std::to_string(n + 1));
+      }
+      CheckSums(store, aName);
+    }
+    CPPUNIT_ASSERT_MESSAGE(aName, used <= kPrepaid);
+  }
+
+  /// Checks that without the holdings in the usage reports only closed holders are left in the sums.
+  static void CheckSums(const MemoryAsyncStore& aStore, const std::string& aName)
+  {
+    const auto shard = ShardOf("b");
+    const auto stored = aStore.mItems.find(ShardKey(shard));
+    if (stored == aStore.mItems.end()) {
+      return;
+    }
+    auto record = ParseShard(stored->second.mValue).value();
+    for (const auto& [key, it] : aStore.mItems) {
+      if (!key.starts_with(UsageReportKey(""))) {
+        continue;
+      }
+      const auto report = ParseUsageReport(it.mValue).value();
+      if (report.mShards.contains(shard)) {
+        InsertHolder(record, report.mIncarnation, report.mShards.at(shard));
+      }
+    }
+    const auto& budget = record.mBudgets.at("b");
+    CPPUNIT_ASSERT_MESSAGE(aName, budget.Granted() <= kPrepaid);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aName, 0, budget.mSeparateHolders);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(aName, budget.mClosed.NetGranted(), budget.mClosed.mSpent);
+    CPPUNIT_ASSERT_MESSAGE(aName, budget.mClosed.mSpent >= 0);
+  }
+
   ManualClock mClock;
   MemoryAsyncStore mStore;
 };
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -352,7 +352,10 @@
         self.assertEqual((True, 5), (response.is_complete, len(self.event_ids(response.body))))
         self.assertEqual(0, self.env.gateway.wait(timeout=WAIT_S))
         shards = [v for k, v in self.env.send_command()["items"].items() if "budget-shards" in k]
-        self.assertEqual({}, json.loads(shards[0])["budgets"]["org"]["holders"])
+        budget = json.loads(shards[0])["budgets"]["org"]
+        closed = budget["closed"]
+        self.assertEqual(({}, 0), (budget["holders"], budget.get("separate", 0)))
+        self.assertEqual(closed["spent"], closed["granted"] - closed.get("returned", 0))
         changes = [it["change"] for it in self.env.log_lines()]
         self.assertIn("shutting down", changes)
         self.assertEqual("stopped", changes[-1])
