GONE: know of a caller's disconnect together with the request before it

What callers saw: after an instance was paused or late, requests that their callers had already given up were sent to endpoints before the disconnect was noticed; on a reused connection at once. Cause: the channel notified its owner after one read, and the end of the stream was read only in the next turn of the loop. Found by asking of every path what ends work when its caller goes. Change: a channel reads all that has arrived before it notifies its owner.

--- a/include/gentianloom/net/Channel.h
+++ b/include/gentianloom/net/Channel.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -83,6 +84,9 @@
   static Task<void> RunConnect(Ptr aSelf, Address aAddress);
   static Task<void> ReadLoop(Ptr aSelf);
   static Task<void> WriteLoop(Ptr aSelf);
+  /// Reads what else has arrived, so that the listener learns of a close together with the bytes
+  /// before it. @return the error that ended reading, if it ends the connection
+  boost::system::error_code ReadAvailable(std::span<char> aBuffer);
   void NotifyListener();
   void CloseSocket();
 
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -57,6 +57,7 @@
 {
   boost::system::error_code ec;
   mSocket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+  mSocket.non_blocking(true, ec);
   const unsigned ms = kTcpUserTimeoutMs;
   // A failure is ignored: an unreachable peer is then detected later, by request timeouts.
   (void)setsockopt(mSocket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
@@ -95,6 +96,10 @@
     if (aSelf->mState != ChannelState::Open) {
       co_return;
     }
+    aSelf->mReceived.append(buf.data(), n);
+    if (!ec) {
+      ec = aSelf->ReadAvailable(buf);
+    }
     if (ec == boost::asio::error::eof) {
       aSelf->mState = ChannelState::PeerClosed;
       aSelf->NotifyListener();
@@ -105,11 +110,20 @@
       aSelf->CloseSocket();
       co_return;
     }
-    aSelf->mReceived.append(buf.data(), n);
     aSelf->NotifyListener();
   }
 }
 
+boost::system::error_code Channel::ReadAvailable(std::span<char> aBuffer)
+{
+  boost::system::error_code ec;
+  while (!ec && mReceived.size() < kMaxReceivedBytes) {
+    const auto n = mSocket.read_some(boost::asio::buffer(aBuffer.data(), aBuffer.size()), ec);
+    mReceived.append(aBuffer.data(), n);
+  }
+  return ec == boost::asio::error::would_block ? boost::system::error_code() : ec;
+}
+
 Task<void> Channel::WriteLoop(Ptr aSelf)
 {
   while (aSelf->mState == ChannelState::Open || aSelf->mState == ChannelState::PeerClosed) {
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -250,6 +250,27 @@
         line = [it for it in self.env.log_lines() if it.get("request") == "g1"][-1]
         self.assertLess(int(line["total_ms"]), 500)
 
+    def test_request_of_caller_that_left_before_it_was_read(self):
+        # After a pause, requests and the disconnects that followed them are read together. If a
+        # request were dispatched before the disconnect is noticed, endpoints would work for nobody.
+        for path in ("/chat/x", "/read/x"):
+            self.env.call(path, "w" + path[1])  # leaves an idle connection to an endpoint
+        self.env.configure_workers(executed=[])
+        self.env.gateway.send_signal(signal.SIGSTOP)
+        ids = []
+        for n, path in enumerate(("/chat/x", "/read/x", "/chat/x", "/read/x")):
+            ids.append(f"left{n}")
+            connection = socket.create_connection(("127.0.0.1", self.env.caller))
+            connection.sendall(f"POST {path} HTTP/1.1\r\nHost: h.example\r\n"
+                               f"X-Attempt-Id: left{n}\r\nX-Credential: k1\r\n"
+                               "X-Token-Usage: 10,20\r\nX-Prompt-Prefix: aa:10\r\n"
+                               "Content-Length: 0\r\n\r\n".encode())
+            connection.close()
+        self.env.gateway.send_signal(signal.SIGCONT)
+        for it in ids:
+            self.env.wait_for_log_line(lambda line, it=it: line.get("request") == it)
+        self.assertEqual([], self.env.executed_requests())
+
     def test_ambiguous_framing_is_rejected(self):
         rows = [b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
