GONE on the daemon's path: no attempt for a caller that has left

What callers saw: none reported it; found by asking the same of the other serving path. A request whose caller left while it waited for admission (tokens, a free endpoint) or before a retry or a resume was still sent to an engine and cancelled up to 100 ms later. Cause: the relay looks for the caller's disconnect only while it waits for events of an engine. Evidence: CheckCallerLeftBeforeDispatch (router stopped while a request and its disconnect arrive) failed before (1 run of the request at an engine, expected 0) and passes 2 of 2. Change: the connection is checked before each attempt and before each resume.

--- a/src/serving/ChatRelay.cpp
+++ b/src/serving/ChatRelay.cpp
@@ -57,6 +57,11 @@
 {
   RetryDecision decision(true, mExchange->mDeadline);
   while (true) {
+    if (IsClientDisconnected(mRequest)) {
+      const bool isNotRun = decision.FinalAction() == RetryAction::ReportNotRun;
+      mExchange->mOutcome = isNotRun ? Outcome::NotRun : Outcome::Unknown;
+      return;
+    }
     if (!decision.MaySend(mDependencies.mClock.Now())) {
       SendFailure(MakeError(ErrorCode::DeadlineExceeded,
                             Step::RequestDispatch,
@@ -151,7 +156,8 @@
 
 bool ChatRelay::Resume()
 {
-  if (mResumeCount >= kMaxResumes || mDependencies.mClock.Now() >= mExchange->mDeadline) {
+  if (mResumeCount >= kMaxResumes || mDependencies.mClock.Now() >= mExchange->mDeadline ||
+      IsClientDisconnected(mRequest)) {
     return false;
   }
   ++mResumeCount;
--- a/tests/process/RequestOutcomesTest.cpp
+++ b/tests/process/RequestOutcomesTest.cpp
@@ -1,5 +1,6 @@
 #include "support/Fleet.h"
 
+#include <Poco/Net/StreamSocket.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
@@ -58,6 +59,7 @@
     CheckBadStreams(fleet);
     CheckRefusals(fleet);
     CheckCallerDisconnects(fleet);
+    CheckCallerLeftBeforeDispatch(fleet);
     CheckRouterKilled(fleet);
   }
 
@@ -142,6 +144,32 @@
     CPPUNIT_ASSERT_MESSAGE(entry.dump(), !entry["whole"].get<bool>());
   }
 
+  /// A caller leaves before its request is dispatched: no engine may run it.
+  static void CheckCallerLeftBeforeDispatch(const Fleet& aFleet)
+  {
+    const auto countEnded = [&] {
+      return ReadMetric(aFleet, "router-2", "gentianloom_outcomes_total{outcome=\"not-run\"}") +
+             ReadMetric(aFleet, "router-2", "gentianloom_outcomes_total{outcome=\"unknown\"}");
+    };
+    const int endedBefore = countEnded();
+    const auto call = MakeCall("left-before-dispatch");
+    const auto body = MakeBody(call).dump();
+    const auto request = "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: "
+                         "Bearer " +
+                         call.mKey + "\r\nX-Request-Id: left-before-dispatch\r\n" +
+                         "Content-Type: application/json\r\nContent-Length: " +
+                         std::to_string(body.size()) + "\r\n\r\n" + body;
+    aFleet.Signal("router-2", SIGSTOP);
+    {
+      const auto& address = aFleet.Process("router-2").mAddress;
+      Poco::Net::StreamSocket socket{ Poco::Net::SocketAddress(address) };
+      socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    }
+    aFleet.Signal("router-2", SIGCONT);
+    CPPUNIT_ASSERT(WaitFor([&] { return countEnded() > endedBefore; }, Millis(8'000)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, JournalEntriesOf(aFleet, "left-before-dispatch").size());
+  }
+
   static int ReadMetric(const Fleet& aFleet, const std::string& aRouter, const std::string& aName)
   {
     const auto response = CallHttp(
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -272,18 +272,22 @@
 
 } // namespace
 
+Json MakeBody(const ChatCall& aCall)
+{
+  return { { "model", aCall.mModel },
+           { "stream", aCall.mStream },
+           { "max_tokens", aCall.mTokens },
+           { "standin_tokens", aCall.mTokens },
+           { "messages", Json::array({ { { "role", "user" }, { "content", aCall.mText } } }) } };
+}
+
 ChatResponse CallChat(const std::string& aAddress,
                       const ChatCall& aCall,
                       const std::function<bool(const std::string&)>& aOnEvent)
 {
   ChatResponse out;
   const auto address = ParseAddress(aAddress).value();
-  const Json body = { { "model", aCall.mModel },
-                      { "stream", aCall.mStream },
-                      { "max_tokens", aCall.mTokens },
-                      { "standin_tokens", aCall.mTokens },
-                      { "messages",
-                        Json::array({ { { "role", "user" }, { "content", aCall.mText } } }) } };
+  const auto body = MakeBody(aCall);
   try {
     Poco::Net::HTTPClientSession session(address.first, address.second);
     session.setTimeout(Poco::Timespan(std::chrono::microseconds(kRequestTimeout).count()));
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -104,6 +104,9 @@
   std::vector<std::pair<std::string, std::string>> mHeaders{};
 };
 
+/// @brief Returns the JSON body of a chat request.
+Json MakeBody(const ChatCall& aCall);
+
 /**
  * @brief Sends a chat request and reads the response.
  * @param aOnEvent called with the data of each event of a stream; false closes the connection
