--- a/include/gentianloom/budget/BudgetRecord.h
+++ b/include/gentianloom/budget/BudgetRecord.h
@@ -132,7 +132,8 @@
  * Entries with transfers from or to other incarnations stay in the shard.
  * @return the entries; unset if the incarnation is not a writer of the shard
  */
-std::optional<SeparateHoldings> SeparateHolder(ShardRecord& aShard, const std::string& aIncarnation);
+std::optional<SeparateHoldings> SeparateHolder(ShardRecord& aShard,
+                                               const std::string& aIncarnation);
 
 /// @brief Puts entries that SeparateHolder() returned back into the shard.
 void InsertHolder(ShardRecord& aShard,
--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -26,10 +26,10 @@
   std::string mIncarnation;
   std::string mBoot;       ///< boot identifier of the host; its boot clock restarts with each boot
   Millis mReportedAt{ 0 }; ///< boot clock (CLOCK_BOOTTIME) at the report
-  Millis mReserveDelay{ 0 };           ///< time from this report until the reserve opens
-  std::map<std::string, Tokens> mCaps; ///< cumulative tokens that may be used, by budget
-  Millis mWallTime{ 0 };               ///< wall-clock time of the report
-  bool mIsWallClockSteady = false;     ///< no jump of the wall clock since the process start
+  Millis mReserveDelay{ 0 };               ///< time from this report until the reserve opens
+  std::map<std::string, Tokens> mCaps;     ///< cumulative tokens that may be used, by budget
+  Millis mWallTime{ 0 };                   ///< wall-clock time of the report
+  bool mIsWallClockSteady = false;         ///< no jump of the wall clock since the process start
   std::map<int, SeparateHoldings> mShards; ///< what the incarnation holds, by shard
 };
 
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -3,9 +3,11 @@
 
 #include "gentianloom/gateway/CallerServer.h"
 #include "gentianloom/gateway/GatewaySettings.h"
+#include "gentianloom/gateway/InstanceRegistration.h"
 #include "gentianloom/gateway/PeerLoadExchange.h"
 #include "gentianloom/gateway/PlatformProtocol.h"
 #include "gentianloom/gateway/PrefixWatcher.h"
+#include "gentianloom/gateway/TrafficLog.h"
 #include "gentianloom/membership/InstanceDirectory.h"
 #include "gentianloom/net/HttpService.h"
 #include "gentianloom/net/LoopMonitor.h"
@@ -60,14 +62,7 @@
   bool IsReady() const;
   net::ServiceReply HandleReadinessCheck() const;
   net::ServiceReply HandleAddressQuery(const net::RequestHead& aHead) const;
-  /// Writes this instance's record under a lease once it is ready, renews the lease, and writes the
-  /// record again when a shutdown begins.
-  net::Task<void> MaintainInstanceRecord();
-  /// Returns whether the write took effect.
-  net::Task<bool> WriteInstanceRecord();
   net::Task<void> RunHousekeeping();
-  /// Logs the bytes exchanged with the key-value service and with the peers.
-  net::Task<void> RunTrafficLog();
   net::Task<void> RunShutdown();
 
   net::Loop& mLoop;
@@ -86,7 +81,8 @@
   PrefixWatcher mConfigurationWatcher;
   PrefixWatcher mEndpointWatcher;
   PrefixWatcher mInstanceWatcher;
-  LeaseId mLease = 0;
+  InstanceRegistration mRegistration;
+  TrafficLog mTrafficLog;
 };
 
 } // namespace gentianloom
--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -344,8 +344,8 @@
     mClock.Now(), mClock.WallTime(), mDependencies.mConfiguredBudget, aIsClosing
   };
   PlannedWrite out;
-  auto shards = mCachedReport.mReport ? mCachedReport.mReport->mShards
-                                      : std::map<int, SeparateHoldings>();
+  auto shards =
+    mCachedReport.mReport ? mCachedReport.mReport->mShards : std::map<int, SeparateHoldings>();
   for (const auto it : aShards) {
     auto record = MakeFullShard(it);
     if (!mLedger.Reconcile(it, record) || mLedger.IsClosed(it)) {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -22,10 +22,6 @@
 constexpr Millis kWatchTimeout{ 2'200 };
 /// As kWatchTimeout, for the list of instances, whose changes are less urgent.
 constexpr Millis kInstanceWatchTimeout{ 8'000 };
-/// TTL of the lease on this instance's record, and the intervals to renew it and to retry.
-constexpr Millis kLeaseTtl{ 3'000 };
-constexpr Millis kLeaseRenewalInterval{ 1'000 };
-constexpr Millis kLeaseRetryInterval{ 200 };
 /// Interval at which idle connections and expired endpoint entries are removed.
 constexpr Millis kHousekeepingInterval{ 250 };
 /// Share of GatewaySettings::mRetryShare that is used; leaves a margin for changes of the fleet
@@ -38,8 +34,6 @@
 /// Time reserved at the end of the termination grace period to return budget rights.
 constexpr Millis kRightsReturnTime{ 1'000 };
 constexpr Millis kShutdownPollInterval{ 50 };
-/// Interval of the log lines on network traffic.
-constexpr Millis kTrafficLogInterval{ 5'000 };
 
 /// Returns the boot ID of the operating system; empty if it cannot be read.
 std::string ReadBootId()
@@ -127,6 +121,14 @@
                      MakeInstanceHandlers(),
                      aClock,
                      mMetrics)
+  // Listed only after the takeover of the predecessor's rights: this instance's record replaces
+  // that of the predecessor, from which the takeover determines when that process ended.
+  , mRegistration(aLoop, aStore, mSelf, [this] { return IsReady() && mRights.HasTakenOver(); })
+  , mTrafficLog(aLoop,
+                { [this] { return mStore.Bytes(); },
+                  [this] { return mPeerLoadExchange.Bytes(); },
+                  [this] { return mRelay.mOpenRequests; } },
+                mMetrics)
 {
 }
 
@@ -246,9 +248,9 @@
   mEndpointWatcher.Start();
   mInstanceWatcher.Start();
   mRights.Start();
-  net::Start(mLoop, "instance record", MaintainInstanceRecord());
+  mRegistration.Start();
   net::Start(mLoop, "housekeeping", RunHousekeeping());
-  net::Start(mLoop, "traffic log", RunTrafficLog());
+  mTrafficLog.Start();
   mLoopMonitor.Start();
   LogChange(LogLevel::Info,
             "gateway",
@@ -384,58 +386,6 @@
   return { kOk, "application/json", mProtocol.EncodeAddresses(addresses, mSettings.mAddressTtl) };
 }
 
-net::Task<bool> Gateway::WriteInstanceRecord()
-{
-  if (mLease == 0) {
-    const auto lease = co_await mStore.GrantLease(kLeaseTtl);
-    if (!lease) {
-      co_return false;
-    }
-    mLease = lease.value();
-  }
-  Transaction transaction;
-  transaction.mWrites.push_back(
-    { std::string(kInstancePrefix) + mSelf.mName, ToText(mSelf), mLease });
-  const auto answer = co_await mStore.Commit(std::move(transaction));
-  if (answer.mCommit.mEffect != Effect::Applied) {
-    // Retried with a new lease. The write has no precondition, so repeating it is safe even if it
-    // took effect and only the response was lost.
-    mLease = 0;
-    co_return false;
-  }
-  co_return true;
-}
-
-net::Task<void> Gateway::MaintainInstanceRecord()
-{
-  bool isWritten = false;
-  bool isLeavingPublished = false;
-  while (true) {
-    // Written only after the takeover of the predecessor's rights: this record replaces the record
-    // of the predecessor, from which the takeover determines when that process ended.
-    if ((IsReady() && mRights.HasTakenOver()) || mSelf.mIsLeaving) {
-      if (!isWritten || isLeavingPublished != mSelf.mIsLeaving) {
-        const bool isLeaving = mSelf.mIsLeaving;
-        isWritten = co_await WriteInstanceRecord();
-        isLeavingPublished = isWritten ? isLeaving : isLeavingPublished;
-      } else {
-        const auto renewed = co_await mStore.RenewLease(mLease);
-        if (renewed && !renewed.value()) {
-          LogChange(
-            LogLevel::Warning, "instances", "the lease of this instance's record has expired", {});
-          mLease = 0;
-          isWritten = false;
-          continue;
-        }
-      }
-    }
-    const bool isUpToDate = isWritten && isLeavingPublished == mSelf.mIsLeaving;
-    const auto pause =
-      isUpToDate && !mSelf.mIsLeaving ? kLeaseRenewalInterval : kLeaseRetryInterval;
-    co_await net::Signal::Sleep(mLoop, pause);
-  }
-}
-
 net::Task<void> Gateway::RunHousekeeping()
 {
   while (true) {
@@ -448,35 +398,6 @@
   }
 }
 
-net::Task<void> Gateway::RunTrafficLog()
-{
-  net::BodyBytes lastStore;
-  net::BodyBytes lastPeers;
-  while (true) {
-    co_await net::Signal::Sleep(mLoop, kTrafficLogInterval);
-    const auto store = mStore.Bytes();
-    const auto peers = mPeerLoadExchange.Bytes();
-    mMetrics.GaugeOf("gentianloom_store_bytes", "direction=\"sent\"")
-      .Set(static_cast<std::int64_t>(store.mSent));
-    mMetrics.GaugeOf("gentianloom_store_bytes", "direction=\"received\"")
-      .Set(static_cast<std::int64_t>(store.mReceived));
-    mMetrics.GaugeOf("gentianloom_load_news_bytes", "direction=\"sent\"")
-      .Set(static_cast<std::int64_t>(peers.mSent));
-    mMetrics.GaugeOf("gentianloom_load_news_bytes", "direction=\"received\"")
-      .Set(static_cast<std::int64_t>(peers.mReceived));
-    LogChange(LogLevel::Info,
-              "net",
-              "network traffic since the last such line",
-              { { "store_sent_bytes", std::to_string(store.mSent - lastStore.mSent) },
-                { "store_received_bytes", std::to_string(store.mReceived - lastStore.mReceived) },
-                { "peers_sent_bytes", std::to_string(peers.mSent - lastPeers.mSent) },
-                { "peers_received_bytes", std::to_string(peers.mReceived - lastPeers.mReceived) },
-                { "open_requests", std::to_string(mRelay.mOpenRequests) } });
-    lastStore = store;
-    lastPeers = peers;
-  }
-}
-
 void Gateway::Reload(const GatewaySettings& aSettings)
 {
   mSettings.mTerminationGracePeriod = aSettings.mTerminationGracePeriod;
@@ -514,15 +435,7 @@
     co_await net::Signal::Sleep(mLoop, kShutdownPollInterval);
   }
   co_await mRights.Close(mClock.Now() + kRightsReturnTime / 2);
-  if (mLease != 0) {
-    const auto revoked = co_await mStore.RevokeLease(mLease);
-    if (!revoked) {
-      LogChange(LogLevel::Warning,
-                "instances",
-                "the lease of this instance's record could not be revoked; it will expire",
-                { { "error", ToString(revoked.error()) } });
-    }
-  }
+  co_await mRegistration.Revoke();
   LogChange(LogLevel::Info,
             "gateway",
             "stopped",
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -34,7 +34,8 @@
 constexpr std::size_t kMaxTrackedIncarnations = 4'096;
 
 /// Returns the time for which nothing more is sent. A message to a large fleet takes so many bytes
-/// that one message for each change would fill a slow link; a later message replaces those left out.
+/// that one message for each change would fill a slow link; a later message replaces those left
+/// out.
 Micros PauseAfterSending(std::size_t aBytes)
 {
   const std::chrono::duration<double> needed(static_cast<double>(aBytes) / kMaxBytesPerSecond);
--- a/tests/budget/GrantManagerTest.cpp
+++ b/tests/budget/GrantManagerTest.cpp
@@ -394,7 +394,8 @@
     CPPUNIT_ASSERT_MESSAGE(aName, used <= kPrepaid);
   }
 
-  /// Checks that without the holdings in the usage reports only closed holders are left in the sums.
+  /// Checks that without the holdings in the usage reports only closed holders are left in the
+  /// sums.
   static void CheckSums(const MemoryAsyncStore& aStore, const std::string& aName)
   {
     const auto shard = ShardOf("b");
--- a/tests/gateway/PeerLoadExchangeTest.cpp
+++ b/tests/gateway/PeerLoadExchangeTest.cpp
@@ -78,7 +78,7 @@
     }
     boost::asio::ip::udp::socket peer(loop, { boost::asio::ip::address_v4::loopback(), 0 });
     const auto address = "127.0.0.1:" + std::to_string(peer.local_endpoint().port());
-    const std::vector<std::string> peers(kPeers, address);
+    std::vector<std::string> peers(kPeers, address);
     PeerLoadExchange exchange(
       loop, "run-1", [&] { return peers; }, registry, clock, metrics);
     CPPUNIT_ASSERT(exchange.Start("127.0.0.1:" + std::to_string(FreeUdpPort(loop))));
--- a/tests/process/RequestOutcomesTest.cpp
+++ b/tests/process/RequestOutcomesTest.cpp
@@ -154,11 +154,12 @@
     const int endedBefore = countEnded();
     const auto call = MakeCall("left-before-dispatch");
     const auto body = MakeBody(call).dump();
-    const auto request = "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: "
-                         "Bearer " +
-                         call.mKey + "\r\nX-Request-Id: left-before-dispatch\r\n" +
-                         "Content-Type: application/json\r\nContent-Length: " +
-                         std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto request =
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: "
+      "Bearer " +
+      call.mKey + "\r\nX-Request-Id: left-before-dispatch\r\n" +
+      "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
     aFleet.Signal("router-2", SIGSTOP);
     {
       const auto& address = aFleet.Process("router-2").mAddress;
