Wording of tests/standin in the terms of the field

Comments, names and messages only: Answer is SendJson, ReadAll is ReadBody, Orders is InjectedFaults, 'told to refuse' is 'injected refusal'. Names on the wire and of faults are unchanged.

--- a/tests/standin/EngineControlRole.cpp
+++ b/tests/standin/EngineControlRole.cpp
@@ -17,15 +17,15 @@
 void EngineControlRole::Handle(Poco::Net::HTTPServerRequest& aRequest,
                                Poco::Net::HTTPServerResponse& aResponse)
 {
-  const auto body = aRequest.getMethod() == "PUT" ? Json::parse(ReadAll(aRequest)) : Json();
+  const auto body = aRequest.getMethod() == "PUT" ? Json::parse(ReadBody(aRequest)) : Json();
   const std::lock_guard lock(mMutex);
   if (aRequest.getURI() == "/control/journal") {
-    Answer(aResponse, 200, { { "orders", mJournal } });
+    SendJson(aResponse, 200, { { "orders", mJournal } });
   } else if (aRequest.getMethod() == "PUT") {
-    const auto status = Take(body);
-    Answer(aResponse, status, Json::object());
+    const auto status = AcceptOrder(body);
+    SendJson(aResponse, status, Json::object());
   } else {
-    Answer(aResponse, 200, Status());
+    SendJson(aResponse, 200, Status());
   }
 }
 
@@ -38,7 +38,7 @@
   return out;
 }
 
-int EngineControlRole::Take(const Json& aOrder)
+int EngineControlRole::AcceptOrder(const Json& aOrder)
 {
   if (mChecksFencing && aOrder.value("fencing", 0) < mOrder.value("fencing", 0)) {
     return kConflict;
--- a/tests/standin/EngineControlRole.h
+++ b/tests/standin/EngineControlRole.h
@@ -8,9 +8,9 @@
 namespace gentianloom::standin {
 
 /**
- * @brief The part of an engine that takes orders at `/control`, and notes them.
+ * @brief The part of an engine that accepts orders at `/control` and records them.
  *
- * Faults: `loadMs` is the time of loading, `failLoadOn` makes every loading fail.
+ * Faults: `loadMs` is the duration of loading, `failLoadOn` makes each load fail.
  */
 class EngineControlRole
 {
@@ -26,13 +26,13 @@
 
 private:
   Json Status();
-  int Take(const Json& aOrder);
+  int AcceptOrder(const Json& aOrder);
 
   bool mChecksFencing;
   Faults& mFaults;
   std::mutex mMutex;
   Json mOrder = Json::object();
-  Json mJournal = Json::array(); ///< orders taken, with start and end of loading
+  Json mJournal = Json::array(); ///< accepted orders, with start and end of loading
   std::chrono::steady_clock::time_point mReadyAt{};
   bool mFails = false;
 };
--- a/tests/standin/EngineRole.cpp
+++ b/tests/standin/EngineRole.cpp
@@ -19,7 +19,7 @@
 constexpr std::int64_t kBytesPerToken = 4;
 constexpr std::string_view kEventsPath = "/events?after=";
 
-/// One piece of work that the engine ran.
+/// A request that the engine ran.
 struct JournalEntry
 {
   std::string mRequestId;
@@ -60,18 +60,18 @@
   {
     const auto& uri = aRequest.getURI();
     if (uri == "/journal") {
-      Answer(aResponse, 200, JournalJson());
+      SendJson(aResponse, 200, JournalJson());
     } else if (uri == "/load") {
-      Answer(aResponse,
-             200,
-             { { "name", mOptions.mName },
-               { "run", mRun },
-               { "running", mRunning.load() },
-               { "slots", mOptions.mSlots },
-               { "leaving", mFaults.Value("leavingOn") != 0 },
-               { "last_event", mCache.LastSequence() } });
+      SendJson(aResponse,
+               200,
+               { { "name", mOptions.mName },
+                 { "run", mRun },
+                 { "running", mRunning.load() },
+                 { "slots", mOptions.mSlots },
+                 { "leaving", mFaults.Value("leavingOn") != 0 },
+                 { "last_event", mCache.LastSequence() } });
     } else if (uri.starts_with(kEventsPath)) {
-      Answer(aResponse, 200, mCache.EventsAfter(std::stoll(uri.substr(kEventsPath.size()))));
+      SendJson(aResponse, 200, mCache.EventsAfter(std::stoll(uri.substr(kEventsPath.size()))));
     } else if (uri.starts_with("/control")) {
       mControl.Handle(aRequest, aResponse);
     } else if (uri == "/v1/chat/completions") {
@@ -81,7 +81,7 @@
     } else if (uri.starts_with(kStreamsPrefix)) {
       Resume(aRequest, aResponse);
     } else {
-      Answer(aResponse, uri == "/healthz" ? 200 : 404, Json::object());
+      SendJson(aResponse, uri == "/healthz" ? 200 : 404, Json::object());
     }
   }
 
@@ -112,7 +112,7 @@
     return mJournal.size() - 1;
   }
 
-  void NoteTokens(std::size_t aEntry, std::int64_t aTokens, bool aWhole)
+  void RecordTokens(std::size_t aEntry, std::int64_t aTokens, bool aWhole)
   {
     const std::lock_guard lock(mMutex);
     mJournal[aEntry].mOutputTokens = aTokens;
@@ -121,17 +121,17 @@
 
   void Complete(Poco::Net::HTTPServerRequest& aRequest, Poco::Net::HTTPServerResponse& aResponse)
   {
-    const auto text = ReadAll(aRequest);
+    const auto text = ReadBody(aRequest);
     if (text.find(kCrashMark) != std::string::npos && mFaults.Value("crashOnMarkOn") != 0) {
       std::_Exit(70);
     }
     const auto body = Json::parse(text, nullptr, false);
     if (!body.is_object() || !body.contains("messages")) {
-      Answer(aResponse, 400, { { "error", "not a chat completion request" } });
+      SendJson(aResponse, 400, { { "error", "not a chat completion request" } });
       return;
     }
     if (mRunning.load() >= mOptions.mSlots) {
-      Answer(aResponse, 429, { { "error", "no slot is free" } });
+      SendJson(aResponse, 429, { { "error", "no slot is free" } });
       return;
     }
     ++mRunning;
@@ -151,7 +151,7 @@
     const auto id = aRequest.getURI().substr(kStreamsPrefix.size());
     const auto stream = mStreams.Find(KeyOf(aRequest, id));
     const bool done = stream && stream->Cancel(aRequest.get("Gentianloom-Attempt", ""));
-    Answer(aResponse, done ? 200 : 404, Json::object());
+    SendJson(aResponse, done ? 200 : 404, Json::object());
   }
 
   void Resume(Poco::Net::HTTPServerRequest& aRequest, Poco::Net::HTTPServerResponse& aResponse)
@@ -161,7 +161,7 @@
     const auto id = rest.substr(0, question);
     const auto stream = mStreams.Find(KeyOf(aRequest, id));
     if (!stream || mFaults.Value("cannotResumeOn") != 0) {
-      Answer(aResponse, 404, { { "error", "no such stream is kept" } });
+      SendJson(aResponse, 404, { { "error", "no such stream is kept" } });
       return;
     }
     const auto after = question == std::string::npos ? 0 : std::stoll(rest.substr(question + 7));
@@ -241,10 +241,10 @@
       return;
     }
     std::ostream* out = &StartStream(aResponse);
-    std::string heldBack; // event that the fault `reorder` sends after the next one
+    std::string heldBack; // event that the fault `reorder` delays until after the next one
     for (std::int64_t n = 1; n <= wanted; ++n) {
       stream->Advance();
-      NoteTokens(aEntry, n, n == wanted);
+      RecordTokens(aEntry, n, n == wanted);
       if (out != nullptr) {
         WriteToken(*out, *stream, id, n, heldBack);
       }
@@ -278,7 +278,7 @@
   std::atomic<std::int64_t> mRunning{ 0 };
 };
 
-/// An application worker: a plain service that notes each call.
+/// An application worker: a service that records each call.
 class WorkerRole final : public Role
 {
 public:
@@ -288,11 +288,11 @@
     const auto& uri = aRequest.getURI();
     std::unique_lock lock(mMutex);
     if (uri == "/journal") {
-      Answer(aResponse, 200, { { "entries", mJournal } });
+      SendJson(aResponse, 200, { { "entries", mJournal } });
       return;
     }
     if (uri == "/healthz") {
-      Answer(aResponse, 200, Json::object());
+      SendJson(aResponse, 200, Json::object());
       return;
     }
     mJournal.push_back({ { "request_id", aRequest.get("X-Request-Id", "") },
@@ -300,14 +300,14 @@
                          { "idempotency_key", aRequest.get("Idempotency-Key", "") },
                          { "method", aRequest.getMethod() },
                          { "path", uri },
-                         { "body", ReadAll(aRequest) } });
+                         { "body", ReadBody(aRequest) } });
     lock.unlock();
     mFaults.WaitWhileOn("holdRunOn");
     lock.lock();
     if (mFaults.Take("loseAnswer")) {
-      throw std::runtime_error("told to lose the answer");
+      throw std::runtime_error("injected loss of the response");
     }
-    Answer(aResponse, 200, { { "ran", mJournal.size() }, { "path", uri } });
+    SendJson(aResponse, 200, { { "ran", mJournal.size() }, { "path", uri } });
   }
 
 private:
--- a/tests/standin/EngineStreams.h
+++ b/tests/standin/EngineStreams.h
@@ -13,7 +13,7 @@
 
 namespace gentianloom::standin {
 
-/// One stream that the engine generates, whoever reads it. Thread-safe.
+/// A stream that the engine generates independently of its reader. Thread-safe.
 class GeneratedStream
 {
 public:
@@ -27,7 +27,7 @@
   std::int64_t Prompt() const { return mPrompt; }
   std::int64_t Wanted() const { return mWanted; }
 
-  /// @brief Notes that a token was generated.
+  /// @brief Records one more generated token.
   void Advance()
   {
     const std::lock_guard lock(mMutex);
@@ -35,14 +35,14 @@
     mChanged.notify_all();
   }
 
-  /// @brief Waits until a time. @return false if the stream was cancelled before
+  /// @brief Waits until a point in time. @return false if the stream was cancelled before it
   bool WaitUntil(std::chrono::steady_clock::time_point aTime)
   {
     std::unique_lock lock(mMutex);
     return !mChanged.wait_until(lock, aTime, [this] { return mCancelled; });
   }
 
-  /// @brief Waits for a token. @return false if the stream was cancelled before
+  /// @brief Waits until a token was generated. @return false if the stream was cancelled before
   bool WaitGenerated(std::int64_t aToken)
   {
     std::unique_lock lock(mMutex);
@@ -50,14 +50,14 @@
     return mGenerated >= aToken;
   }
 
-  /// @brief A later reader takes over, so that the earlier one can no longer cancel.
+  /// @brief Replaces the reader; the previous one can no longer cancel the stream.
   void TakeOver(std::string aReader)
   {
     const std::lock_guard lock(mMutex);
     mReader = std::move(aReader);
   }
 
-  /// @brief Cancels, if the one that asks is the last reader.
+  /// @brief Cancels the stream if @p aReader is its current reader. @return whether it is
   bool Cancel(const std::string& aReader)
   {
     const std::lock_guard lock(mMutex);
@@ -81,7 +81,7 @@
 
 using GeneratedStreamPtr = std::shared_ptr<GeneratedStream>;
 
-/// The streams that an engine keeps for a while, by organisation and request id. Thread-safe.
+/// The most recent streams of an engine, by organisation and request id. Thread-safe.
 class EngineStreams
 {
 public:
@@ -89,11 +89,11 @@
 
   void Keep(const Key& aKey, GeneratedStreamPtr aStream)
   {
-    constexpr std::size_t kMostKept = 4'096;
+    constexpr std::size_t kMaxStreams = 4'096;
     const std::lock_guard lock(mMutex);
     mStreams[aKey] = std::move(aStream);
     mOrder.push_back(aKey);
-    if (mOrder.size() > kMostKept) {
+    if (mOrder.size() > kMaxStreams) {
       mStreams.erase(mOrder.front());
       mOrder.pop_front();
     }
--- a/tests/standin/ForwardingStore.h
+++ b/tests/standin/ForwardingStore.h
@@ -6,7 +6,7 @@
 namespace gentianloom::standin {
 
 /**
- * @brief Passes every call on to another store; tests and benches change single calls.
+ * @brief Forwards every call to another store; derived classes override single calls.
  *
  * The inner store may be a member of the derived class: it is not used before the first call.
  */
--- a/tests/standin/KeyValueRole.cpp
+++ b/tests/standin/KeyValueRole.cpp
@@ -48,14 +48,14 @@
                               DecodeBase64(put.value("value", "")),
                               Number(put, "lease") });
     } else {
-      const auto& gone = it.at("requestDeleteRange");
-      out.mWrites.push_back({ DecodeBase64(gone.at("key").get<std::string>()), "", 0, true });
+      const auto& deletion = it.at("requestDeleteRange");
+      out.mWrites.push_back({ DecodeBase64(deletion.at("key").get<std::string>()), "", 0, true });
     }
   }
   return out;
 }
 
-/// The etcd v3 JSON mapping over a MemoryStore.
+/// Serves a MemoryStore by the JSON mapping of the etcd v3 API.
 class KeyValueRole final : public Role
 {
 public:
@@ -69,12 +69,12 @@
   {
     const auto& uri = aRequest.getURI();
     if (uri == "/journal") {
-      Answer(aResponse, 200, { { "reads", mReads.load() }, { "writes", mWrites.load() } });
+      SendJson(aResponse, 200, { { "reads", mReads.load() }, { "writes", mWrites.load() } });
       return;
     }
-    const auto body = Json::parse(ReadAll(aRequest), nullptr, false);
+    const auto body = Json::parse(ReadBody(aRequest), nullptr, false);
     if (!body.is_object()) {
-      Answer(aResponse, 400, { { "error", "body must be an object" } });
+      SendJson(aResponse, 400, { { "error", "body must be an object" } });
       return;
     }
     const auto answer = uri == "/v3/watch" ? Json() : Call(uri, body);
@@ -83,9 +83,9 @@
       return;
     }
     if (mFaults.Take("loseAnswer")) {
-      throw std::runtime_error("told to lose the answer");
+      throw std::runtime_error("injected loss of the response");
     }
-    Answer(aResponse, answer.is_null() ? 404 : 200, answer);
+    SendJson(aResponse, answer.is_null() ? 404 : 200, answer);
   }
 
 private:
--- a/tests/standin/MemoryStore.cpp
+++ b/tests/standin/MemoryStore.cpp
@@ -32,11 +32,11 @@
   if (it == mEntries.end()) {
     return;
   }
-  KeyValue gone;
-  gone.mKey = aKey;
-  gone.mModRevision = mRevision;
+  KeyValue deleted;
+  deleted.mKey = aKey;
+  deleted.mModRevision = mRevision;
   mEntries.erase(it);
-  mHistory.push_back({ mRevision, { std::move(gone), true } });
+  mHistory.push_back({ mRevision, { std::move(deleted), true } });
 }
 
 void MemoryStore::PutLocked(const Write& aWrite)
@@ -62,8 +62,8 @@
   RangeResponse out;
   out.mRevision = mRevision;
   for (auto it = mEntries.lower_bound(aKey); it != mEntries.end(); ++it) {
-    const bool wanted = aIsPrefix ? it->first.starts_with(aKey) : it->first == aKey;
-    if (!wanted) {
+    const bool matches = aIsPrefix ? it->first.starts_with(aKey) : it->first == aKey;
+    if (!matches) {
       break;
     }
     out.mEntries.push_back(it->second);
@@ -79,8 +79,8 @@
     ExpireLocked();
     for (const auto& it : aTransaction.mCompares) {
       const auto entry = mEntries.find(it.mKey);
-      const Revision now = entry == mEntries.end() ? 0 : entry->second.mModRevision;
-      if (now != it.mModRevision) {
+      const Revision current = entry == mEntries.end() ? 0 : entry->second.mModRevision;
+      if (current != it.mModRevision) {
         out.mEffect = Effect::NotApplied;
         out.mIsConflict = true;
         out.mRevision = mRevision;
@@ -91,7 +91,7 @@
       if (it.mLease != 0 && !mLeases.contains(it.mLease)) {
         out.mEffect = Effect::NotApplied;
         out.mError = MakeError(
-          ErrorCode::Conflict, Step::OrderLease, "key-value service", "the lease is gone");
+          ErrorCode::Conflict, Step::OrderLease, "key-value service", "the lease does not exist");
         return out;
       }
     }
@@ -173,9 +173,9 @@
     if (!events.empty()) {
       const Revision at = mRevision;
       lock.unlock();
-      const bool goOn = aOnEvents(events, at);
+      const bool continues = aOnEvents(events, at);
       lock.lock();
-      if (!goOn) {
+      if (!continues) {
         return success();
       }
       from = at + 1;
--- a/tests/standin/MemoryStore.h
+++ b/tests/standin/MemoryStore.h
@@ -12,7 +12,7 @@
 namespace gentianloom::standin {
 
 /**
- * @brief A key-value service in memory, with leases by a clock and watches.
+ * @brief A key-value service in memory with watches and with leases that expire by a given clock.
  *
  * Used by the stand-in process and, directly, by tests.
  */
--- a/tests/standin/PlatformRoles.cpp
+++ b/tests/standin/PlatformRoles.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// The platform's list of instances; `PUT /instances` changes it, readers see it after a lag.
+/// The platform's list of instances. `PUT /instances` replaces it; readers see that after a lag.
 class InstanceListRole final : public Role
 {
 public:
@@ -17,17 +17,17 @@
               Poco::Net::HTTPServerResponse& aResponse) override
   {
     if (aRequest.getURI() != "/instances") {
-      Answer(aResponse, aRequest.getURI() == "/healthz" ? 200 : 404, Json::object());
+      SendJson(aResponse, aRequest.getURI() == "/healthz" ? 200 : 404, Json::object());
       return;
     }
     if (aRequest.getMethod() == "PUT") {
-      const auto body = Json::parse(ReadAll(aRequest));
+      const auto body = Json::parse(ReadBody(aRequest));
       const std::lock_guard lock(mMutex);
       mVersions.emplace_back(std::chrono::steady_clock::now(), body);
-      Answer(aResponse, 200, Json::object());
+      SendJson(aResponse, 200, Json::object());
       return;
     }
-    Answer(aResponse, 200, Visible());
+    SendJson(aResponse, 200, Visible());
   }
 
 private:
@@ -48,7 +48,7 @@
   std::vector<std::pair<std::chrono::steady_clock::time_point, Json>> mVersions;
 };
 
-/// A weight store that gives at most one permit for each `permitIntervalMs` (a fault order).
+/// A weight store that grants at most one permit per `permitIntervalMs`, which is set as a fault.
 class WeightStoreRole final : public Role
 {
 public:
@@ -56,35 +56,35 @@
               Poco::Net::HTTPServerResponse& aResponse) override
   {
     if (aRequest.getURI() == "/journal") {
-      Answer(aResponse, 200, { { "loads", mLoads.load() } });
+      SendJson(aResponse, 200, { { "loads", mLoads.load() } });
       return;
     }
     if (aRequest.getURI() == "/permits") {
-      GivePermit(aResponse);
+      GrantPermit(aResponse);
       return;
     }
     if (aRequest.getURI().starts_with("/weights/")) {
       ++mLoads;
-      Answer(aResponse, 200, { { "weights", aRequest.getURI().substr(9) } });
+      SendJson(aResponse, 200, { { "weights", aRequest.getURI().substr(9) } });
       return;
     }
-    Answer(aResponse, aRequest.getURI() == "/healthz" ? 200 : 404, Json::object());
+    SendJson(aResponse, aRequest.getURI() == "/healthz" ? 200 : 404, Json::object());
   }
 
 private:
-  void GivePermit(Poco::Net::HTTPServerResponse& aResponse)
+  void GrantPermit(Poco::Net::HTTPServerResponse& aResponse)
   {
     constexpr int kTooMany = 429;
     const auto now = std::chrono::steady_clock::now();
     const std::lock_guard lock(mMutex);
     if (now < mNextPermit) {
       const auto left = std::chrono::ceil<std::chrono::milliseconds>(mNextPermit - now);
-      Answer(aResponse, kTooMany, { { "retry_after_ms", left.count() } });
+      SendJson(aResponse, kTooMany, { { "retry_after_ms", left.count() } });
       return;
     }
     mNextPermit = now + std::chrono::milliseconds(mFaults.Value("permitIntervalMs"));
     ++mLoads;
-    Answer(aResponse, 200, Json::object());
+    SendJson(aResponse, 200, Json::object());
   }
 
   std::mutex mMutex;
--- a/tests/standin/PrefixCache.h
+++ b/tests/standin/PrefixCache.h
@@ -11,9 +11,9 @@
 namespace gentianloom::standin {
 
 /**
- * @brief A bounded cache of prompt prefixes that publishes its events. Thread-safe.
+ * @brief A bounded LRU cache of prompt prefixes that records its changes as events. Thread-safe.
  *
- * Only the youngest events are kept, so a reader that asks late sees a gap.
+ * Only the newest events are kept, so a reader that polls too rarely sees a gap.
  */
 class PrefixCache
 {
@@ -22,17 +22,17 @@
   {
     const std::lock_guard lock(mMutex);
     for (const auto it : aPrefixes) {
-      const auto found = std::find(mHeld.begin(), mHeld.end(), it);
-      if (found != mHeld.end()) {
-        mHeld.erase(found);
-        mHeld.push_back(it);
+      const auto found = std::find(mPrefixes.begin(), mPrefixes.end(), it);
+      if (found != mPrefixes.end()) {
+        mPrefixes.erase(found);
+        mPrefixes.push_back(it);
         continue;
       }
-      mHeld.push_back(it);
+      mPrefixes.push_back(it);
       Publish(it, true);
-      if (mHeld.size() > kMostHeld) {
-        Publish(mHeld.front(), false);
-        mHeld.pop_front();
+      if (mPrefixes.size() > kMaxPrefixes) {
+        Publish(mPrefixes.front(), false);
+        mPrefixes.pop_front();
       }
     }
   }
@@ -57,19 +57,19 @@
   }
 
 private:
-  static constexpr std::size_t kMostHeld = 512;
-  static constexpr std::size_t kMostEvents = 256;
+  static constexpr std::size_t kMaxPrefixes = 512;
+  static constexpr std::size_t kMaxEvents = 256;
 
   void Publish(std::uint64_t aHash, bool aStored)
   {
     mEvents.push_back({ ++mSequence, aHash, aStored });
-    if (mEvents.size() > kMostEvents) {
+    if (mEvents.size() > kMaxEvents) {
       mEvents.pop_front();
     }
   }
 
   std::mutex mMutex;
-  std::deque<std::uint64_t> mHeld; ///< least recently used first
+  std::deque<std::uint64_t> mPrefixes; ///< least recently used first
   std::deque<CacheEvent> mEvents;
   std::int64_t mSequence = 0;
 };
--- a/tests/standin/RelayRole.cpp
+++ b/tests/standin/RelayRole.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t kBlockBytes = 16 * 1024;
 constexpr long kPollMicros = 20'000;
 
-/// Which way bytes go through a relay.
+/// Direction of bytes through a relay.
 enum class Direction
 {
   ToTarget,
@@ -26,12 +26,12 @@
 };
 
 /**
- * @brief A relay between two processes that can be cut: `cutOn` both ways, `cutToOn` towards the
- *        target only, `cutFromOn` from it only.
+ * @brief A TCP proxy that can simulate a partition: `cutOn` in both directions, `cutToOn` towards
+ *        the target only, `cutFromOn` from the target only.
  *
- * A cut is silent, as a partition is: bytes are held and go on after it, and a connection made
- * during it stays without an answer. `POST /target` sets where it leads; `GET /address` tells where
- * it listens.
+ * During a cut nothing is closed: bytes are held back and forwarded afterwards, and new connections
+ * get no response. `POST /target` sets the target's address; `GET /address` returns the address on
+ * which the proxy listens.
  */
 class RelayRole final : public Role
 {
@@ -46,13 +46,13 @@
               Poco::Net::HTTPServerResponse& aResponse) override
   {
     if (aRequest.getURI() == "/target") {
-      const auto body = Json::parse(ReadAll(aRequest));
+      const auto body = Json::parse(ReadBody(aRequest));
       const std::lock_guard lock(mMutex);
       mTarget = body.at("address").get<std::string>();
-      Answer(aResponse, 200, Json::object());
+      SendJson(aResponse, 200, Json::object());
       return;
     }
-    Answer(aResponse, 200, { { "address", mListener.address().toString() } });
+    SendJson(aResponse, 200, { { "address", mListener.address().toString() } });
   }
 
 private:
--- a/tests/standin/StandinServer.h
+++ b/tests/standin/StandinServer.h
@@ -16,9 +16,9 @@
 namespace gentianloom::standin {
 
 /**
- * @brief Faults that a stand-in was told to show, by `POST /faults` with a JSON object of numbers.
+ * @brief Faults that tests inject by `POST /faults` with a JSON object of numbers.
  *
- * A positive number is used up one request at a time unless the key ends with `Ms` (a delay) or
+ * Each request that shows a fault decrements its number, unless the key ends with `Ms` (a delay) or
  * `On` (a switch). Known keys: `refuse`, `stallOn`, `delayMs`, `loseAnswer`, `goAwayAfterTokens`,
  * `reorder`, `duplicate`, `crossEvent`, `cannotResumeOn`, `crashOnMarkOn`, `leavingOn`,
  * `holdRunOn`.
@@ -26,12 +26,12 @@
 class Faults
 {
 public:
-  void Set(const Json& aOrders);
+  void Set(const Json& aValues);
 
-  /// @brief Takes one use of a fault. @return whether it was set
+  /// @brief Decrements a fault. @return whether it was positive
   bool Take(const std::string& aName);
 
-  /// @brief Value of a fault that is not used up; zero if not set.
+  /// @brief Returns the value of a delay or a switch; zero if it is not set.
   std::int64_t Value(const std::string& aName) const;
 
   /// @brief Blocks while a switch is on.
@@ -49,11 +49,11 @@
 public:
   virtual ~Role() = default;
 
-  /// @brief Handles one request; `/faults` and `/healthz` never reach it.
+  /// @brief Handles a request other than `/faults`.
   virtual void Handle(Poco::Net::HTTPServerRequest& aRequest,
                       Poco::Net::HTTPServerResponse& aResponse) = 0;
 
-  Faults& Orders() { return mFaults; }
+  Faults& InjectedFaults() { return mFaults; }
 
 protected:
   Faults mFaults;
@@ -67,8 +67,8 @@
   std::int64_t mSeed = 1;
   std::int64_t mTokenMicros = 2'000;      ///< time between tokens
   std::int64_t mFirstTokenMicros = 5'000; ///< time to the first token
-  std::int64_t mSlots = 64;               ///< streams at once
-  std::int64_t mLagMs = 0;                ///< how old reports and lists are
+  std::int64_t mSlots = 64;               ///< maximum number of concurrent streams
+  std::int64_t mLagMs = 0;                ///< age of reports and lists
   bool mChecksFencing = false;
 };
 
@@ -79,14 +79,14 @@
 std::unique_ptr<Role> MakeRelayRole(const StandinOptions& aOptions);
 std::unique_ptr<Role> MakeWorkerRole(const StandinOptions& aOptions);
 
-/// @brief Reads a whole request body.
-std::string ReadAll(Poco::Net::HTTPServerRequest& aRequest);
+/// @brief Returns the complete request body.
+std::string ReadBody(Poco::Net::HTTPServerRequest& aRequest);
 
-/// @brief Closes a connection, whatever was sent on it.
+/// @brief Closes the connection of a request without a complete response.
 void DropConnection(Poco::Net::HTTPServerRequest& aRequest);
 
-/// @brief Sends JSON with a status.
-void Answer(Poco::Net::HTTPServerResponse& aResponse, int aStatus, const Json& aBody);
+/// @brief Sends a complete response with a JSON body.
+void SendJson(Poco::Net::HTTPServerResponse& aResponse, int aStatus, const Json& aBody);
 
 } // namespace gentianloom::standin
 
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -17,11 +17,11 @@
 
 namespace gentianloom::standin {
 
-void Faults::Set(const Json& aOrders)
+void Faults::Set(const Json& aValues)
 {
   {
     const std::lock_guard lock(mMutex);
-    mValues.update(aOrders);
+    mValues.update(aValues);
   }
   mChanged.notify_all();
 }
@@ -49,14 +49,14 @@
   mChanged.wait(lock, [&] { return mValues.value(aName, std::int64_t{ 0 }) == 0; });
 }
 
-std::string ReadAll(Poco::Net::HTTPServerRequest& aRequest)
+std::string ReadBody(Poco::Net::HTTPServerRequest& aRequest)
 {
   std::string out;
   Poco::StreamCopier::copyToString(aRequest.stream(), out);
   return out;
 }
 
-void Answer(Poco::Net::HTTPServerResponse& aResponse, int aStatus, const Json& aBody)
+void SendJson(Poco::Net::HTTPServerResponse& aResponse, int aStatus, const Json& aBody)
 {
   const auto text = aBody.dump();
   aResponse.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aStatus));
@@ -72,7 +72,7 @@
 
 namespace {
 
-constexpr int kMostThreads = 4'096;
+constexpr int kMaxThreads = 4'096;
 constexpr int kBacklog = 1'024;
 constexpr int kStackBytes = 256 * 1024;
 
@@ -87,20 +87,20 @@
   void handleRequest(Poco::Net::HTTPServerRequest& aRequest,
                      Poco::Net::HTTPServerResponse& aResponse) override
   {
-    auto& faults = mRole.Orders();
+    auto& faults = mRole.InjectedFaults();
     if (aRequest.getURI() == "/faults") {
-      faults.Set(Json::parse(ReadAll(aRequest)));
-      Answer(aResponse, 200, Json::object());
+      faults.Set(Json::parse(ReadBody(aRequest)));
+      SendJson(aResponse, 200, Json::object());
       return;
     }
     if (aRequest.getURI() == "/healthz" || aRequest.getURI() == "/journal") {
       mRole.Handle(aRequest, aResponse);
       return;
     }
-    // Refusals are for callers' requests; polls of load do not use them up.
+    // Only callers' requests are refused; polls of load do not decrement the fault.
     const bool isPoll = aRequest.getURI() == "/load" || aRequest.getURI().starts_with("/events");
     if (!isPoll && faults.Take("refuse")) {
-      Answer(aResponse, 503, { { "error", "told to refuse" } });
+      SendJson(aResponse, 503, { { "error", "injected refusal" } });
       return;
     }
     faults.WaitWhileOn("stallOn");
@@ -162,9 +162,9 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(aListen), kBacklog);
-  Poco::ThreadPool threads(2, kMostThreads, 60, kStackBytes);
+  Poco::ThreadPool threads(2, kMaxThreads, 60, kStackBytes);
   auto params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(new Poco::Net::HTTPServerParams);
-  params->setMaxThreads(kMostThreads);
+  params->setMaxThreads(kMaxThreads);
   params->setMaxQueued(kBacklog);
   Poco::Net::HTTPServer server(new RoleHandlerFactory(aRole), threads, socket, params);
   server.start();
@@ -184,7 +184,7 @@
 int main(int argc, char** argv)
 {
   namespace po = boost::program_options;
-  gentianloom::standin::StandinOptions chosen;
+  gentianloom::standin::StandinOptions settings;
   std::string role;
   std::string listen;
   std::string readyFile;
@@ -192,14 +192,14 @@
   options.add_options()(
     "role", po::value(&role), "key-value, instance-list, weight-store, engine, worker or relay")(
     "listen", po::value(&listen)->default_value("127.0.0.1:0"), "address")(
-    "ready-file", po::value(&readyFile), "file that gets the address")(
-    "name", po::value(&chosen.mName), "name")("zone", po::value(&chosen.mZone), "zone")(
-    "seed", po::value(&chosen.mSeed), "seed")(
-    "token-micros", po::value(&chosen.mTokenMicros), "time between tokens")(
-    "first-token-micros", po::value(&chosen.mFirstTokenMicros), "time to the first token")(
-    "slots", po::value(&chosen.mSlots), "streams at once")(
-    "lag-ms", po::value(&chosen.mLagMs), "age of reports")(
-    "checks-fencing", po::bool_switch(&chosen.mChecksFencing), "refuse old fencing numbers");
+    "ready-file", po::value(&readyFile), "file to write the address to")(
+    "name", po::value(&settings.mName), "name")("zone", po::value(&settings.mZone), "zone")(
+    "seed", po::value(&settings.mSeed), "seed")(
+    "token-micros", po::value(&settings.mTokenMicros), "time between tokens")(
+    "first-token-micros", po::value(&settings.mFirstTokenMicros), "time to the first token")(
+    "slots", po::value(&settings.mSlots), "maximum number of concurrent streams")(
+    "lag-ms", po::value(&settings.mLagMs), "age of reports")(
+    "checks-fencing", po::bool_switch(&settings.mChecksFencing), "reject old fencing tokens");
   po::positional_options_description positional;
   positional.add("role", 1);
   try {
@@ -211,10 +211,10 @@
     std::cerr << ex.what() << "\n" << options;
     return 2;
   }
-  auto made = gentianloom::standin::MakeRole(role, chosen);
-  if (!made) {
+  const auto server = gentianloom::standin::MakeRole(role, settings);
+  if (!server) {
     std::cerr << options;
     return 2;
   }
-  return gentianloom::standin::Serve(*made, listen, readyFile);
+  return gentianloom::standin::Serve(*server, listen, readyFile);
 }
