--- a/bench/BenchReport.h
+++ b/bench/BenchReport.h
@@ -9,14 +9,14 @@
 
 namespace gentianloom::bench {
 
-/// Which side of the goal is good.
+/// Whether a figure should be below or above its goal.
 enum class GoalSide
 {
   AtMost,
   AtLeast
 };
 
-/// A stated target beside what was measured. The goal never follows the figure.
+/// A goal and the measured figure. Goals come from stated targets, never from measurements.
 struct Goal
 {
   std::string mName;
@@ -28,14 +28,14 @@
   bool Met() const { return mSide == GoalSide::AtMost ? mMeasured <= mGoal : mMeasured >= mGoal; }
 };
 
-/// What a bench run is told.
+/// Options of a bench run.
 struct BenchOptions
 {
   std::uint64_t mSeed = 1;
-  double mScale = 1.0; ///< shorter or longer runs
+  double mScale = 1.0; ///< factor on the duration of the runs
 };
 
-/// What a bench run gives.
+/// Result of a bench run.
 struct BenchReport
 {
   Json mRuns = Json::array(); ///< raw figures
@@ -50,7 +50,7 @@
   BenchReport (*mRun)(const BenchOptions&);
 };
 
-// One function for each suite; a file of its own each.
+// One function for each suite, each in a file of its own.
 BenchReport RunPipelineBench(const BenchOptions& aOptions);
 BenchReport RunBudgetsBench(const BenchOptions& aOptions);
 BenchReport RunIntentsBench(const BenchOptions& aOptions);
--- a/bench/BudgetsBench.cpp
+++ b/bench/BudgetsBench.cpp
@@ -13,9 +13,9 @@
 constexpr int kSeconds = 300;
 constexpr int kScaleSeconds = 120;
 constexpr double kSecondsPerDay = 86'400;
-/// Crashes of one router a day, at the users' target.
+/// Crashes of one router per day, at the users' target.
 constexpr double kCrashesPerDay = 150.0 / 720.0;
-/// Routers that callers of one shard use: three in each of five regions.
+/// Number of routers that the callers of one shard use: three in each of five regions.
 constexpr std::size_t kReach = 15;
 constexpr double kTargetNodes = 720;
 constexpr double kBudgetsPerNode = 16'000 / kTargetNodes;
@@ -26,7 +26,7 @@
   return aWhole > 0 ? aPart / aWhole : 0;
 }
 
-/// Share of spend that crashes strand at the target's rate of crashes.
+/// Fraction of the spent tokens that crashes strand, at the target's crash rate.
 double StrandedShare(const FleetOrder& aOrder, const FleetFigures& aFigures)
 {
   const auto perCrash = Ratio(aFigures.mStranded, static_cast<double>(aFigures.mCrashes));
@@ -57,7 +57,7 @@
            { "most_writes_of_a_router_in_10_s", aFigures.mMostWrites } };
 }
 
-/// Worst figures of the chosen policy over all demands, by fault.
+/// Worst figures of the chosen policy over all demand patterns, by fault.
 struct Worst
 {
   double mFalse[std::size(kTroubles)] = {};
@@ -94,7 +94,7 @@
   }
 }
 
-/// @brief Writes a second at the target, by the slope between the two largest fleets.
+/// @brief Extrapolates the writes per second to the target's size from the two largest fleets.
 double RunSizes(const BenchOptions& aOptions, BenchReport& aReport)
 {
   std::vector<double> rates;
@@ -106,7 +106,7 @@
     order.mRate = 9.5;
     order.mSeconds = std::max(20, static_cast<int>(kScaleSeconds * aOptions.mScale));
     order.mSeed = aOptions.mSeed;
-    // The interval of the whole fleet, so that the rate of one router is the target's.
+    // The commit interval that a router has in a fleet of the target's size.
     order.mBudget.mCommitInterval = FleetInterval(order.mBudget.mCommitInterval,
                                                   static_cast<std::size_t>(kTargetNodes),
                                                   order.mBudget.mFleetWritesPerSecond);
--- a/bench/BudgetsFleet.cpp
+++ b/bench/BudgetsFleet.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t kMostAsked = 8;
 constexpr Tokens kBound = 600;
 constexpr Tokens kMeanUse = 300;
-/// Share of a tick between the read and the write of a round, for conflicts.
+/// Fraction of a tick between the read and the write of a round, in which others can conflict.
 constexpr double kReadToWrite = 0.05;
 
 struct Open
@@ -33,7 +33,7 @@
   std::unique_ptr<Ledger> mLedger;
   WritePacer mPacer{ Millis(1'000) };
   std::vector<Open> mOpen;
-  std::vector<std::size_t> mParked; ///< budgets of the requests that wait
+  std::vector<std::size_t> mParked; ///< budgets of the waiting requests
   std::vector<std::size_t> mBudgets;
   std::deque<int> mWriteTicks;
 };
@@ -67,9 +67,9 @@
   std::mt19937_64 mRandom;
   std::vector<Node> mNodes;
   std::vector<std::string> mNames;
-  std::vector<Tokens> mUsed; ///< ran or may run, by budget
+  std::vector<Tokens> mUsed; ///< tokens of requests that ran or may still run, by budget
   Tokens mPrepaid = 0;
-  std::int64_t mVersion = 1; ///< of the configuration
+  std::int64_t mVersion = 1; ///< configuration version
   std::map<int, ShardRecord> mStore;
   std::map<int, int> mWritersInTick;
   FleetFigures mOut;
@@ -96,7 +96,8 @@
     it.mPacer.SetInterval(FleetInterval(
       aOrder.mBudget.mCommitInterval, aOrder.mRouters, aOrder.mBudget.mFleetWritesPerSecond));
   }
-  // As many shards as the budgets' share of the whole size, so that their density is the target's.
+  // The number of shards is scaled with the fleet, so that each has as many budgets as at the
+  // target.
   for (std::size_t n = 0; mNames.size() < aOrder.mBudgets; ++n) {
     const auto name = "budget-" + std::to_string(n);
     const auto shards = std::max<std::size_t>(1, kShards * aOrder.mRouters / 720);
--- a/bench/BudgetsFleet.h
+++ b/bench/BudgetsFleet.h
@@ -10,7 +10,7 @@
 
 namespace gentianloom::bench {
 
-/// How requests arrive.
+/// Demand pattern.
 enum class Demand
 {
   Steady,
@@ -19,19 +19,19 @@
   EndOfBudget ///< prepaid is 60 % of the expected use
 };
 
-/// What goes wrong in the middle third of a run.
+/// Fault in the middle third of a run.
 enum class Trouble
 {
   None,
-  Partition, ///< half of the routers are cut off from the store and from the others
-  Outage,    ///< the store is away
+  Partition, ///< half of the routers reach neither the store nor the other half
+  Outage,    ///< the key-value store is unavailable
   Crashes,   ///< a router is killed and replaced every ten seconds
   /// A partition with a crash every five minutes and, halfway, a top-up of a fifth; callers whose
   /// router crashed try again at another.
   Everything
 };
 
-/// One simulated fleet.
+/// Parameters of one simulated fleet.
 struct FleetOrder
 {
   BudgetSettings mBudget;
@@ -39,32 +39,32 @@
   Trouble mTrouble = Trouble::None;
   std::size_t mRouters = 7;
   std::size_t mBudgets = 10;
-  std::size_t mReach = 0; ///< routers that the callers of one shard use; 0: all
+  std::size_t mReach = 0; ///< number of routers that the callers of one shard use; 0: all
   int mSeconds = 300;
-  double mRate = 5; ///< requests a second at each router
+  double mRate = 5; ///< requests per second at each router
   std::uint64_t mSeed = 1;
 };
 
-/// What a run gave.
+/// Results of a run.
 struct FleetFigures
 {
   std::uint64_t mRequests = 0;
   std::uint64_t mRefused = 0;
-  std::uint64_t mFalse = 0; ///< refused while more than 1 % was left, held or not, and enough
-  std::uint64_t mFalseInReach = 0; ///< of these: store and routers in reach had enough together
+  std::uint64_t mFalse = 0; ///< refused although more than 1 % and enough tokens were unspent
+  std::uint64_t mFalseInReach = 0; ///< of these: the reachable store and routers had enough tokens
   std::uint64_t mWaited = 0;
   Tokens mOverspend = 0;
   Tokens mUsed = 0;
   Tokens mStranded = 0;
   std::uint64_t mCrashes = 0;
-  std::uint64_t mRetries = 0; ///< calls again after a crash
+  std::uint64_t mRetries = 0; ///< retries after a crash
   std::uint64_t mWrites = 0;
   std::uint64_t mReads = 0;
   std::uint64_t mConflicts = 0;
-  std::uint64_t mMostWrites = 0; ///< by one router in its busiest ten seconds
+  std::uint64_t mMostWrites = 0; ///< maximum of one router in ten seconds
 };
 
-/// @brief Runs real ledgers on a simulated clock, store and peers; a bench of decisions.
+/// @brief Simulates a fleet: real ledgers on a simulated clock, store and peers.
 FleetFigures RunFleet(const FleetOrder& aOrder);
 
 } // namespace gentianloom::bench
--- a/bench/ConfigurationBench.cpp
+++ b/bench/ConfigurationBench.cpp
@@ -21,7 +21,7 @@
 constexpr double kChangesADay = 9'800;
 constexpr double kSecondsADay = 86'400;
 
-/// What a node may spend on control, of which this is a part.
+/// Limit of a node's share for all control traffic, of which configuration is a part.
 constexpr double kCoreGoal = 0.012;
 constexpr double kBytesGoal = 30'000;
 constexpr double kMegabytesGoal = 128;
@@ -31,7 +31,7 @@
   return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
 
-/// Memory that is in use, whatever the process had from the system before.
+/// Allocated memory of the process, without memory that it has freed but not returned.
 double UsedMegabytes()
 {
   const auto info = mallinfo2();
@@ -191,7 +191,8 @@
                    PartJson("apply of a change of one organisation", small),
                    PartJson("fetch of that change from a peer", fetch) };
   const double changes = kChangesADay / kSecondsADay;
-  // A node of the tree takes a change once and gives it to at most eight others, one on average.
+  // A node of the distribution tree receives a change once and forwards it to at most eight others,
+  // on average to one.
   report.mGoals = {
     { "memory of a router for the configuration", kMegabytesGoal, megabytes, "MB" },
     { "core of a node for 9,800 changes a day", kCoreGoal, fetch.mSeconds * changes, "cores" },
--- a/bench/ControlBench.cpp
+++ b/bench/ControlBench.cpp
@@ -20,7 +20,8 @@
 constexpr double kMostSeconds = 60;
 constexpr Millis kCallTimeout{ 5'000 };
 constexpr Millis kPause{ 20 };
-constexpr double kTcpBytesPerMessage = 300; ///< headers of a short connection, half of both ways
+constexpr double kTcpBytesPerMessage =
+  300; ///< TCP/IP headers of a short connection, half of both directions
 constexpr double kGoalCpuPercent = 1.2;
 constexpr double kGoalMegabytes = 128;
 constexpr double kGoalKilobytes = 30;
@@ -42,7 +43,7 @@
   return answer ? answer.value().mBody : std::string();
 }
 
-/// Value of an unlabelled metric; 0 if the router does not tell it.
+/// Returns the value of an unlabelled metric; 0 if the router does not serve it.
 double MetricOf(const std::string& aText, const std::string& aName)
 {
   std::istringstream in(aText);
@@ -55,7 +56,7 @@
   return 0;
 }
 
-/// @return seconds until the condition held, or -1
+/// @return seconds until the condition held, or -1 if it never did
 template<typename F>
 double SecondsUntil(const F& aCondition)
 {
@@ -69,7 +70,7 @@
   return -1;
 }
 
-/// One fleet of routers on an otherwise idle platform of stand-ins.
+/// A fleet of routers on stand-ins of the platform, without callers.
 class ControlFleet
 {
 public:
@@ -143,7 +144,7 @@
     return out;
   }
 
-  /// Kills one router. @return seconds until no other counts it as living, or -1
+  /// Kills one router. @return seconds until no other lists it as alive, or -1 if one still does
   double Notice()
   {
     const auto name = mRouters.back().mName;
@@ -185,7 +186,8 @@
   return out;
 }
 
-/// Straight line through the runs, at the target's size. @return value and slope for each node
+/// Extrapolates a figure linearly to the target's size. @return the value there, and the slope per
+/// node
 std::pair<double, double> AtTarget(const std::vector<Figures>& aRuns, const std::string& aName)
 {
   double x = 0;
--- a/bench/DeploymentsBench.cpp
+++ b/bench/DeploymentsBench.cpp
@@ -11,17 +11,17 @@
 constexpr double kPercent = 100;
 constexpr double kFalseGoal = 0.01;
 
-/// One of the users' deployments at its size of today.
+/// One of the users' deployments at its current size.
 struct Deployment
 {
   std::string_view mName;
   std::string_view mPolicy;
   Demand mDemand;
   std::size_t mRouters;
-  std::size_t mBudgets; ///< as its example states
-  double mRate;         ///< requests a second at each router
-  Millis mWindow;       ///< demand that rights are held for
-  bool mHasGoals;       ///< otherwise a comparison
+  std::size_t mBudgets; ///< number in its example configuration
+  double mRate;         ///< requests per second at each router
+  Millis mWindow;       ///< duration of the demand that held rights cover
+  bool mHasGoals;       ///< false for a comparison without goals
 };
 
 constexpr Deployment kDeployments[] = {
--- a/bench/IntentsBench.cpp
+++ b/bench/IntentsBench.cpp
@@ -21,9 +21,9 @@
 constexpr int kCrashAfter = 5; ///< seconds into the outage
 constexpr int kRetrySeconds = 2;
 constexpr int kDeadlineSeconds = 60;
-constexpr int kBlockSeconds = 10; ///< life of a block of tickets
+constexpr int kBlockSeconds = 10; ///< lifetime of a block of tickets
 
-/// A key-value service that counts its writes and can be away.
+/// A key-value service that counts its writes and can be made unavailable.
 class CountingStore final : public standin::ForwardingStore
 {
 public:
@@ -65,13 +65,13 @@
   standin::MemoryStore mStore;
 };
 
-/// What became of the calls of one run.
+/// Outcomes of the calls of one run.
 struct Tally
 {
   std::int64_t mCalls = 0;
   std::int64_t mDone = 0;
-  std::int64_t mRefused = 0; ///< told "not run" until the deadline
-  std::int64_t mUnknown = 0; ///< told "unknown" although it never ran
+  std::int64_t mRefused = 0; ///< answered "not run" until the deadline
+  std::int64_t mUnknown = 0; ///< answered "unknown" although the call never ran
   std::int64_t mWrites = 0;
 };
 
@@ -83,7 +83,8 @@
   std::size_t mRouter = 0;
 };
 
-/// One run of a policy: calls come, the service is away for a while, a router may crash meanwhile.
+/// One run of a policy: calls arrive, the key-value service has an outage, in which a router may
+/// crash.
 class IntentRun
 {
 public:
@@ -124,7 +125,7 @@
   }
 
 private:
-  /// @return whether the call got its final answer
+  /// @return whether the call has its final response
   bool Try(WaitingCall& aCall, int aNow)
   {
     if (aNow < aCall.mNextTry) {
@@ -155,7 +156,8 @@
     return true;
   }
 
-  /// The owner of a key's share runs it without a write before; a dead owner's list died with it.
+  /// The owner of a key's range runs the call without a prior write. If the owner crashes, its list
+  /// of calls is lost.
   bool TryTicket(const WaitingCall& aCall)
   {
     const auto owner = StableHash(aCall.mKey) % kRouters;
--- a/bench/PipelineBench.cpp
+++ b/bench/PipelineBench.cpp
@@ -18,7 +18,8 @@
 constexpr std::int64_t kFirstTokenMicros = 5'000;
 constexpr int kNodeStreams = 160;
 constexpr int kManyStreams = 1'600;
-constexpr double kHoldSeconds = 15; ///< 500 tokens a stream, as in the target
+constexpr double kHoldSeconds =
+  15; ///< duration of 500 tokens, the length of a stream at the target
 constexpr double kThousand = 1000;
 
 std::string ConfigurationText()
@@ -82,7 +83,8 @@
   ApplyConfiguration(aStage.mRouter, ConfigurationText());
 }
 
-/// First-token latency through the router and directly, in turns, so that both see the same load.
+/// Measures the first-token latency through the router and directly, alternating, so that both are
+/// measured under the same load.
 Json MeasureLatency(const Stage& aStage, int aRounds, BenchReport& aReport)
 {
   std::vector<double> direct;
@@ -108,7 +110,7 @@
            { "added_p99_ms", tail } };
 }
 
-/// Holds some streams open for a while and reads what the router used meanwhile.
+/// Keeps streams open for some time and measures the resources that the router uses in it.
 Json MeasureStreams(Stage& aStage, int aStreams, double aSeconds)
 {
   const auto tokens = static_cast<std::int64_t>(aSeconds * 1e6 / kTokenMicros);
--- a/bench/Processes.cpp
+++ b/bench/Processes.cpp
@@ -95,11 +95,11 @@
 
 Processes::~Processes()
 {
-  // The last started ends first, so that routers leave while the platform still answers.
+  // Processes end in reverse order, so that routers shut down while the platform still responds.
   for (auto it = mProcesses.rbegin(); it != mProcesses.rend(); ++it) {
     kill(it->mPid, SIGCONT);
     kill(it->mPid, SIGTERM);
-    // A second signal makes a draining router go at once.
+    // A second signal ends a draining router at once.
     kill(it->mPid, SIGINT);
   }
   const auto end = std::chrono::steady_clock::now() + kStopTimeout;
--- a/bench/Processes.h
+++ b/bench/Processes.h
@@ -10,7 +10,7 @@
 
 namespace gentianloom::bench {
 
-/// What one process used so far.
+/// Resources that a process has used so far.
 struct ProcessUse
 {
   double mCpuSeconds = 0;    ///< user and system time
@@ -18,7 +18,7 @@
   double mResidentMegabytes = 0;
 };
 
-/// A process that a bench started.
+/// A process started by a bench.
 struct BenchProcess
 {
   std::string mName;
@@ -31,7 +31,7 @@
 };
 
 /**
- * @brief Real processes on loopback for one bench run; ended with the object.
+ * @brief Real processes on loopback for one bench run; the destructor ends them.
  */
 class Processes
 {
@@ -61,14 +61,14 @@
   std::vector<BenchProcess> mProcesses;
 };
 
-/// Operator's key that routers of a bench accept, and its settings entry.
+/// Operator key that the routers of a bench accept, and its entry in the settings.
 inline constexpr std::string_view kOperatorKey = "operator-key";
 Json OperatorSettingsJson();
 
 /// @brief Applies a configuration through a router. @throws std::runtime_error if it is refused
 void ApplyConfiguration(const std::string& aRouter, const std::string& aText);
 
-/// @brief Value at a quantile of some samples; 0 if there are none. @param aQuantile 0 to 1
+/// @brief Returns a quantile of samples; 0 if there are none. @param aQuantile 0 to 1
 double Quantile(std::vector<double> aSamples, double aQuantile);
 
 } // namespace gentianloom::bench
--- a/bench/RoutingBench.cpp
+++ b/bench/RoutingBench.cpp
@@ -19,7 +19,7 @@
   bool mEjection;
 };
 
-/// The baselines are plain; one of them is also shown with our ejection.
+/// The baselines have no outlier ejection, except one that is run with and without it.
 constexpr Contender kContenders[] = { { "chosen", "least-wait", true, true },
                                       { "round robin", "round-robin", false, false },
                                       { "random", "random", false, false },
--- a/bench/RoutingModel.cpp
+++ b/bench/RoutingModel.cpp
@@ -19,14 +19,14 @@
 constexpr std::int64_t kSlots = 16;
 constexpr double kPrefillMsPerToken = 0.1;
 constexpr double kTokenMs = 20;
-constexpr double kBatchCost = 0.5; ///< how much slower tokens come with all slots in use
+constexpr double kBatchCost = 0.5; ///< relative slowdown of tokens with all slots in use
 constexpr double kSlowFactor = 4;
 constexpr double kBlockTokens = 256;
 constexpr double kTailTokens = 200;
 constexpr std::size_t kBlocks = 6;
-constexpr std::size_t kTemplates = 4; ///< prompts of an organisation start with one of these
+constexpr std::size_t kTemplates = 4; ///< number of prompt prefixes of an organisation
 constexpr std::size_t kCachedBlocks = 64;
-constexpr double kLeastOutput = 60;
+constexpr double kMinOutput = 60;
 constexpr double kMeanOutput = 120;
 constexpr double kDeadlineMs = 12'000;
 constexpr double kConnectMs = 1;
@@ -37,11 +37,11 @@
 constexpr double kWarmUpShare = 0.2;
 constexpr double kCrashAt = 0.4;
 constexpr double kBackAt = 0.6;
-constexpr double kLargeShare = 0.45; ///< of all requests, asked for by the first organisation
-constexpr int kMostTries = 3;
+constexpr double kLargeShare = 0.45; ///< fraction of all requests that the first organisation sends
+constexpr int kMaxTries = 3;
 constexpr std::size_t kSlowEngine = 1;
 constexpr std::size_t kCrashedEngine = 3;
-constexpr std::int64_t kNewRun = 1'000'000; ///< first sequence number of each run's events, apart
+constexpr std::int64_t kNewRun = 1'000'000; ///< distance of the first sequence numbers of two runs
 
 Micros FromMs(double aMs)
 {
@@ -94,7 +94,7 @@
   }
   bool HasSlot() const { return static_cast<std::int64_t>(mDecoding.size()) < kSlots; }
 
-  /// @brief Blocks of the prompt that are held; the whole prompt is held afterwards.
+  /// @brief Caches a prompt. @return number of its leading blocks that were cached before
   std::size_t Touch(const PrefixHashes& aPrefixes)
   {
     std::size_t hits = 0;
@@ -216,7 +216,7 @@
     for (std::size_t n = 0; n < kBlocks; ++n) {
       request->mHints.mPrefixes.push_back(StableHash(start, n));
     }
-    request->mOutput = kLeastOutput + Uniform() * 2 * (kMeanOutput - kLeastOutput);
+    request->mOutput = kMinOutput + Uniform() * 2 * (kMeanOutput - kMinOutput);
     request->mArrived = mClock.Now();
     request->mDeadline = mClock.Now() + FromMs(kDeadlineMs);
     const auto counted = FromMs(mRun.mSeconds * 1'000 * kWarmUpShare);
@@ -383,8 +383,8 @@
   const bool failed = aEnd == AttemptOutcome::NotReached || aEnd == AttemptOutcome::Interrupted;
   if (failed) {
     aRequest->mTried.push_back(aEngine.mName);
-    mFigures.mBroken += aRequest->mCounted && aRequest->mTries >= kMostTries ? 1 : 0;
-    if (aRequest->mTries < kMostTries) {
+    mFigures.mBroken += aRequest->mCounted && aRequest->mTries >= kMaxTries ? 1 : 0;
+    if (aRequest->mTries < kMaxTries) {
       Submit(aRequest);
     }
   }
--- a/bench/RoutingModel.h
+++ b/bench/RoutingModel.h
@@ -12,37 +12,38 @@
 
 namespace gentianloom::bench {
 
-/// What one run of the model is told.
+/// Parameters of one run of the model.
 struct RoutingRun
 {
-  std::string mPolicy;       ///< as in the settings
-  bool mAdmission = true;    ///< false: place at once, engines queue (baselines)
-  bool mEjection = true;     ///< false: sick endpoints stay in use (plain baselines)
-  double mLoad = 1.0;        ///< share of the endpoints' capacity that is asked for
+  std::string mPolicy; ///< name, as in the settings
+  bool mAdmission =
+    true; ///< false: requests are placed at once and queue at the engines (baselines)
+  bool mEjection = true;     ///< false: failing endpoints stay in use (baselines)
+  double mLoad = 1.0;        ///< requested fraction of the endpoints' capacity
   bool mSlowEndpoint = true; ///< one endpoint is kSlowFactor times slower
-  bool mCrash = true;        ///< one endpoint is down for a while
+  bool mCrash = true;        ///< one endpoint is down for part of the run
   double mSeconds = 120;
   std::uint64_t mSeed = 1;
 };
 
-/// What one run showed, after the warm-up.
+/// Results of one run, without its warm-up.
 struct RoutingFigures
 {
   std::int64_t mAsked = 0;
-  std::int64_t mInTime = 0; ///< whole answers within the deadline
+  std::int64_t mInTime = 0; ///< complete responses within the deadline
   std::int64_t mLate = 0;
   std::int64_t mRefused = 0;
   std::int64_t mWronglyRefused = 0; ///< refused although half of the slots were free
   std::int64_t mBroken = 0;
-  double mGoodput = 0;       ///< whole answers within the deadline a second
-  double mGoodTokens = 0;    ///< estimated tokens of those a second
+  double mGoodput = 0;       ///< complete responses within the deadline, per second
+  double mGoodTokens = 0;    ///< estimated tokens of those, per second
   double mFirstTokenMs[3]{}; ///< median, 95th and 99th percentile
-  double mPrefixHits = 0;    ///< share of prompt blocks that were cached
-  double mLeastShare = 0;    ///< least share of an organisation, of what it is due
+  double mPrefixHits = 0;    ///< fraction of the prompt blocks that were cached
+  double mLeastShare = 0; ///< minimum over the organisations of received share divided by due share
 };
 
 /**
- * @brief Discrete events on a small fake of engines, driving the real placement and admission.
+ * @brief Discrete-event simulation of engines that drives the real placement and admission.
  *
  * An engine prefills one prompt at a time and decodes up to its slots at once; it has a bounded
  * prefix cache. Reports and cache events reach the routers 2 s late, some events are lost.
@@ -96,9 +97,9 @@
   std::unique_ptr<AcceptedConfiguration> mConfiguration;
   std::vector<std::unique_ptr<Engine>> mEngines;
   std::vector<std::unique_ptr<Router>> mRouters;
-  std::vector<double> mRates;  ///< requests a second of each organisation
-  std::vector<double> mServed; ///< tokens of each organisation answered in time
-  std::vector<double> mWanted; ///< tokens that each organisation asked for
+  std::vector<double> mRates;  ///< requests per second of each organisation
+  std::vector<double> mServed; ///< tokens of each organisation's responses in time
+  std::vector<double> mWanted; ///< requested tokens of each organisation
   std::vector<double> mFirstTokens;
   RoutingFigures mFigures;
   double mBlocks = 0;
--- a/bench/StreamClient.h
+++ b/bench/StreamClient.h
@@ -6,7 +6,7 @@
 
 namespace gentianloom::bench {
 
-/// A chat request that a bench sends, to a router or to an engine directly.
+/// A chat request to a router or directly to an engine.
 struct StreamOrder
 {
   std::string mAddress; ///< `IP:PORT`
@@ -14,15 +14,15 @@
   std::int64_t mTokens = 16;
 };
 
-/// What came back.
+/// Response to a chat request.
 struct StreamResult
 {
   bool mWhole = false;           ///< the end marker was read
   std::int64_t mTokens = 0;      ///< events with content
-  double mFirstTokenSeconds = 0; ///< from before the connection was made
+  double mFirstTokenSeconds = 0; ///< measured from before the connection was opened
 };
 
-/// @brief Sends one streamed chat request and reads the answer to its end.
+/// @brief Sends one streamed chat request and reads the complete response.
 StreamResult ReadStream(const StreamOrder& aOrder);
 
 } // namespace gentianloom::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Suites are listed here as they are written.
+// All suites.
 constexpr std::array kSuites = {
   Suite{ "configuration",
          "apply and read at the target's size, one change",
