--- a/tests/budget/GrantManagerTest.cpp
+++ b/tests/budget/GrantManagerTest.cpp
@@ -157,10 +157,12 @@
     constexpr std::size_t kSlowestLinkBytesPerSecond = 10'000'000 / 8;
     constexpr std::size_t kMaxLinkShareDivisor = 20; // 5 %, for all shards once a second
     std::vector<std::string> names;
+    names.reserve(kBudgets);
     for (int n = 0; n < kBudgets; ++n) {
       names.push_back("budget-" + std::to_string(n));
     }
     std::vector<std::unique_ptr<Process>> fleet;
+    fleet.reserve(kInstances);
     for (int n = 0; n < kInstances; ++n) {
       const auto id = std::to_string(n);
       const auto incarnation = "run-" + std::string(30, 'x') + id;
@@ -370,6 +372,7 @@
       return out;
     };
     std::vector<std::unique_ptr<Process>> fleet;
+    fleet.reserve(static_cast<std::size_t>(aInstances));
     for (int n = 0; n < aInstances; ++n) {
       fleet.push_back(start(n, "run-0-" + std::to_string(n)));
     }
