Log how a response was framed and how its endpoint connection ended

What callers saw: a response that had been broken off was framed as complete. The log lines of a request could not tell a response with a length or chunks from one that ends with its connection, nor an orderly close from a reset, nor whether a stream ended inside an event; these are what the hypotheses differ in. Both log lines of an attempt state the three now. No change of logic.

--- a/include/gentianloom/net/Channel.h
+++ b/include/gentianloom/net/Channel.h
@@ -22,6 +22,9 @@
   Closed      ///< closed by this side, reset, or failed to connect
 };
 
+/// @brief Name of a state, for logs.
+std::string_view ToString(ChannelState aState);
+
 /**
  * @brief A TCP connection that reads continuously, so that it detects a close by the peer at once.
  *
--- a/include/gentianloom/net/HttpHead.h
+++ b/include/gentianloom/net/HttpHead.h
@@ -66,6 +66,9 @@
   UntilClose ///< the body ends when the peer closes the connection
 };
 
+/// @brief Name of a framing, for logs.
+std::string_view ToString(Framing aFraming);
+
 /// @brief Whether two texts are equal except for the case of ASCII letters.
 bool EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight);
 
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -33,12 +33,21 @@
   TimePoint mDeadline{};     ///< the earlier of the caller's and the route's deadlines
 };
 
+/// How an endpoint's response was framed and where it ended, for the log.
+struct ResponseEnd
+{
+  net::Framing mFraming = net::Framing::None;
+  net::ChannelState mConnection = net::ChannelState::Connecting; ///< of the endpoint connection
+  std::size_t mPartialEventBytes = 0; ///< bytes received after the last complete event
+};
+
 /// How an attempt ended.
 struct AttemptResult
 {
   AttemptOutcome mOutcome = AttemptOutcome::Interrupted;
   bool mRequestDidNotRun = false; ///< true only if this is certain
   std::string mReason;            ///< why the attempt failed, for the log; empty after a success
+  ResponseEnd mResponseEnd;
 };
 
 /**
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -26,6 +26,21 @@
 
 } // namespace
 
+std::string_view ToString(ChannelState aState)
+{
+  switch (aState) {
+    case ChannelState::Connecting:
+      return "connecting";
+    case ChannelState::Open:
+      return "open";
+    case ChannelState::PeerClosed:
+      return "closed-by-peer";
+    case ChannelState::Closed:
+      return "closed";
+  }
+  return "unknown";
+}
+
 Channel::Channel(Loop& aLoop, Socket aSocket, ChannelState aState)
   : mLoop(aLoop)
   , mSocket(std::move(aSocket))
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -56,6 +56,21 @@
 
 } // namespace
 
+std::string_view ToString(Framing aFraming)
+{
+  switch (aFraming) {
+    case Framing::None:
+      return "none";
+    case Framing::Length:
+      return "length";
+    case Framing::Chunked:
+      return "chunked";
+    case Framing::UntilClose:
+      return "until-close";
+  }
+  return "unknown";
+}
+
 bool EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight)
 {
   return std::equal(
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -322,7 +322,11 @@
 
 void EndpointAttempt::Finish(AttemptOutcome aOutcome, bool aRequestDidNotRun, std::string aReason)
 {
-  mResult = AttemptResult{ aOutcome, aRequestDidNotRun, std::move(aReason) };
+  ResponseEnd end;
+  end.mFraming = mParser.BodyFraming();
+  end.mConnection = mChannel ? mChannel->State() : net::ChannelState::Closed;
+  end.mPartialEventBytes = mSplitter.Incomplete().size();
+  mResult = AttemptResult{ aOutcome, aRequestDidNotRun, std::move(aReason), end };
   const auto now = mContext.mClock.Now();
   const bool hasFailed =
     aOutcome == AttemptOutcome::Interrupted || aOutcome == AttemptOutcome::NotReached;
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -271,15 +271,20 @@
       co_return;
     }
     willRetry = MayRetry(mLastAttempt);
-    LogChange(LogLevel::Info,
-              "relay",
-              "attempt failed",
-              { { "request", mRequest.mId },
-                { "endpoint", mTriedEndpoints.back() },
-                { "end", std::string(ToString(mLastAttempt.mOutcome)) },
-                { "error", mLastAttempt.mReason },
-                { "proved_not_run", mLastAttempt.mRequestDidNotRun ? "yes" : "no" },
-                { "retried", willRetry ? "yes" : "no" } });
+    const auto& end = mLastAttempt.mResponseEnd;
+    LogChange(
+      LogLevel::Info,
+      "relay",
+      "attempt failed",
+      { { "request", mRequest.mId },
+        { "endpoint", mTriedEndpoints.back() },
+        { "end", std::string(ToString(mLastAttempt.mOutcome)) },
+        { "error", mLastAttempt.mReason },
+        { "framing", std::string(net::ToString(end.mFraming)) },
+        { "connection", std::string(net::ToString(end.mConnection)) },
+        { "partial_event_bytes", ToText(static_cast<std::int64_t>(end.mPartialEventBytes)) },
+        { "proved_not_run", mLastAttempt.mRequestDidNotRun ? "yes" : "no" },
+        { "retried", willRetry ? "yes" : "no" } });
   }
   ReportFailedAttempts();
 }
@@ -352,6 +357,7 @@
       .Observe(std::chrono::duration<double>(mProgress.mFirstEventAt - mStartedAt).count());
   }
   const auto& endpoint = mPlacement.mEndpoint;
+  const auto& end = mLastAttempt.mResponseEnd;
   LogChange(
     LogLevel::Info,
     "relay",
@@ -373,6 +379,9 @@
       { "cost", ToText(static_cast<std::int64_t>(mPlacement.mCost)) },
       { "attempts", ToText(static_cast<std::int64_t>(mTriedEndpoints.size())) },
       { "end", mTriedEndpoints.empty() ? "" : std::string(ToString(mLastAttempt.mOutcome)) },
+      { "framing", std::string(net::ToString(end.mFraming)) },
+      { "connection", std::string(net::ToString(end.mConnection)) },
+      { "partial_event_bytes", ToText(static_cast<std::int64_t>(end.mPartialEventBytes)) },
       { "events", ToText(mProgress.mEventCount) },
       { "reserve_ms", ToMillisText(mReserveDuration) },
       { "first_event_ms", hasEvents ? ToMillisText(mProgress.mFirstEventAt - mStartedAt) : "" },
