--- /dev/null
+++ b/tests/platform/gateway_environment.py
@@ -0,0 +1,162 @@
+"""One stand-in of the platform and one gateway, as separate processes, for the process tests.
+
+Both use ports that the system chooses; only these processes are ended.
+"""
+import http.client
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+HERE = pathlib.Path(__file__).resolve().parent
+BUILD = pathlib.Path(os.environ.get("GENTIANLOOM_BUILD", HERE.parent.parent / "build"))
+WAIT_S = 8
+
+ROUTES = [
+    {"name": "chat", "host": "h.example", "prefix": "/chat/", "kind": "streaming",
+     "timeout-ms": 4000, "target-latency-ms": 300, "service": "pool", "max-attempts": 1,
+     "session-affinity": True, "target-gap-ms": 200},
+    {"name": "resume", "host": "h.example", "prefix": "/resume/", "kind": "streaming",
+     "timeout-ms": 4000, "target-latency-ms": 300, "service": "pool", "max-attempts": 2,
+     "session-affinity": True, "resumable": True, "target-gap-ms": 200},
+    {"name": "send", "host": "h.example", "prefix": "/send/", "kind": "unsafe",
+     "timeout-ms": 1000, "target-latency-ms": 150, "service": "pool", "max-attempts": 2},
+    {"name": "read", "host": "h.example", "prefix": "/read/", "kind": "safe",
+     "timeout-ms": 1000, "target-latency-ms": 150, "service": "pool", "max-attempts": 2},
+]
+
+
+def configuration(version=7, prepaid=100000, keys=("k1",), routes=None):
+    return {"version": version, "routes": routes or ROUTES,
+            "services": [{"name": "pool", "max-connections": 100,
+                          "engine": {"slots": 8, "kv-capacity-tokens": 9000, "stride": 5}}],
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": 100000,
+                       "header-timeout-ms": 1000, "idle-timeout-ms": 3000},
+            "tenants": [{"name": "org", "api-keys": list(keys), "prepaid": prepaid}]}
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for it in sockets:
+        it.bind(("127.0.0.1", 0))
+    ports = [it.getsockname()[1] for it in sockets]
+    for it in sockets:
+        it.close()
+    return ports
+
+
+class Response:
+    def __init__(self, response):
+        self.status = response.status
+        self.headers = response.headers
+        try:
+            self.body = response.read()
+            self.is_complete = True
+        except (http.client.IncompleteRead, ConnectionError) as ex:
+            self.body = getattr(ex, "partial", b"")
+            self.is_complete = False
+
+
+class Environment:
+    """One stand-in of the platform and one gateway."""
+
+    def __init__(self, start_gateway=True):
+        self.standin = subprocess.Popen([sys.executable, str(HERE / "standin.py"), "w1", "w2"],
+                                        stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        self.addresses = json.loads(self.standin.stdout.readline())
+        self.send_command(put="op/config", value=configuration())
+        for name, address in self.addresses["workers"].items():
+            self.send_command(put="servers/" + name, value=self.endpoint_entry(address))
+        self.caller, ready, directory, metrics = free_ports(4)
+        self.ready, self.directory, self.metrics = ready, directory, metrics
+        self.folder = tempfile.TemporaryDirectory()
+        self.settings = pathlib.Path(self.folder.name) / "settings.json"
+        self.write_settings()
+        self.gateway = None
+        if start_gateway:
+            self.start()
+
+    def write_settings(self, **more):
+        text = {"instance": "g1", "availability_zone": "a", "leave_time_s": 4,
+                "caller_address": f"127.0.0.1:{self.caller}",
+                "readiness_address": f"127.0.0.1:{self.ready}",
+                "directory_address": f"127.0.0.1:{self.directory}",
+                "metrics_address": f"127.0.0.1:{self.metrics}",
+                "address_life_s": 0.2, "retry_slack": 400,
+                "store_address": self.addresses["store"], **more}
+        self.settings.write_text(json.dumps(text))
+
+    def start(self):
+        self.log = open(pathlib.Path(self.folder.name) / "log.txt", "a+")
+        self.gateway = subprocess.Popen([str(BUILD / "bin" / "gentianloom-gateway"),
+                                         str(self.settings)], stdout=self.log)
+        self.wait(lambda: self.get(self.ready, "/readiness").status == 200)
+
+    @staticmethod
+    def endpoint_entry(address, state="ready"):
+        return {"service": "pool", "address": address, "zone": "a", "slots": 8, "state": state}
+
+    @staticmethod
+    def wait(condition):
+        end = time.monotonic() + WAIT_S
+        while True:
+            try:
+                if condition():
+                    return
+            except OSError:
+                pass
+            if time.monotonic() > end:
+                raise AssertionError("condition not met within the timeout")
+            time.sleep(0.02)
+
+    def send_command(self, **command):
+        connection = http.client.HTTPConnection(self.addresses["control"], timeout=5)
+        connection.request("POST", "/", json.dumps(command))
+        return json.loads(connection.getresponse().read())
+
+    def configure_workers(self, **changes):
+        for name in self.addresses["workers"]:
+            self.send_command(worker=name, set=changes)
+
+    def executed_requests(self):
+        executed = self.send_command()["executed"]
+        return [it for name in executed for it in executed[name]]
+
+    @staticmethod
+    def get(port, path):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        connection.request("GET", path)
+        return Response(connection.getresponse())
+
+    def call(self, path, attempt, headers=None, method="POST", body=b"hello", connection=None):
+        connection = connection or http.client.HTTPConnection("127.0.0.1", self.caller, timeout=8)
+        fields = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Credential": "k1",
+                  "X-Deadline-Ms": "3000"}
+        if path.startswith(("/chat", "/resume")):
+            fields |= {"X-Token-Usage": "1000,50", "X-Prompt-Prefix": "aa:600,bb:400"}
+        fields |= headers or {}
+        connection.request(method, path, body, {k: v for k, v in fields.items() if v is not None})
+        return Response(connection.getresponse())
+
+    def log_lines(self):
+        self.log.flush()
+        path = pathlib.Path(self.folder.name) / "log.txt"
+        return [json.loads(it) for it in path.read_text().splitlines()]
+
+    def wait_for_log_line(self, condition):
+        self.wait(lambda: any(condition(it) for it in self.log_lines()))
+
+    def close(self):
+        if self.gateway and self.gateway.poll() is None:
+            self.gateway.kill()
+            self.gateway.wait()
+        self.standin.stdin.close()
+        self.standin.wait()
+        self.standin.stdout.close()
+        if self.gateway:
+            self.log.close()
+        self.folder.cleanup()
--- /dev/null
+++ b/tests/platform/interrupted_response_test.py
@@ -0,0 +1,114 @@
+#!/usr/bin/env python3
+"""Responses that an endpoint breaks off, in every framing and at every place, by a raw endpoint."""
+import unittest
+
+from gateway_environment import Environment
+
+SIGNED = ("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: s\r\n"
+          "Content-Type: text/event-stream\r\n")
+UNTIL_CLOSE = SIGNED + "Connection: close\r\n\r\n"
+CHUNKED = SIGNED + "Transfer-Encoding: chunked\r\n\r\n"
+EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+PART = "id: 3\nda"
+LAST_CHUNK = "0\r\n\r\n"
+
+
+def chunk(text):
+    return f"{len(text):x}\r\n{text}\r\n"
+
+
+def length(text, missing=0):
+    return SIGNED + f"Content-Length: {len(text) + missing}\r\n\r\n" + text
+
+
+class InterruptedResponseTest(unittest.TestCase):
+    def setUp(self):
+        self.env = Environment()
+        self.addCleanup(self.env.close)
+
+    def call(self, path, name, raw, end):
+        self.env.configure_workers(mode="raw", raw=raw, raw_end=end, executed=[])
+        return self.env.call(path, name)
+
+    def test_interrupted_stream_does_not_look_complete(self):
+        # A stream that ends inside an event was forwarded with that part of an event, as complete.
+        rows = [
+            ("inside an event, close", UNTIL_CLOSE + EVENTS + PART, "close"),
+            ("inside an event, reset", UNTIL_CLOSE + EVENTS + PART, "reset"),
+            ("between events, reset", UNTIL_CLOSE + EVENTS, "reset"),
+            ("inside a chunk, close", CHUNKED + chunk(EVENTS) + "9\r\n" + PART, "close"),
+            ("between chunks, close", CHUNKED + chunk(EVENTS), "close"),
+            ("between chunks, inside an event", CHUNKED + chunk(EVENTS + PART), "close"),
+            ("inside an event, last chunk", CHUNKED + chunk(EVENTS + PART) + LAST_CHUNK, "close"),
+            ("inside an event, short of its length", length(EVENTS + PART, missing=9), "close"),
+            ("between events, short of its length", length(EVENTS, missing=9), "close"),
+            ("inside an event, with its length", length(EVENTS + PART), "close"),
+        ]
+        for n, (name, raw, end) in enumerate(rows):
+            with self.subTest(name):
+                response = self.call("/chat/x", f"stream{n}", raw, end)
+                self.assertEqual((200, False), (response.status, response.is_complete))
+                self.assertEqual(EVENTS.encode(), response.body)
+
+    def test_stream_that_ends_before_its_first_event_fails(self):
+        rows = [("no byte", "", "close"), ("no byte, reset", "", "reset"),
+                ("inside the head", UNTIL_CLOSE[:60], "close"),
+                ("inside the head, reset", UNTIL_CLOSE[:60], "reset"),
+                ("after the head", UNTIL_CLOSE, "close"),
+                ("inside the first event", UNTIL_CLOSE + PART, "close"),
+                ("inside the first event, last chunk", CHUNKED + chunk(PART) + LAST_CHUNK, "close")]
+        for n, (name, raw, end) in enumerate(rows):
+            with self.subTest(name):
+                response = self.call("/chat/x", f"early{n}", raw, end)
+                self.assertEqual((502, True), (response.status, response.is_complete))
+
+    def test_whole_stream_is_complete(self):
+        comment = ": bye\n"
+        rows = [("until close", UNTIL_CLOSE + EVENTS, EVENTS),
+                ("until close, comment at the end", UNTIL_CLOSE + EVENTS + comment, EVENTS + comment),
+                ("chunked", CHUNKED + chunk(EVENTS) + LAST_CHUNK, EVENTS),
+                ("length", length(EVENTS), EVENTS)]
+        for n, (name, raw, body) in enumerate(rows):
+            with self.subTest(name):
+                response = self.call("/chat/x", f"whole{n}", raw, "close")
+                self.assertEqual((200, True), (response.status, response.is_complete))
+                self.assertEqual(body.encode(), response.body)
+
+    def test_plain_response(self):
+        rows = [("until close", UNTIL_CLOSE + "body", "close", 200),
+                ("until close, reset", UNTIL_CLOSE + "body", "reset", 502),
+                ("short of its length", length("body", missing=1), "close", 502),
+                ("no last chunk", CHUNKED + chunk("body"), "close", 502),
+                ("inside a chunk", CHUNKED + "9\r\nbody", "close", 502),
+                ("inside the head", UNTIL_CLOSE[:60], "close", 502)]
+        for path in ("/read/x", "/send/x"):
+            for n, (name, raw, end, status) in enumerate(rows):
+                with self.subTest(name, path=path):
+                    response = self.call(path, f"plain{path[1]}{n}", raw, end)
+                    self.assertEqual((status, True), (response.status, response.is_complete))
+                    if status == 200:
+                        self.assertEqual(b"body", response.body)
+
+    def test_interrupted_stream_is_resumed_after_its_last_whole_event(self):
+        self.env.call("/resume/x", "first")
+        executed = self.env.send_command()["executed"]
+        # The next request has the same prompt, so it is placed on the same endpoint.
+        preferred = "w1" if executed["w1"] else "w2"
+        for n, end in enumerate(("close", "reset")):
+            with self.subTest(end):
+                self.env.send_command(worker=preferred, set={
+                    "mode": "raw", "raw": UNTIL_CLOSE + EVENTS + PART, "raw_end": end})
+                response = self.env.call("/resume/x", f"resume{n}")
+                self.assertEqual((200, True), (response.status, response.is_complete))
+                self.assertEqual([b"id: %d" % it for it in range(1, 6)],
+                                 [it for it in response.body.split(b"\n") if it.startswith(b"id")])
+
+    def test_broken_off_stream_is_charged_by_its_whole_events(self):
+        self.call("/chat/x", "charged", UNTIL_CLOSE + EVENTS + PART, "close")
+        self.env.wait_for_log_line(lambda it: it.get("request") == "charged" and "status" in it)
+        line = [it for it in self.env.log_lines() if it.get("request") == "charged"][-1]
+        self.assertEqual(("broke", "2"), (line["end"], line["events"]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -6,6 +6,9 @@
 """
 import base64
 import json
+import os
+import socket
+import struct
 import sys
 import threading
 import time
@@ -16,6 +19,8 @@
 # Maximum time that a paused request waits for a command of the test to continue. The process does
 # not wait for paused requests when it exits.
 MAX_WAIT_S = 60
+# Time between the last byte and a reset, so that the other side reads the bytes first.
+RAW_RESET_DELAY_S = 0.1
 
 
 class Store:
@@ -170,7 +175,9 @@
 class Worker:
     """One endpoint: `mode` selects how it responds, `executed` lists the requests that it ran.
 
-    A stream pauses after event `hold_after` until that is set to 0.
+    A stream pauses after event `hold_after` until that is set to 0. In mode "raw", the bytes of `raw`
+    are sent as they are (`{attempt}` is replaced by the request's id), and `raw_end` says what
+    follows: "close" (an orderly close), "reset", or "endless" (the last byte again and again).
     """
 
     def __init__(self, name, changed):
@@ -178,6 +185,9 @@
         self.changed = changed
         self.hold_after = 0
         self.mode = "good"
+        self.raw = ""
+        self.raw_end = "close"
+        self.endless_bytes = 0  # sent in all until callers closed their connections
         self.events = 5
         self.executed = []
 
@@ -197,6 +207,8 @@
         if worker.mode == "reset":
             self.close_connection = True
             return None
+        if worker.mode == "raw":
+            return self.send_raw(worker, attempt)
         if worker.mode == "unsigned":
             return self.respond(200, b"x", common)
         if worker.mode == "other-attempt":
@@ -210,6 +222,20 @@
             return self.respond(200, b"whole response", common)
         return self.stream(worker, common)
 
+    def send_raw(self, worker, attempt):
+        self.close_connection = True
+        data = worker.raw.replace("{attempt}", attempt).encode()
+        self.wfile.write(data)
+        if worker.raw_end == "reset":
+            time.sleep(RAW_RESET_DELAY_S)  # a reset would discard bytes that are not read yet
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            os.close(self.connection.detach())
+        while worker.raw_end == "endless":
+            try:
+                worker.endless_bytes += self.connection.send(data[-1:] * 65536)
+            except OSError:
+                break  # the caller has closed the connection
+
     def wait_for_close(self):
         """Blocks until the client has closed the connection."""
         try:
