ORDER: a stream that ends inside an event was framed as complete

Cause: EndpointAttempt took the end of the body for the end of the stream. With a body that ends with its connection the parser reports Done at any orderly close, and the relay then forwarded the splitter's remainder, a part of an event, and the last chunk. The class: the end of one layer's message taken for the end of the layer above.

Change: a stream that ends inside an event, in whatever framing, is interrupted: resumed where the route allows it, otherwise the caller's connection ends without a last chunk; before its first event the caller gets 502. So is one that ends until close without any event. The connection of an interrupted response is not kept. The caller's framing stays chunks (a length for plain bodies), so that the end of this process cannot look like the end of a response either.

--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -91,6 +91,8 @@
   void OnResponseHead();
   void OnResponseBody();
   void OnResponseComplete();
+  /// Whether a stream ended where its endpoint cannot have ended it on purpose.
+  bool IsStreamTruncated() const;
   void ForwardEvents();
   void Finish(AttemptOutcome aOutcome, bool aRequestDidNotRun, std::string aReason);
   void ReleaseConnection();
@@ -119,6 +121,7 @@
   EndpointResponse mResponse;
   std::string mUnforwardedBody; ///< part of the response body that was not forwarded yet
   EventSplitter mSplitter;
+  bool mHasForwardedEvent = false;
   std::optional<AttemptResult> mResult;
 };
 
--- a/include/gentianloom/relay/EventSplitter.h
+++ b/include/gentianloom/relay/EventSplitter.h
@@ -28,6 +28,9 @@
   /// @brief Bytes after the last complete event.
   const std::string& Incomplete() const { return mIncomplete; }
 
+  /// @brief Whether Incomplete() holds part of an event, and not only comments and blank lines.
+  bool EndsInsideEvent() const;
+
 private:
   std::string mIncomplete;
 };
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -297,13 +297,26 @@
     mWriter.StartStream(MakeForwardedResponseHead());
   }
   OnFirstEvent();
+  mHasForwardedEvent = true;
   mWriter.SendChunk(chunk);
 }
 
+bool EndpointAttempt::IsStreamTruncated() const
+{
+  // An orderly close after the head alone is how a process that ends looks as well.
+  const bool isEmptyUntilClose =
+    mParser.BodyFraming() == net::Framing::UntilClose && !mHasForwardedEvent;
+  return isEmptyUntilClose || mSplitter.EndsInsideEvent();
+}
+
 void EndpointAttempt::OnResponseComplete()
 {
   const int status = mParser.Head().mStatus;
   if (IsStream() && IsSuccess(status)) {
+    if (IsStreamTruncated()) {
+      Finish(AttemptOutcome::Interrupted, false, "the stream ended before its last event");
+      return;
+    }
     if (mWriter.State() == ResponseState::NotStarted) {
       mWriter.StartStream(MakeForwardedResponseHead());
     }
@@ -342,8 +355,9 @@
     return;
   }
   mChannel->SetListener(nullptr);
+  const bool isInterrupted = mResult && mResult->mOutcome == AttemptOutcome::Interrupted;
   const bool isResponseRead =
-    mParser.State() == net::ParseState::Done && mChannel->Received().empty();
+    !isInterrupted && mParser.State() == net::ParseState::Done && mChannel->Received().empty();
   const bool isRequestSent = mIsRequestSent && mChannel->Unsent() == 0;
   if (isResponseRead && isRequestSent && mChannel->IsUsable() && mParser.Head().mKeepAlive) {
     const auto maxIdle = mResponse.mIdleTimeout ? *mResponse.mIdleTimeout - kIdleMargin : kMaxIdle;
--- a/src/relay/EventSplitter.cpp
+++ b/src/relay/EventSplitter.cpp
@@ -40,6 +40,22 @@
 
 } // namespace
 
+bool EventSplitter::EndsInsideEvent() const
+{
+  constexpr std::string_view kLineEnds = "\r\n";
+  std::string_view rest = mIncomplete;
+  while (!rest.empty()) {
+    const auto end = rest.find_first_of(kLineEnds);
+    const auto line = rest.substr(0, end);
+    const bool isComment = line.starts_with(':');
+    if (!line.empty() && !isComment) {
+      return true;
+    }
+    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+  }
+  return false;
+}
+
 std::vector<ServerSentEvent> EventSplitter::Append(std::string_view aBytes)
 {
   mIncomplete.append(aBytes);
--- a/tests/relay/EventSplitterTest.cpp
+++ b/tests/relay/EventSplitterTest.cpp
@@ -22,6 +22,7 @@
       std::string mBytes;
       std::vector<std::optional<std::int64_t>> mIds;
       std::string mIncomplete;
+      bool mEndsInsideEvent = false;
     };
     const Row rows[] = {
       { "one event", "id: 4\ndata: x\n\n", { 4 }, "" },
@@ -29,7 +30,11 @@
       { "CRLF line endings", "id: 4\r\ndata: x\r\n\r\n", { 4 }, "" },
       { "no id", "data: x\n\n", { std::nullopt }, "" },
       { "id that is not a number", "id: x\n\n", { std::nullopt }, "" },
-      { "incomplete second event", "id: 1\ndata: x\n\nid: 2\nda", { 1 }, "id: 2\nda" },
+      { "incomplete second event", "id: 1\ndata: x\n\nid: 2\nda", { 1 }, "id: 2\nda", true },
+      { "an event without its blank line", "id: 1\ndata: x\n", {}, "id: 1\ndata: x\n", true },
+      { "a comment at the end", "id: 1\n\n: bye\r\n", { 1 }, ": bye\r\n", false },
+      { "part of a comment", "id: 1\n\n: by", { 1 }, ": by", false },
+      { "an event after a comment", ": hi\nid", {}, ": hi\nid", true },
       { "data that contains an id field", "data: id: 9\n\n", { std::nullopt }, "" },
     };
     for (const auto& row : rows) {
@@ -40,6 +45,7 @@
         CPPUNIT_ASSERT_MESSAGE(row.mName, row.mIds[n] == events[n].mId);
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mIncomplete, splitter.Incomplete());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mEndsInsideEvent, splitter.EndsInsideEvent());
     }
   }
 
