LOST: a last chunk that arrives in parts right after the head ended the process

A caller's request with an empty chunked body, or an endpoint's response with one, is enough if its last chunk arrives in two segments, or is looked at twice before it is whole.

Cause: the library's parser asserts that it is given at least five bytes once it has seen the size line of a last chunk; with a chunk before it the line end of that chunk makes up the five. Our parsers called it with less.

Change: the first chunk of a body is parsed from five bytes on; no body byte is delayed by that, since a chunk of data is at least six.

--- a/include/gentianloom/net/HttpParser.h
+++ b/include/gentianloom/net/HttpParser.h
@@ -124,6 +124,7 @@
   ResponseHead mHead;
   Framing mFraming = Framing::None;
   std::uint64_t mContentLength = 0;
+  bool mHasBodyBytes = false;
   ParseState mState = ParseState::NeedMore;
 };
 
--- a/src/net/HttpParser.cpp
+++ b/src/net/HttpParser.cpp
@@ -26,6 +26,10 @@
 
 constexpr int kFirstFinalStatus = 200;
 
+/// Size of the shortest last chunk. The library asserts that it gets this many bytes once it has
+/// seen the size line of a last chunk that follows the head.
+constexpr std::size_t kLastChunkBytes = 5;
+
 std::string ToString(boost::beast::string_view aText)
 {
   return { aText.data(), aText.size() };
@@ -91,6 +95,11 @@
 {
   std::size_t used = 0;
   while (used < aBytes.size() && mState != ParseState::Done && mState != ParseState::Failed) {
+    const bool isAtFirstChunk = mState == ParseState::HeadDone && mImpl->mParser.chunked() &&
+                                mImpl->mParser.get().body().empty();
+    if (isAtFirstChunk && aBytes.size() - used < kLastChunkBytes) {
+      break;
+    }
     error_code ec;
     const auto n = mImpl->mParser.put(const_buffer(aBytes.data() + used, aBytes.size() - used), ec);
     used += n;
@@ -230,13 +239,19 @@
 std::size_t ResponseParser::PutBody(std::string_view aBytes, std::string& aBody)
 {
   auto& parser = mImpl->mParser;
+  const bool isAtFirstChunk = mFraming == Framing::Chunked && !mHasBodyBytes;
+  if (isAtFirstChunk && aBytes.size() < kLastChunkBytes) {
+    return 0;
+  }
   std::array<char, kBodyBufferBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
   parser.get().body().data = buf.data();
   parser.get().body().size = buf.size();
   parser.get().body().more = true;
   error_code ec;
   const auto n = parser.put(const_buffer(aBytes.data(), aBytes.size()), ec);
-  aBody.append(buf.data(), buf.size() - parser.get().body().size);
+  const auto decodedBytes = buf.size() - parser.get().body().size;
+  aBody.append(buf.data(), decodedBytes);
+  mHasBodyBytes = mHasBodyBytes || decodedBytes > 0;
   if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
     mState = ParseState::Failed;
     return n;
--- a/tests/net/HttpParserTest.cpp
+++ b/tests/net/HttpParserTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(TestLimits);
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestInterimResponse);
+  CPPUNIT_TEST(TestChunkedBodyInFragments);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -259,6 +260,48 @@
     CPPUNIT_ASSERT_EQUAL(200, parser.Head().mStatus);
     CPPUNIT_ASSERT_EQUAL(std::string("ab"), body);
   }
+
+  // A last chunk that arrived in parts, right after the head, ended the process.
+  void TestChunkedBodyInFragments()
+  {
+    const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::pair<std::string, std::string> rows[] = {
+      { "0\r\n\r\n", "" },
+      { "00\r\n\r\n", "" },
+      { "0;x=y\r\n\r\n", "" },
+      { "0\r\nX-Trailer: 1\r\n\r\n", "" },
+      { "1\r\na\r\n0\r\n\r\n", "a" },
+      { "1\r\n0\r\n2\r\n0\r\r\n0\r\nX-Trailer: 1\r\n\r\n", "00\r" },
+    };
+    for (const auto& [bytes, expected] : rows) {
+      RequestParser requestParser({ 1'000, 1'000 });
+      PutInFragments(request + bytes, [&](std::string_view it) { return requestParser.Put(it); });
+      CPPUNIT_ASSERT_MESSAGE(bytes, requestParser.State() == ParseState::Done);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, expected, requestParser.TakeBody());
+      ResponseParser responseParser;
+      std::string body;
+      PutInFragments(response + bytes,
+                     [&](std::string_view it) { return responseParser.Put(it, body); });
+      CPPUNIT_ASSERT_MESSAGE(bytes, responseParser.State() == ParseState::Done);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, expected, body);
+    }
+  }
+
+private:
+  /// Passes bytes one by one, together with those that were not consumed, and each state twice, as
+  /// a loop does that is also notified of other events.
+  template<typename Function>
+  static void PutInFragments(const std::string& aBytes, Function aPut)
+  {
+    std::string pending;
+    for (const auto it : aBytes) {
+      pending += it;
+      pending.erase(0, aPut(pending));
+      pending.erase(0, aPut(pending));
+    }
+    CPPUNIT_ASSERT(pending.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpParserTest);
