GONE: an endpoint's bytes without end held a request until its deadline

Callers waited for the whole time of their route (4.06 s of 4 s in the test) and got 504 when a chunk's size line, an event, events or interim responses never ended; such an endpoint was not suspected, since a timeout is none of its failures, and one event without end grew without bound in memory.

Cause: heads and plain bodies had limits, the other parts of a response had none. Class: an input is bounded in the places where size was thought of, instead of in everything that is kept or waited for.

Change: the parser fails on more than 16 interim responses and on a head, size line or trailers that are longer than 64 KiB; an event has at most 256 KiB, a stream one event for each output token asked for and 64 more; the plain responses that are being received together at most 16 MiB, which is also the bound of one response of the store. Each ends the attempt as interrupted: the connection is reset, the endpoint suspected, and the caller gets 502 or a stream that is seen to be cut.

--- a/include/gentianloom/net/HttpParser.h
+++ b/include/gentianloom/net/HttpParser.h
@@ -85,7 +85,9 @@
 /**
  * @brief Parses one response from a byte stream and returns its body incrementally.
  *
- * Interim responses (1xx) are skipped.
+ * Interim responses (1xx) are skipped. Too many of them, and a head, a chunk's size line or
+ * trailers that do not end within 64 KiB, make the parser fail, so that what it holds is bounded.
+ * The size of the body is not limited.
  */
 class ResponseParser
 {
@@ -125,6 +127,7 @@
   Framing mFraming = Framing::None;
   std::uint64_t mContentLength = 0;
   bool mHasBodyBytes = false;
+  int mInterimResponses = 0;
   ParseState mState = ParseState::NeedMore;
 };
 
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -94,6 +94,7 @@
   /// Whether a stream ended where its endpoint cannot have ended it on purpose.
   bool IsStreamTruncated() const;
   void ForwardEvents();
+  std::int64_t MaxEvents() const;
   void Finish(AttemptOutcome aOutcome, bool aRequestDidNotRun, std::string aReason);
   void ReleaseConnection();
   void OnFirstEvent();
@@ -122,6 +123,8 @@
   std::string mUnforwardedBody; ///< part of the response body that was not forwarded yet
   EventSplitter mSplitter;
   bool mHasForwardedEvent = false;
+  std::int64_t mReceivedEvents = 0;
+  std::size_t mCountedBytes = 0; ///< this attempt's part of RelayContext::mBufferedBytes
   std::optional<AttemptResult> mResult;
 };
 
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -37,6 +37,7 @@
   bool mIsLeaving = false;          ///< responses ask callers to close their connections
   bool mRejectsNewRequests = false; ///< the process ends too soon to complete new requests
   int mOpenRequests = 0;
+  std::size_t mBufferedBytes = 0; ///< of responses that are forwarded once they are complete
 };
 
 } // namespace gentianloom
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -14,6 +14,8 @@
 /// Limit for connecting. It is short so that a caller that retries starts a new connection early:
 /// the network path may have been restored meanwhile.
 constexpr Millis kConnectTimeout{ 500 };
+/// Size limit of the body of a response.
+constexpr std::size_t kMaxReplyBytes = 16 * 1'024 * 1'024;
 
 /// Time until a deadline; negative once it has passed.
 Micros RemainingTime(TimePoint aDeadline)
@@ -88,6 +90,9 @@
   while (parser.State() != ParseState::Done && parser.State() != ParseState::Failed) {
     const auto used = parser.Put(channel->Received(), reply.mBody);
     channel->Consume(used);
+    if (reply.mBody.size() > kMaxReplyBytes) {
+      break;
+    }
     if (used > 0) {
       continue;
     }
--- a/src/net/HttpParser.cpp
+++ b/src/net/HttpParser.cpp
@@ -25,6 +25,10 @@
 constexpr auto kNoLimit = std::numeric_limits<std::uint64_t>::max();
 
 constexpr int kFirstFinalStatus = 200;
+/// Interim responses that are skipped before a final one.
+constexpr int kMaxInterimResponses = 16;
+/// With more bytes than this, a size line, trailers or a head that are still incomplete never end.
+constexpr std::size_t kMaxUnparsedBytes = kMaxResponseHeadBytes;
 
 /// Size of the shortest last chunk. The library asserts that it gets this many bytes once it has
 /// seen the size line of a last chunk that follows the head.
@@ -202,6 +206,9 @@
       ExtractHead();
     }
   }
+  if (used == 0 && mState != ParseState::Done && aBytes.size() >= kMaxUnparsedBytes) {
+    mState = ParseState::Failed;
+  }
   return used;
 }
 
@@ -210,6 +217,10 @@
   auto& parser = mImpl->mParser;
   const auto status = static_cast<int>(parser.get().result_int());
   if (status < kFirstFinalStatus) {
+    if (++mInterimResponses > kMaxInterimResponses) {
+      mState = ParseState::Failed;
+      return;
+    }
     mImpl = std::make_unique<Impl>();
     mImpl->mParser.header_limit(kMaxResponseHeadBytes);
     mImpl->mParser.body_limit(kNoLimit);
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -3,6 +3,7 @@
 #include "gentianloom/net/HttpClient.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace gentianloom {
 
@@ -22,6 +23,12 @@
 constexpr std::size_t kMaxUnsentBytes = 64 * 1'024;
 /// Size limit of the body of a response that is not streamed.
 constexpr std::size_t kMaxResponseBytes = 8 * 1'024 * 1'024;
+/// Size limit of the bodies of all responses that are being received and not streamed.
+constexpr std::size_t kMaxBufferedBytes = 16 * 1'024 * 1'024;
+/// Size limit of one event of a stream.
+constexpr std::size_t kMaxEventBytes = 256 * 1'024;
+/// Events beyond one for each output token that the request allows, such as keep-alives.
+constexpr std::int64_t kMaxExtraEvents = 64;
 /// Extra time after the deadline, so that a response that the endpoint completes at its own time
 /// limit still reaches the caller.
 constexpr Millis kDeadlineGrace{ 60 };
@@ -55,6 +62,7 @@
 {
   mEndpoint->mLoad.OnEnded(mLoadHandle);
   NotifyPendingTokensChanged();
+  mContext.mBufferedBytes -= mCountedBytes;
   ReleaseConnection();
 }
 
@@ -266,12 +274,25 @@
 void EndpointAttempt::OnResponseBody()
 {
   if (!IsStream() || !IsSuccess(mParser.Head().mStatus)) {
-    if (mUnforwardedBody.size() > kMaxResponseBytes) {
+    mContext.mBufferedBytes += mUnforwardedBody.size() - mCountedBytes;
+    mCountedBytes = mUnforwardedBody.size();
+    if (mCountedBytes > kMaxResponseBytes || mContext.mBufferedBytes > kMaxBufferedBytes) {
       Finish(AttemptOutcome::Interrupted, false, "the response body is too large");
     }
     return;
   }
   ForwardEvents();
+  if (mSplitter.Incomplete().size() > kMaxEventBytes) {
+    Finish(AttemptOutcome::Interrupted, false, "an event of the stream is too large");
+  } else if (mReceivedEvents > MaxEvents()) {
+    Finish(AttemptOutcome::Interrupted, false, "the stream has more events than were asked for");
+  }
+}
+
+std::int64_t EndpointAttempt::MaxEvents() const
+{
+  const auto tokens = mRequest.mCallerRequest.mMaxOutputTokens;
+  return tokens ? *tokens + kMaxExtraEvents : std::numeric_limits<std::int64_t>::max();
 }
 
 void EndpointAttempt::ForwardEvents()
@@ -280,6 +301,7 @@
   mUnforwardedBody.clear();
   std::string chunk;
   for (const auto& event : events) {
+    ++mReceivedEvents;
     const bool isAlreadyForwarded =
       event.mId && mProgress.mLastEventId && *event.mId <= *mProgress.mLastEventId;
     if (isAlreadyForwarded) {
--- /dev/null
+++ b/tests/platform/endless_response_test.py
@@ -0,0 +1,84 @@
+#!/usr/bin/env python3
+"""Responses that never end: an endpoint sends bytes until its connection is closed."""
+import pathlib
+import re
+import threading
+import time
+import unittest
+
+from gateway_environment import Environment
+
+HEAD = ("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: s\r\n"
+        "Connection: close\r\n")
+EVENT = "id: 1\ndata: a\n\n"
+# Bounds of one gateway process and of the time in which callers get their response.
+MAX_MEMORY_MB = 64
+MAX_SECONDS = 3
+MAX_OTHERS_SECONDS = 0.5
+
+ROWS = [
+    ("a header line", "/chat/x", HEAD + "X-Pad: ", "a"),
+    ("header lines", "/chat/x", HEAD, "X-Pad: a\r\n"),
+    ("interim responses", "/chat/x", "HTTP/1.1 100 -\r\n\r\n", "HTTP/1.1 100 -\r\n\r\n"),
+    ("no response", "/chat/x", "SSH-2.0\r\n", "a"),
+    ("an event", "/chat/x", HEAD + "\r\ndata: ", "a"),
+    ("events", "/chat/x", HEAD + "\r\n", "data: a\n\n"),
+    ("the same event", "/chat/x", HEAD + "\r\n", EVENT),
+    ("a chunk's size line", "/chat/x", HEAD + "Transfer-Encoding: chunked\r\n\r\n4;", "a"),
+    ("trailers", "/chat/x", HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Pad: a\r\n"),
+    ("a body", "/send/x", HEAD + "\r\n", "a"),
+    ("chunks", "/send/x", HEAD + "Transfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n"),
+]
+
+
+class EndlessResponseTest(unittest.TestCase):
+    def setUp(self):
+        self.env = Environment()
+        self.addCleanup(self.env.close)
+
+    def peak_memory_mb(self):
+        status = pathlib.Path(f"/proc/{self.env.gateway.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+
+    def closed_connections(self):
+        return sum(it[1] for it in self.env.send_command()["endless"].values())
+
+    def test_endless_response_fails_and_its_connection_is_closed(self):
+        for n, (name, path, raw, repeat) in enumerate(ROWS):
+            with self.subTest(name):
+                closed = self.closed_connections()
+                self.env.configure_workers(mode="raw", raw=raw, raw_end="endless", raw_repeat=repeat)
+                start = time.monotonic()
+                response = self.env.call(path, f"endless{n}", {"X-Deadline-Ms": "8000"})
+                self.assertLess(time.monotonic() - start, MAX_SECONDS)
+                self.assertTrue(response.status == 502 or not response.is_complete)
+                self.env.wait(lambda: self.closed_connections() == closed + 1)
+                self.assertLess(self.peak_memory_mb(), MAX_MEMORY_MB)
+                line = [it for it in self.env.log_lines() if it.get("request") == f"endless{n}"][-1]
+                self.assertEqual("broke", line["end"])
+
+    def test_other_requests_go_on_and_the_endpoint_is_avoided(self):
+        for path, raw, repeat in [("/read/x", HEAD + "\r\n", "a"),
+                                  ("/resume/x", HEAD + "\r\ndata: ", "a")]:
+            with self.subTest(path):
+                self.env.send_command(worker="w2", set={"mode": "good"})
+                self.env.send_command(worker="w1", set={
+                    "mode": "raw", "raw": raw, "raw_end": "endless", "raw_repeat": repeat})
+                threads = [threading.Thread(target=self.env.call, args=(path, f"b{path[1]}{n}"))
+                           for n in range(8)]
+                for it in threads:
+                    it.start()
+                for n in range(10):
+                    start = time.monotonic()
+                    self.assertEqual(404, self.env.call("/none/x", f"o{path[1]}{n}").status)
+                    self.assertLess(time.monotonic() - start, MAX_OTHERS_SECONDS)
+                for it in threads:
+                    it.join()
+                responses = [self.env.call(path, f"s{path[1]}{n}") for n in range(4)]
+                self.assertEqual([(200, True)] * 4,
+                                 [(it.status, it.is_complete) for it in responses])
+                self.assertLess(self.peak_memory_mb(), MAX_MEMORY_MB)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -21,6 +21,7 @@
 MAX_WAIT_S = 60
 # Time between the last byte and a reset, so that the other side reads the bytes first.
 RAW_RESET_DELAY_S = 0.1
+ENDLESS_BLOCK_BYTES = 65536
 
 
 class Store:
@@ -177,7 +178,7 @@
 
     A stream pauses after event `hold_after` until that is set to 0. In mode "raw", the bytes of `raw`
     are sent as they are (`{attempt}` is replaced by the request's id), and `raw_end` says what
-    follows: "close" (an orderly close), "reset", or "endless" (the last byte again and again).
+    follows: "close" (an orderly close), "reset", or "endless" (`raw_repeat` again and again).
     """
 
     def __init__(self, name, changed):
@@ -187,7 +188,9 @@
         self.mode = "good"
         self.raw = ""
         self.raw_end = "close"
-        self.endless_bytes = 0  # sent in all until callers closed their connections
+        self.raw_repeat = ""
+        self.endless_bytes = 0  # sent in endless responses
+        self.endless_closed = 0  # endless responses whose connection the caller closed
         self.events = 5
         self.executed = []
 
@@ -230,11 +233,15 @@
             time.sleep(RAW_RESET_DELAY_S)  # a reset would discard bytes that are not read yet
             self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             os.close(self.connection.detach())
-        while worker.raw_end == "endless":
-            try:
-                worker.endless_bytes += self.connection.send(data[-1:] * 65536)
-            except OSError:
-                break  # the caller has closed the connection
+        if worker.raw_end != "endless":
+            return
+        block = worker.raw_repeat.encode() * (ENDLESS_BLOCK_BYTES // len(worker.raw_repeat))
+        try:
+            while True:
+                self.connection.sendall(block)
+                worker.endless_bytes += len(block)
+        except OSError:
+            worker.endless_closed += 1  # the caller has closed the connection
 
     def wait_for_close(self):
         """Blocks until the client has closed the connection."""
@@ -288,6 +295,8 @@
                 vars(platform["workers"][command["worker"]]).update(command["set"])
             store.changed.notify_all()
             out = {"executed": {k: it.executed for k, it in platform["workers"].items()},
+                   "endless": {k: [it.endless_bytes, it.endless_closed]
+                               for k, it in platform["workers"].items()},
                    "calls": store.calls,
                    "items": {k: base64.b64decode(it["value"]).decode()
                              for k, it in store.items.items()}}
--- a/tests/platform/tests.cmake
+++ b/tests/platform/tests.cmake
@@ -10,4 +10,5 @@
 endfunction()
 
 gentianloom_gateway_test(process-gateway gateway_test.py)
+gentianloom_gateway_test(process-endless-response endless_response_test.py)
 gentianloom_gateway_test(process-interrupted-response interrupted_response_test.py)
