--- a/include/gentianloom/external/HttpCall.h
+++ b/include/gentianloom/external/HttpCall.h
@@ -5,7 +5,7 @@
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
 
-#include <Poco/Net/StreamSocket.h>
+#include "gentianloom/external/BoundedSocket.h"
 
 #include <string>
 #include <string_view>
@@ -61,14 +61,23 @@
  * Poco::Net::HTTPClientSession applies its timeouts only to connections that it opens, not to a
  * socket that is passed to it.
  *
+ * @param aLimits of all that is received on the connection
  * @throws Poco::Exception if the connection cannot be opened within the timeout
  */
 Poco::Net::StreamSocket Connect(const std::string& aHost,
                                 std::uint16_t aPort,
-                                const SocketTimeouts& aTimeouts);
+                                const SocketTimeouts& aTimeouts,
+                                const ReceiveLimits& aLimits);
+
+/// Largest response that CallHttp() reads, in bytes.
+inline constexpr std::size_t kMaxCallResponseBytes = 16 * 1'024 * 1'024;
 
 /**
  * @brief Sends one HTTP request on a new connection and reads the complete response.
+ *
+ * A response of more than kMaxCallResponseBytes, or whose bytes still arrive after three times the
+ * timeout, fails.
+ *
  * @param aAddress server as `host:port`
  * @param aTimeout for each of connect, send and receive
  * @param aStep step to set in errors
--- a/include/gentianloom/serving/ChatRelay.h
+++ b/include/gentianloom/serving/ChatRelay.h
@@ -60,9 +60,9 @@
   std::optional<FailedAttempt> RelayEvents();
   std::optional<FailedAttempt> HandleEvent(const StreamEvent& aEvent);
 
-  /// Called while the endpoint sends nothing. Fails the attempt if the deadline passed or if the
+  /// Called regularly, also while events arrive. Fails the attempt if the deadline passed or if the
   /// endpoint has sent nothing for too long. Cancels the request if the caller disconnected.
-  std::optional<FailedAttempt> CheckWhileIdle(TimePoint aLastReceived);
+  std::optional<FailedAttempt> CheckStillWanted(TimePoint aLastReceived);
 
   /// Opens the interrupted stream again on the same endpoint. @return whether this succeeded
   bool Resume();
--- a/include/gentianloom/serving/EngineStream.h
+++ b/include/gentianloom/serving/EngineStream.h
@@ -46,10 +46,14 @@
 public:
   /**
    * @brief Connects and sends the request.
+   * @param aMaxDuration time after which nothing more of the response is received
    * @return the stream, or the error and whether the endpoint may have received the request
    */
-  static boost::outcome_v2::checked<std::unique_ptr<EngineStream>, CallFailure>
-  Start(const std::string& aAddress, const HttpRequest& aRequest, const ServingSettings& aSettings);
+  static boost::outcome_v2::checked<std::unique_ptr<EngineStream>, CallFailure> Start(
+    const std::string& aAddress,
+    const HttpRequest& aRequest,
+    const ServingSettings& aSettings,
+    Millis aMaxDuration);
 
   ~EngineStream();
 
--- /dev/null
+++ b/src/external/BoundedSocket.cpp
@@ -0,0 +1,35 @@
+#include "gentianloom/external/BoundedSocket.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+
+#include <algorithm>
+
+namespace gentianloom {
+
+int BoundedSocketImpl::receiveBytes(void* aBuffer, int aLength, int aFlags)
+{
+  if (std::chrono::steady_clock::now() >= mLimits.mDeadline) {
+    throw Poco::TimeoutException("the response did not end in time");
+  }
+  if (mLimits.mBytes == 0) {
+    throw Poco::Net::NetException("the response is larger than allowed");
+  }
+  const auto length = std::min(static_cast<std::size_t>(aLength), mLimits.mBytes);
+  const int n = StreamSocketImpl::receiveBytes(aBuffer, static_cast<int>(length), aFlags);
+  mLimits.mBytes -= static_cast<std::size_t>(std::max(n, 0));
+  return n;
+}
+
+BoundedSocket::BoundedSocket(const ReceiveLimits& aLimits)
+  : StreamSocket(new BoundedSocketImpl)
+{
+  LimitsOf(*this)->SetLimits(aLimits);
+}
+
+BoundedSocketImpl* BoundedSocket::LimitsOf(const Poco::Net::Socket& aSocket)
+{
+  return dynamic_cast<BoundedSocketImpl*>(aSocket.impl());
+}
+
+} // namespace gentianloom
--- a/src/external/HttpCall.cpp
+++ b/src/external/HttpCall.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Time of a whole call, in timeouts of a single step.
+constexpr int kTimeoutsPerCall = 3;
+
 /// Returns whether a chunked response was read to its last chunk. If it was cut off, the server has
 /// closed the connection, so that the socket is readable but has no data.
 bool HasReadLastChunk(const Poco::Net::HTTPResponse& aResponse, Poco::Net::StreamSocket& aSocket)
@@ -26,12 +29,13 @@
 
 Poco::Net::StreamSocket Connect(const std::string& aHost,
                                 std::uint16_t aPort,
-                                const SocketTimeouts& aTimeouts)
+                                const SocketTimeouts& aTimeouts,
+                                const ReceiveLimits& aLimits)
 {
   const auto toTimespan = [](Millis aTime) {
     return Poco::Timespan(std::chrono::microseconds(aTime).count());
   };
-  Poco::Net::StreamSocket socket;
+  BoundedSocket socket(aLimits);
   socket.connect(Poco::Net::SocketAddress(aHost, aPort), toTimespan(aTimeouts.mConnect));
   socket.setSendTimeout(toTimespan(aTimeouts.mSend));
   socket.setReceiveTimeout(toTimespan(aTimeouts.mReceive));
@@ -49,9 +53,11 @@
     return CallFailure{ CallProgress::NotSent, address.error() };
   }
   CallProgress progress = CallProgress::NotSent;
+  const ReceiveLimits limits{ kMaxCallResponseBytes,
+                              std::chrono::steady_clock::now() + aTimeout * kTimeoutsPerCall };
   try {
-    auto socket =
-      Connect(address.value().first, address.value().second, { aTimeout, aTimeout, aTimeout });
+    auto socket = Connect(
+      address.value().first, address.value().second, { aTimeout, aTimeout, aTimeout }, limits);
     // From here on, bytes may have been sent before a failure, even one while writing the headers.
     progress = CallProgress::Sent;
     Poco::Net::HTTPClientSession session(socket);
--- a/src/serving/ChatRelay.cpp
+++ b/src/serving/ChatRelay.cpp
@@ -15,6 +15,8 @@
 
 constexpr Millis kEndpointRetryAfter{ 1'000 };
 constexpr int kMaxResumes = 2;
+/// Time between two checks of the deadline and of the caller while events arrive.
+constexpr Millis kCheckInterval{ 100 };
 constexpr int kOk = 200;
 
 Json UsageToJson(const Exchange& aExchange)
@@ -117,7 +119,8 @@
   mFirstTokenAt = {};
   auto request = aRequest;
   request.mHeaders.emplace_back(kAttemptHeader, mAttemptId);
-  auto stream = EngineStream::Start(placement.mAddress, request, mDependencies.mSettings);
+  const auto left = std::chrono::ceil<Millis>(mExchange->mDeadline - mDispatchedAt);
+  auto stream = EngineStream::Start(placement.mAddress, request, mDependencies.mSettings, left);
   if (!stream) {
     const bool mayHaveRun = stream.error().mProgress == CallProgress::Sent;
     return FailedAttempt{ { !mayHaveRun, mStreamOut != nullptr },
@@ -201,17 +204,22 @@
 std::optional<ChatRelay::FailedAttempt> ChatRelay::RelayEvents()
 {
   auto lastReceived = mDependencies.mClock.Now();
+  auto lastChecked = lastReceived;
   while (!mIsFinished) {
     const auto before = mDependencies.mClock.Now();
     const auto event = mStream->ReadEvent();
-    if (event.mState == StreamState::Idle) {
-      if (auto failure = CheckWhileIdle(lastReceived)) {
+    const auto now = std::max(before, mDependencies.mClock.Now());
+    const bool isIdle = event.mState == StreamState::Idle;
+    if (!isIdle) {
+      lastReceived = now;
+    }
+    if (isIdle || now - lastChecked > kCheckInterval) {
+      lastChecked = now;
+      if (auto failure = CheckStillWanted(lastReceived)) {
         return failure;
       }
-      continue;
     }
-    lastReceived = std::max(before, mDependencies.mClock.Now());
-    if (event.mState == StreamState::Comment) {
+    if (mIsFinished || isIdle || event.mState == StreamState::Comment) {
       continue;
     }
     if (auto failure = HandleEvent(event)) {
@@ -222,7 +230,7 @@
   return std::nullopt;
 }
 
-std::optional<ChatRelay::FailedAttempt> ChatRelay::CheckWhileIdle(TimePoint aLastReceived)
+std::optional<ChatRelay::FailedAttempt> ChatRelay::CheckStillWanted(TimePoint aLastReceived)
 {
   const auto now = mDependencies.mClock.Now();
   if (now >= mExchange->mDeadline) {
--- a/src/serving/EngineStream.cpp
+++ b/src/serving/EngineStream.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr int kPollIntervalMs = 100;
+/// Bytes that are received for one event at most, or for the head of the response.
+constexpr std::size_t kMaxEventBytes = 256 * 1'024;
 
 /// Size of the CRLF after the data of a chunk. Poco leaves it in its buffer until it reads the next
 /// chunk, so these bytes do not mean that more of the stream has arrived.
@@ -33,6 +35,7 @@
   using Poco::Net::HTTPClientSession::HTTPClientSession;
   int Buffered() const { return buffered(); }
   int Descriptor() { return socket().impl()->sockfd(); }
+  void Allow(std::size_t aBytes) { BoundedSocket::LimitsOf(socket())->Allow(aBytes); }
 };
 
 } // namespace
@@ -93,18 +96,21 @@
 boost::outcome_v2::checked<std::unique_ptr<EngineStream>, CallFailure> EngineStream::Start(
   const std::string& aAddress,
   const HttpRequest& aRequest,
-  const ServingSettings& aSettings)
+  const ServingSettings& aSettings,
+  Millis aMaxDuration)
 {
   auto address = ParseAddress(aAddress);
   if (!address) {
     return CallFailure{ CallProgress::NotSent, address.error() };
   }
   auto progress = CallProgress::NotSent;
+  const ReceiveLimits limits{ kMaxEventBytes, std::chrono::steady_clock::now() + aMaxDuration };
   try {
     const auto socket = Connect(
       address.value().first,
       address.value().second,
-      { aSettings.mConnectTimeout, aSettings.mConnectTimeout, aSettings.mEndpointIdleTimeout });
+      { aSettings.mConnectTimeout, aSettings.mConnectTimeout, aSettings.mEndpointIdleTimeout },
+      limits);
     // From here on, bytes may have been sent even if writing the headers fails.
     progress = CallProgress::Sent;
     auto state = std::make_unique<State>(aAddress, socket);
@@ -164,6 +170,7 @@
 {
   StreamEvent out;
   auto& state = *mState;
+  state.mSession.Allow(kMaxEventBytes);
   try {
     if (state.HasBufferedData() || state.WaitReadable()) {
       std::string line;
--- a/tests/process/RequestOutcomesTest.cpp
+++ b/tests/process/RequestOutcomesTest.cpp
@@ -58,6 +58,8 @@
     fleet.ApplyEverywhere(ReadBragaExample());
     CheckBadStreams(fleet);
     CheckRefusals(fleet);
+    CheckEndlessComments(fleet);
+    CheckCallerLeavesEndlessComments(fleet);
     CheckCallerDisconnects(fleet);
     CheckCallerLeftBeforeDispatch(fleet);
     CheckRouterKilled(fleet);
@@ -123,6 +125,60 @@
     aFleet.SetFaults("drafting-1", { { "refuse", 0 } });
   }
 
+  /// An engine that sends comments without end held a request past its deadline.
+  static void CheckEndlessComments(const Fleet& aFleet)
+  {
+    aFleet.SetFaults("drafting-1", { { "endlessCommentsOn", 1 } });
+    aFleet.SetFaults("drafting-2", { { "endlessCommentsOn", 1 } });
+    auto call = MakeCall("comments");
+    call.mHeaders.emplace_back("Gentianloom-Deadline-Ms", "1000");
+    const auto start = std::chrono::steady_clock::now();
+    const auto response = CallChat(aFleet.Process("router-1").mAddress, call);
+    const auto duration = std::chrono::steady_clock::now() - start;
+    aFleet.SetFaults("drafting-1", { { "endlessCommentsOn", 0 } });
+    aFleet.SetFaults("drafting-2", { { "endlessCommentsOn", 0 } });
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response.mBody.dump(), std::string("unknown"), response.mOutcome);
+    CPPUNIT_ASSERT(duration < std::chrono::seconds(3));
+  }
+
+  /// A caller that leaves while its engine sends only comments: the request must be cancelled.
+  static void CheckCallerLeavesEndlessComments(const Fleet& aFleet)
+  {
+    aFleet.SetFaults("drafting-1", { { "endlessCommentsOn", 1 } });
+    aFleet.SetFaults("drafting-2", { { "endlessCommentsOn", 1 } });
+    const auto countCancelled = [&] {
+      return ReadMetric(aFleet, "router-1", "gentianloom_cancels_total{result=\"sent\"}");
+    };
+    const int before = countCancelled();
+    {
+      const auto connection = SendRequest(aFleet, "router-1", "left-comments");
+      CPPUNIT_ASSERT(WaitFor([&] { return JournalEntriesOf(aFleet, "left-comments").size() == 1; },
+                             Millis(3'000)));
+    }
+    CPPUNIT_ASSERT(WaitFor([&] { return countCancelled() > before; }, Millis(2'000)));
+    aFleet.SetFaults("drafting-1", { { "endlessCommentsOn", 0 } });
+    aFleet.SetFaults("drafting-2", { { "endlessCommentsOn", 0 } });
+  }
+
+  /// Sends a chat request and returns its connection, which nobody reads.
+  static Poco::Net::StreamSocket SendRequest(const Fleet& aFleet,
+                                             const std::string& aRouter,
+                                             const std::string& aId)
+  {
+    const auto call = MakeCall(aId);
+    const auto body = MakeBody(call).dump();
+    const auto request =
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: "
+      "Bearer " +
+      call.mKey + "\r\nX-Request-Id: " + aId + "\r\n" +
+      "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+    const auto& address = aFleet.Process(aRouter).mAddress;
+    Poco::Net::StreamSocket out{ Poco::Net::SocketAddress(address) };
+    out.sendBytes(request.data(), static_cast<int>(request.size()));
+    return out;
+  }
+
   static void CheckCallerDisconnects(const Fleet& aFleet)
   {
     auto call = MakeCall("left");
@@ -152,20 +208,8 @@
              ReadMetric(aFleet, "router-2", "gentianloom_outcomes_total{outcome=\"unknown\"}");
     };
     const int endedBefore = countEnded();
-    const auto call = MakeCall("left-before-dispatch");
-    const auto body = MakeBody(call).dump();
-    const auto request =
-      "POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\nAuthorization: "
-      "Bearer " +
-      call.mKey + "\r\nX-Request-Id: left-before-dispatch\r\n" +
-      "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-      "\r\n\r\n" + body;
     aFleet.Signal("router-2", SIGSTOP);
-    {
-      const auto& address = aFleet.Process("router-2").mAddress;
-      Poco::Net::StreamSocket socket{ Poco::Net::SocketAddress(address) };
-      socket.sendBytes(request.data(), static_cast<int>(request.size()));
-    }
+    SendRequest(aFleet, "router-2", "left-before-dispatch"); // and closes the connection
     aFleet.Signal("router-2", SIGCONT);
     CPPUNIT_ASSERT(WaitFor([&] { return countEnded() > endedBefore; }, Millis(8'000)));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, JournalEntriesOf(aFleet, "left-before-dispatch").size());
--- a/tests/serving/EngineStreamTest.cpp
+++ b/tests/serving/EngineStreamTest.cpp
@@ -1,8 +1,11 @@
 #include "gentianloom/serving/EngineStream.h"
 #include "support/ScriptedEngine.h"
 
+#include <Poco/Exception.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <thread>
+
 namespace gentianloom {
 
 class EngineStreamTest : public CppUnit::TestFixture
@@ -11,12 +14,16 @@
   CPPUNIT_TEST(TestLastEventIsNotDelayed);
   CPPUNIT_TEST(TestStreamEnd);
   CPPUNIT_TEST(TestUnresponsiveEngine);
+  CPPUNIT_TEST(TestEndlessResponse);
+  CPPUNIT_TEST(TestEndlessStream);
   CPPUNIT_TEST_SUITE_END();
 
+  static constexpr Millis kMaxDuration{ 30'000 };
+
   static std::unique_ptr<EngineStream> Open(testing::ScriptedEngine& aEngine)
   {
     HttpRequest request{ "POST", "/v1/chat/completions", "{}" };
-    auto stream = EngineStream::Start(aEngine.Address(), request, ServingSettings{});
+    auto stream = EngineStream::Start(aEngine.Address(), request, ServingSettings{}, kMaxDuration);
     CPPUNIT_ASSERT(stream.has_value());
     aEngine.Accept();
     CPPUNIT_ASSERT_EQUAL(200, stream.value()->ReadStatus().value());
@@ -70,7 +77,7 @@
     const HttpRequest request{ "POST", "/v1/chat/completions", "{}" };
     ServingSettings settings;
     settings.mEndpointIdleTimeout = kSilence;
-    const auto stream = EngineStream::Start(engine.Address(), request, settings);
+    const auto stream = EngineStream::Start(engine.Address(), request, settings, kMaxDuration);
     CPPUNIT_ASSERT(stream.has_value());
     CPPUNIT_ASSERT(!stream.value()->ReadStatus().has_value());
     const auto response = CallHttp(engine.Address(), request, kSilence, Step::GrantRead);
@@ -100,6 +107,87 @@
       CPPUNIT_ASSERT(stream->ReadEvent().mState == row.mState);
     }
   }
+
+private:
+  /// Sends a text again and again until the client closes the connection.
+  static void Flood(testing::ScriptedEngine& aEngine, std::string_view aText, Millis aPause)
+  {
+    try {
+      while (true) {
+        aEngine.Send(aText);
+        std::this_thread::sleep_for(aPause);
+      }
+    } catch (const Poco::Exception&) {
+      return;
+    }
+  }
+
+public:
+  /// Bytes without end in a head or a body: memory and time of a call must stay bounded.
+  void TestEndlessResponse()
+  {
+    const std::string block(64 * 1'024, 'a');
+    struct Row
+    {
+      std::string_view mHead;
+      std::string_view mRepeated;
+      Millis mPause;
+    };
+    const Row rows[] = {
+      { "HTTP/1.1 200 OK\r\n", "X-Pad: a\r\n", Millis(0) },
+      { "HTTP/1.1 200 OK\r\nX-Pad: ", block, Millis(0) },
+      { "", "HTTP/1.1 100 Continue\r\n\r\n", Millis(0) },
+      { "HTTP/1.1 200 OK\r\n\r\n", block, Millis(0) },
+      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", Millis(0) },
+      { "HTTP/1.1 200 OK\r\n\r\n", "a", Millis(20) },
+    };
+    for (const auto& row : rows) {
+      testing::ScriptedEngine engine;
+      std::thread sender([&] {
+        engine.AcceptOnly();
+        engine.Send(row.mHead);
+        Flood(engine, row.mRepeated, row.mPause);
+      });
+      const auto start = std::chrono::steady_clock::now();
+      const auto response =
+        CallHttp(engine.Address(), { "GET", "/" }, Millis(200), Step::GrantRead);
+      const auto duration = std::chrono::steady_clock::now() - start;
+      sender.join();
+      CPPUNIT_ASSERT(!response.has_value());
+      CPPUNIT_ASSERT(duration < std::chrono::seconds(2));
+    }
+  }
+
+  /// An event without end, or comments without end, must not hold a stream past its deadline.
+  void TestEndlessStream()
+  {
+    const std::string block(64 * 1'024, 'a');
+    struct Row
+    {
+      std::string_view mRepeated;
+      Millis mPause;
+    };
+    const Row rows[] = { { block, Millis(0) }, { "a", Millis(20) } };
+    for (const auto& row : rows) {
+      testing::ScriptedEngine engine;
+      HttpRequest request{ "POST", "/v1/chat/completions", "{}" };
+      auto stream =
+        EngineStream::Start(engine.Address(), request, ServingSettings{}, Millis(500)).value();
+      std::thread sender([&] {
+        engine.AcceptOnly();
+        engine.Send("HTTP/1.1 200 OK\r\n\r\ndata: ");
+        Flood(engine, row.mRepeated, row.mPause);
+      });
+      const auto start = std::chrono::steady_clock::now();
+      CPPUNIT_ASSERT_EQUAL(200, stream->ReadStatus().value());
+      const auto event = stream->ReadEvent();
+      const auto duration = std::chrono::steady_clock::now() - start;
+      stream.reset();
+      sender.join();
+      CPPUNIT_ASSERT(event.mState == StreamState::Broken);
+      CPPUNIT_ASSERT(duration < std::chrono::seconds(2));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EngineStreamTest);
--- a/tests/standin/EngineRole.cpp
+++ b/tests/standin/EngineRole.cpp
@@ -241,6 +241,9 @@
       return;
     }
     std::ostream* out = &StartStream(aResponse);
+    while (mFaults.Value("endlessCommentsOn") != 0 && out->good()) {
+      *out << ": wait\n\n" << std::flush;
+    }
     std::string heldBack; // event that the fault `reorder` delays until after the next one
     for (std::int64_t n = 1; n <= wanted; ++n) {
       stream->Advance();
--- a/tests/support/ScriptedEngine.h
+++ b/tests/support/ScriptedEngine.h
@@ -26,10 +26,13 @@
 
   std::string Address() const { return mServer.address().toString(); }
 
+  /// @brief Accepts the next connection.
+  void AcceptOnly() { mConnection = mServer.acceptConnection(); }
+
   /// @brief Accepts the next connection and sends the response head of a chunked event stream.
   void Accept()
   {
-    mConnection = mServer.acceptConnection();
+    AcceptOnly();
     Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
          "Transfer-Encoding: chunked\r\n\r\n");
   }
