Log the software version of an endpoint and the stream that a request resumes

What callers saw: streams went on at another software version than the one that began them. The logs of the record cannot tell whether the caller's own resume, a resume within one response or stale knowledge of an endpoint did it: neither the version nor the resumed request is on any line. Both are read and logged now, apart from the version of the configuration. No change of logic.

--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -25,6 +25,8 @@
   std::optional<Tokens> mMaxOutputTokens;   ///< set for requests to a model
   std::vector<PromptPart> mPromptParts;     ///< in the order of the prompt
   std::optional<std::int64_t> mResumeAfter; ///< last event received of an interrupted stream
+  std::string mResumedRequest; ///< id of the request that brought the first event of the
+                               ///< interrupted stream; empty if none was sent
 };
 
 /// Metadata that the router adds to a forwarded request.
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -21,7 +21,9 @@
   std::string mService;
   std::string mAddress; ///< IP:PORT
   std::string mZone;
-  std::int64_t mSlots = 0;     ///< maximum number of concurrent requests; 0: not known
+  std::int64_t mSlots = 0; ///< maximum number of concurrent requests; 0: not known
+  /// Version of the endpoint's software; not that of its weights, nor of the configuration.
+  std::string mSoftwareVersion;
   std::int64_t mStartedAt = 0; ///< wall-clock milliseconds; distinguishes processes with one id
   bool mIsLeaving = false;
   Millis mWarmUpRemaining{ 0 }; ///< remaining warm-up time, in which the endpoint is slow
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -340,6 +340,7 @@
             "the entry of an endpoint changed",
             { { "endpoint", id },
               { "service", entry.value().mService },
+              { "software_version", entry.value().mSoftwareVersion },
               { "leaving", entry.value().mIsLeaving ? "yes" : "no" } });
   mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now());
 }
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -38,7 +38,8 @@
                                           { "X-Prompt-Prefix", "5c1e07a2:800,e4402b7d:660" },
                                           { "X-Deadline-Ms", "15000" },
                                           { "X-Credential", "key" },
-                                          { "Last-Event-Id", "7" } }))
+                                          { "Last-Event-Id", "7" },
+                                          { "Resumes", "first" } }))
                            .value();
     CPPUNIT_ASSERT_EQUAL(std::string("h.example"), request.mHost);
     CPPUNIT_ASSERT_EQUAL(std::string("/a/b"), request.mPath);
@@ -50,6 +51,7 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0x5c1e07a2 }, request.mPromptParts[0].mId);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 660 }, request.mPromptParts[1].mTokens);
     CPPUNIT_ASSERT(request.mResumeAfter == 7);
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), request.mResumedRequest);
   }
 
   void TestMalformedHeaders()
--- a/tests/platform/WireProtocolTest.cpp
+++ b/tests/platform/WireProtocolTest.cpp
@@ -65,6 +65,7 @@
       R"("state":"ready","cold-remaining-ms":0,"sequence":4,"born":99})";
     const auto entry = mProtocol.DecodeEndpoint("i-1", good).value();
     CPPUNIT_ASSERT(entry.mId == "i-1" && !entry.mIsLeaving && entry.mStartedAt == 99);
+    CPPUNIT_ASSERT_EQUAL(std::string("v1"), entry.mSoftwareVersion);
     const auto with = [&good](const std::string& aFrom, const std::string& aTo) {
       auto out = good;
       return out.replace(out.find(aFrom), aFrom.size(), aTo);
