Failing test: a stream goes on at another software version

The stand-in of the platform and a gateway are separate in the tests, so that several gateways share one stand-in.

--- a/tests/platform/gateway_environment.py
+++ b/tests/platform/gateway_environment.py
@@ -61,18 +61,52 @@
             self.is_complete = False
 
 
-class Environment:
-    """One stand-in of the platform and one gateway."""
+class Platform:
+    """The stand-in of the platform: its key-value store and endpoints."""
 
-    def __init__(self, start_gateway=True):
-        self.standin = subprocess.Popen([sys.executable, str(HERE / "standin.py"), "w1", "w2"],
+    def __init__(self, versions=None):
+        """`versions`: software version of each endpoint, by its name."""
+        self.versions = versions or {"w1": "v1", "w2": "v1"}
+        self.process = subprocess.Popen([sys.executable, str(HERE / "standin.py"), *self.versions],
                                         stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
-        self.addresses = json.loads(self.standin.stdout.readline())
+        self.addresses = json.loads(self.process.stdout.readline())
         self.send_command(put="op/config", value=configuration())
-        for name, address in self.addresses["workers"].items():
-            self.send_command(put="servers/" + name, value=self.endpoint_entry(address))
-        self.caller, ready, directory, metrics = free_ports(4)
-        self.ready, self.directory, self.metrics = ready, directory, metrics
+        for name in self.versions:
+            self.list_endpoint(name)
+
+    def list_endpoint(self, name, state="ready"):
+        self.send_command(put="servers/" + name, value={
+            "service": "pool", "address": self.addresses["workers"][name], "zone": "a", "slots": 8,
+            "state": state, "version": self.versions[name]})
+
+    def send_command(self, **command):
+        connection = http.client.HTTPConnection(self.addresses["control"], timeout=5)
+        connection.request("POST", "/", json.dumps(command))
+        return json.loads(connection.getresponse().read())
+
+    def configure_workers(self, **changes):
+        for name in self.addresses["workers"]:
+            self.send_command(worker=name, set=changes)
+
+    def executed_requests(self):
+        executed = self.send_command()["executed"]
+        return [it for name in executed for it in executed[name]]
+
+    def close(self):
+        self.process.stdin.close()
+        self.process.wait()
+        self.process.stdout.close()
+
+
+class Environment:
+    """One gateway and its stand-in of the platform, which several gateways can share."""
+
+    def __init__(self, start_gateway=True, platform=None, name="g1"):
+        self.platform = platform or Platform()
+        self.owns_platform = platform is None
+        self.name = name
+        self.caller, ready, directory, metrics, peer = free_ports(5)
+        self.ready, self.directory, self.metrics, self.peer = ready, directory, metrics, peer
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name) / "settings.json"
         self.write_settings()
@@ -81,13 +115,14 @@
             self.start()
 
     def write_settings(self, **more):
-        text = {"instance": "g1", "availability_zone": "a", "leave_time_s": 4,
+        text = {"instance": self.name, "availability_zone": "a", "leave_time_s": 4,
                 "caller_address": f"127.0.0.1:{self.caller}",
                 "readiness_address": f"127.0.0.1:{self.ready}",
                 "directory_address": f"127.0.0.1:{self.directory}",
                 "metrics_address": f"127.0.0.1:{self.metrics}",
+                "peer_address": f"127.0.0.1:{self.peer}",
                 "address_life_s": 0.2, "retry_slack": 400,
-                "store_address": self.addresses["store"], **more}
+                "store_address": self.platform.addresses["store"], **more}
         self.settings.write_text(json.dumps(text))
 
     def start(self):
@@ -96,10 +131,6 @@
                                          str(self.settings)], stdout=self.log)
         self.wait(lambda: self.get(self.ready, "/readiness").status == 200)
 
-    @staticmethod
-    def endpoint_entry(address, state="ready"):
-        return {"service": "pool", "address": address, "zone": "a", "slots": 8, "state": state}
-
     @staticmethod
     def wait(condition):
         end = time.monotonic() + WAIT_S
@@ -114,17 +145,13 @@
             time.sleep(0.02)
 
     def send_command(self, **command):
-        connection = http.client.HTTPConnection(self.addresses["control"], timeout=5)
-        connection.request("POST", "/", json.dumps(command))
-        return json.loads(connection.getresponse().read())
+        return self.platform.send_command(**command)
 
     def configure_workers(self, **changes):
-        for name in self.addresses["workers"]:
-            self.send_command(worker=name, set=changes)
+        self.platform.configure_workers(**changes)
 
     def executed_requests(self):
-        executed = self.send_command()["executed"]
-        return [it for name in executed for it in executed[name]]
+        return self.platform.executed_requests()
 
     @staticmethod
     def get(port, path):
@@ -132,7 +159,8 @@
         connection.request("GET", path)
         return Response(connection.getresponse())
 
-    def call(self, path, attempt, headers=None, method="POST", body=b"hello", connection=None):
+    def open_call(self, path, attempt, headers=None, method="POST", body=b"hello", connection=None):
+        """Sends a request; returns the response, whose body is not read yet."""
         connection = connection or http.client.HTTPConnection("127.0.0.1", self.caller, timeout=8)
         fields = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Credential": "k1",
                   "X-Deadline-Ms": "3000"}
@@ -140,7 +168,10 @@
             fields |= {"X-Token-Usage": "1000,50", "X-Prompt-Prefix": "aa:600,bb:400"}
         fields |= headers or {}
         connection.request(method, path, body, {k: v for k, v in fields.items() if v is not None})
-        return Response(connection.getresponse())
+        return connection.getresponse()
+
+    def call(self, *arguments, **named):
+        return Response(self.open_call(*arguments, **named))
 
     def log_lines(self):
         self.log.flush()
@@ -150,13 +181,15 @@
     def wait_for_log_line(self, condition):
         self.wait(lambda: any(condition(it) for it in self.log_lines()))
 
-    def close(self):
+    def kill(self):
         if self.gateway and self.gateway.poll() is None:
             self.gateway.kill()
             self.gateway.wait()
-        self.standin.stdin.close()
-        self.standin.wait()
-        self.standin.stdout.close()
+
+    def close(self):
+        self.kill()
+        if self.owns_platform:
+            self.platform.close()
         if self.gateway:
             self.log.close()
         self.folder.cleanup()
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -161,8 +161,7 @@
         self.assertLess(time.monotonic() - started, bound_s)
 
     def test_draining_endpoint_gets_no_requests(self):
-        address = self.env.addresses["workers"]["w1"]
-        self.env.send_command(put="servers/w1", value=self.env.endpoint_entry(address, "draining"))
+        self.env.platform.list_endpoint("w1", state="draining")
         self.env.send_command(put="servers/w3", value={"service": 4})
         self.env.wait_for_log_line(lambda it: it.get("endpoint") == "w1"
                                    and it.get("leaving") == "yes")
--- /dev/null
+++ b/tests/platform/stream_version_test.py
@@ -0,0 +1,136 @@
+#!/usr/bin/env python3
+"""Streams that are interrupted while endpoints of two software versions serve.
+
+What two software versions of an endpoint write does not fit together: a stream may go on only at an
+endpoint of the version that began it, at whatever gateway its caller comes back, or not at all.
+"""
+import time
+import unittest
+
+from gateway_environment import Environment, Platform
+
+VERSIONS = {"w1": "v1", "w2": "v2", "w3": "v1", "w4": "v2"}
+STREAMS = 8
+# A resume that can't go on is answered within this time.
+MAX_REFUSAL_S = 0.5
+
+
+class StreamVersionTest(unittest.TestCase):
+    def setUp(self):
+        self.platform = Platform(VERSIONS)
+        self.addCleanup(self.platform.close)
+        self.first = self.start_gateway("g1")
+        self.second = self.start_gateway("g2")
+        self.first.wait_for_log_line(lambda it: it["instance"] == "g2" and
+                                     it["change"] == "the record of an instance changed")
+
+    def start_gateway(self, name):
+        out = Environment(platform=self.platform, name=name)
+        self.addCleanup(out.close)
+        return out
+
+    @staticmethod
+    def headers(number):
+        return {"X-Prompt-Prefix": f"{number:x}:600,bb:400"}
+
+    def begin(self, gateway, attempt, number):
+        """Begins a stream, whose caller disconnects after two events."""
+        self.platform.configure_workers(hold_after=2)
+        response = gateway.open_call("/resume/x", attempt, self.headers(number))
+        data = b""
+        while data.count(b"\n\n") < 2:
+            data += response.read1()
+        response.close()
+        self.platform.configure_workers(hold_after=0)
+
+    def resume(self, gateway, attempt, begun_as, number, after=2):
+        return gateway.call("/resume/x", attempt, self.headers(number) | {
+            "Last-Event-Id": str(after), "Resumes": begun_as})
+
+    def endpoints_of(self, attempt):
+        executed = self.platform.send_command()["executed"]
+        return [name for name in executed
+                if any(it["headers"]["X-Attempt-Id"] == attempt for it in executed[name])]
+
+    def begin_and_occupy(self, gateway, number):
+        """Begins a stream, then makes the endpoint that began it refuse requests."""
+        attempt = f"begun{number}"
+        self.begin(gateway, attempt, number)
+        name, = self.endpoints_of(attempt)
+        self.platform.configure_workers(mode="good")
+        self.platform.send_command(worker=name, set={"mode": "full"})
+        return attempt, VERSIONS[name]
+
+    def check_resumed(self, gateway, attempt, version, number, name):
+        response = self.resume(gateway, name, attempt, number)
+        self.assertEqual((200, True), (response.status, response.is_complete))
+        self.assertEqual([version], [VERSIONS[it] for it in self.endpoints_of(name)])
+
+    def test_stream_goes_on_at_the_version_that_began_it(self):
+        for number in range(STREAMS):
+            with self.subTest(number):
+                attempt, version = self.begin_and_occupy(self.first, number)
+                self.check_resumed(self.second, attempt, version, number, f"other{number}")
+                # Resumed for a second time, by the id of the request that began the stream.
+                self.check_resumed(self.first, attempt, version, number, f"again{number}")
+
+    def test_stream_goes_on_after_its_gateway_was_killed(self):
+        begun = [self.begin_and_occupy(self.first, number) for number in range(STREAMS)]
+        self.first.kill()
+        for number, (attempt, version) in enumerate(begun):
+            with self.subTest(number):
+                self.check_resumed(self.second, attempt, version, number, f"killed{number}")
+
+    def test_stream_is_resumed_within_a_response_at_its_version(self):
+        for number in range(STREAMS):
+            with self.subTest(number):
+                attempt = f"within{number}"
+                self.platform.configure_workers(mode="breaks")
+                response = self.first.call("/resume/x", attempt, self.headers(number))
+                self.assertFalse(response.is_complete)
+                versions = {VERSIONS[it] for it in self.endpoints_of(attempt)}
+                self.assertEqual(1, len(versions))
+                self.assertEqual(2, len(self.endpoints_of(attempt)))
+
+    def test_stream_is_not_resumed_without_an_endpoint_of_its_version(self):
+        attempt, version = self.begin_and_occupy(self.first, 1)
+        for name in VERSIONS:
+            if VERSIONS[name] == version:
+                self.platform.send_command(remove="servers/" + name)
+        gone = [it for it in VERSIONS if VERSIONS[it] == version]
+        for gateway in (self.first, self.second):
+            for name in gone:
+                gateway.wait_for_log_line(lambda line, name=name: line.get("endpoint") == name and
+                                          "deleted" in line["change"])
+            self.check_refused(gateway, attempt, f"gone-{gateway.name}")
+
+    def check_refused(self, gateway, attempt, name):
+        start = time.monotonic()
+        response = self.resume(gateway, name, attempt, 1)
+        self.assertEqual(503, response.status)
+        self.assertIn("Retry-After", response.headers)
+        self.assertLess(time.monotonic() - start, MAX_REFUSAL_S)
+        self.assertEqual([], self.endpoints_of(name))
+
+    def test_stream_of_an_unknown_version_is_not_resumed(self):
+        attempt, _ = self.begin_and_occupy(self.first, 1)
+        self.first.kill()
+        self.second.kill()
+        self.second.start()
+        self.check_refused(self.second, attempt, "unknown")
+        # Neither is one whose caller does not name the request that began it.
+        response = self.second.call("/resume/x", "unnamed", self.headers(1) | {"Last-Event-Id": "2"})
+        self.assertEqual(503, response.status)
+        self.assertEqual([], self.endpoints_of("unnamed"))
+
+    def test_new_streams_begin_while_others_cannot_be_resumed(self):
+        attempt, _ = self.begin_and_occupy(self.first, 1)
+        self.first.kill()
+        self.second.kill()
+        self.second.start()
+        self.check_refused(self.second, attempt, "refused")
+        self.assertEqual(200, self.second.call("/resume/x", "new", self.headers(1)).status)
+
+
+if __name__ == "__main__":
+    unittest.main()
