Take the UDP socket between instances out of the load exchange

So that other messages than load reports can use it, told apart by their second byte. Load reports look as before; an instance of an older version counts the new kinds as malformed. No change of behaviour.

The duty of the socket (bind, receive, count bytes) and that of the exchange (what to tell whom, how often) were in one class.

--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -76,6 +76,7 @@
   InstanceDirectory mInstances;
   GrantManager mRights;
   RelayContext mRelay;
+  PeerSocket mPeerSocket;
   PeerLoadExchange mPeerLoadExchange;
   CallerServer mCallerServer;
   PrefixWatcher mConfigurationWatcher;
--- a/include/gentianloom/gateway/PeerLoadExchange.h
+++ b/include/gentianloom/gateway/PeerLoadExchange.h
@@ -3,12 +3,10 @@
 
 #include "gentianloom/base/Error.h"
 #include "gentianloom/base/Metrics.h"
-#include "gentianloom/net/HttpClient.h"
+#include "gentianloom/gateway/PeerSocket.h"
 #include "gentianloom/net/Signal.h"
 #include "gentianloom/routing/EndpointRegistry.h"
 
-#include <boost/asio/ip/udp.hpp>
-
 #include <functional>
 #include <string>
 #include <vector>
@@ -57,45 +55,42 @@
 {
 public:
   /**
+   * @param aSocket carries the messages
    * @param aIncarnation unique ID of this run of the process
    * @param aPeerAddresses returns the current addresses of the other instances, IP:PORT
    * @param aEndpoints source of the load to send, and target of the load received
    */
   PeerLoadExchange(net::Loop& aLoop,
+                   PeerSocket& aSocket,
                    std::string aIncarnation,
                    std::function<std::vector<std::string>()> aPeerAddresses,
                    EndpointRegistry& aEndpoints,
                    const Clock& aClock,
                    Metrics& aMetrics);
 
-  /// @brief Binds the address and starts both loops. @return ErrorCode::BadSettings on failure
-  Result<void> Start(std::string_view aAddress);
+  /// @brief Starts to send and to handle messages. Call it once.
+  void Start();
 
   /// @brief Schedules a message to all peers after a change of the pending load.
   void NotifyChange();
 
-  /// @brief Bytes of all datagrams sent and received so far, without their headers.
-  net::BodyBytes Bytes() const { return { mBytesSent, mBytesReceived }; }
-
 private:
   net::Task<void> RunSender();
-  net::Task<void> RunReceiver();
+  void OnDatagram(std::string_view aBytes);
   /// @return bytes of the datagrams, including their headers
   std::size_t SendToPeers();
 
   net::Loop& mLoop;
+  PeerSocket& mSocket;
   std::string mIncarnation;
   std::function<std::vector<std::string>()> mPeerAddresses;
   EndpointRegistry& mEndpoints;
   const Clock& mClock;
   Metrics& mMetrics;
-  boost::asio::ip::udp::socket mSocket;
   net::Signal mSendSignal;
   bool mHasUnsentChange = false;
   bool mHasReportedPending = false;
   std::uint64_t mSequence = 0;
-  std::uint64_t mBytesSent = 0;
-  std::uint64_t mBytesReceived = 0;
   std::map<std::string, std::uint64_t> mLastSequences; ///< by the sender's incarnation
 };
 
--- /dev/null
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -0,0 +1,74 @@
+#ifndef GENTIANLOOM_GATEWAY_PEER_SOCKET_H
+#define GENTIANLOOM_GATEWAY_PEER_SOCKET_H
+
+#include "gentianloom/base/Error.h"
+#include "gentianloom/base/Metrics.h"
+#include "gentianloom/net/HttpClient.h"
+#include "gentianloom/net/Task.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <string_view>
+
+namespace gentianloom {
+
+/// Kinds of datagrams between instances. Each is a MessagePack array; a load report begins with a
+/// text, any other with its kind as a number.
+enum class PeerMessageKind : std::uint8_t
+{
+  Load = 0,
+  StreamOrigin = 1,
+  StreamOriginQuery = 2,
+  StreamOriginUnknown = 3
+};
+
+/// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none.
+PeerMessageKind PeerMessageKindOf(std::string_view aBytes);
+
+/**
+ * @brief The UDP socket through which an instance talks to its peers.
+ *
+ * Datagrams can be lost and arrive out of order; whoever uses them has to make up for that.
+ */
+class PeerSocket
+{
+public:
+  using Address = boost::asio::ip::udp::endpoint;
+  using Handler = std::function<void(std::string_view aBytes, const Address& aSender)>;
+
+  /// Size of the receive buffer; the rest of a longer datagram is lost.
+  static constexpr std::size_t kMaxDatagramBytes = 2'048;
+  /// IP and UDP header of a datagram.
+  static constexpr std::size_t kHeaderBytes = 28;
+
+  PeerSocket(net::Loop& aLoop, Metrics& aMetrics);
+
+  /// @brief Sets what is called with the datagrams of a kind.
+  void SetHandler(PeerMessageKind aKind, Handler aHandler);
+
+  /// @brief Binds the address and starts to receive. @return ErrorCode::BadSettings on failure
+  Result<void> Start(std::string_view aAddress);
+
+  /// @brief Sends a datagram. @return whether it was handed to the operating system
+  bool Send(const Address& aPeer, std::string_view aBytes);
+  /// @brief As above, to a peer's address IP:PORT.
+  bool Send(std::string_view aPeer, std::string_view aBytes);
+
+  /// @brief Bytes of all datagrams sent and received so far, without their headers.
+  net::BodyBytes Bytes() const { return mBytes; }
+
+private:
+  net::Task<void> RunReceiver();
+
+  net::Loop& mLoop;
+  Metrics& mMetrics;
+  boost::asio::ip::udp::socket mSocket;
+  std::array<Handler, 4> mHandlers; ///< by PeerMessageKind
+  net::BodyBytes mBytes;
+};
+
+} // namespace gentianloom
+
+#endif
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -93,8 +93,10 @@
             mRights,
             RetryBudget(mSettings.mRetryShare * kRetrySafetyFactor,
                         ComputeRetryBurst(mSettings.mRetrySlack, 1)) }
+  , mPeerSocket(aLoop, mMetrics)
   , mPeerLoadExchange(
       aLoop,
+      mPeerSocket,
       mSelf.mIncarnation,
       [this] { return mInstances.PeerAddresses(mSelf.mName); },
       mRelay.mEndpoints,
@@ -127,7 +129,7 @@
   , mRegistration(aLoop, aStore, mSelf, [this] { return IsReady() && mRights.HasTakenOver(); })
   , mTrafficLog(aLoop,
                 { [this] { return mStore.Bytes(); },
-                  [this] { return mPeerLoadExchange.Bytes(); },
+                  [this] { return mPeerSocket.Bytes(); },
                   [this] { return mRelay.mOpenRequests; } },
                 mMetrics)
 {
@@ -242,7 +244,8 @@
   BOOST_OUTCOME_TRY(mCallerServer.Start(callers.value()));
   BOOST_OUTCOME_TRY(ServeAuxiliaryHttp());
   if (!mSettings.mPeerAddress.empty()) {
-    BOOST_OUTCOME_TRY(mPeerLoadExchange.Start(mSettings.mPeerAddress));
+    BOOST_OUTCOME_TRY(mPeerSocket.Start(mSettings.mPeerAddress));
+    mPeerLoadExchange.Start();
     mRelay.mOnPendingTokensChanged = [this] { mPeerLoadExchange.NotifyChange(); };
   }
   mConfigurationWatcher.Start();
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -1,35 +1,24 @@
 #include "gentianloom/gateway/PeerLoadExchange.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/base/Log.h"
-#include "gentianloom/net/HttpClient.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace gentianloom {
 
 namespace {
 
-using Udp = boost::asio::ip::udp;
-
 /// Minimum time between two messages.
 constexpr Millis kMinSendInterval{ 3 };
 /// Bytes per second that an instance sends to all of its peers at most: 5 % of a link of 10 Mbit/s.
 constexpr double kMaxBytesPerSecond = 62'500;
-/// IP and UDP header of a datagram.
-constexpr std::size_t kHeaderBytes = 28;
 /// Resend interval while tokens are pending, since datagrams can be lost.
 constexpr Millis kResendInterval{ 200 };
-/// Maximum endpoints in one message; further endpoints are omitted.
+/// Maximum endpoints in one message, so that it fits into PeerSocket::kMaxDatagramBytes; further
+/// endpoints are omitted.
 constexpr std::size_t kMaxReportedEndpoints = 96;
-/// Size of the receive buffer; a message with kMaxReportedEndpoints fits.
-constexpr std::size_t kMaxDatagramBytes = 2'048;
 /// Maximum peer incarnations whose last sequence number is stored.
 constexpr std::size_t kMaxTrackedIncarnations = 4'096;
 
@@ -90,44 +79,28 @@
 }
 
 PeerLoadExchange::PeerLoadExchange(net::Loop& aLoop,
+                                   PeerSocket& aSocket,
                                    std::string aIncarnation,
                                    std::function<std::vector<std::string>()> aPeerAddresses,
                                    EndpointRegistry& aEndpoints,
                                    const Clock& aClock,
                                    Metrics& aMetrics)
   : mLoop(aLoop)
+  , mSocket(aSocket)
   , mIncarnation(std::move(aIncarnation))
   , mPeerAddresses(std::move(aPeerAddresses))
   , mEndpoints(aEndpoints)
   , mClock(aClock)
   , mMetrics(aMetrics)
-  , mSocket(aLoop)
   , mSendSignal(aLoop)
 {
 }
 
-Result<void> PeerLoadExchange::Start(std::string_view aAddress)
+void PeerLoadExchange::Start()
 {
-  const auto address = net::ParseSocketAddress(aAddress);
-  if (!address) {
-    return address.error();
-  }
-  const Udp::endpoint local(address.value().address(), address.value().port());
-  boost::system::error_code ec;
-  mSocket.open(local.protocol(), ec);
-  if (!ec) {
-    mSocket.bind(local, ec);
-  }
-  if (ec) {
-    return MakeError(ErrorCode::BadSettings,
-                     Step::Settings,
-                     aAddress,
-                     "cannot bind UDP address " + std::string(aAddress) + ": " + ec.message());
-  }
-  mSocket.non_blocking(true, ec);
+  mSocket.SetHandler(PeerMessageKind::Load,
+                     [this](std::string_view aBytes, const auto&) { OnDatagram(aBytes); });
   net::Start(mLoop, "peer load sender", RunSender());
-  net::Start(mLoop, "peer load receiver", RunReceiver());
-  return success();
 }
 
 void PeerLoadExchange::NotifyChange()
@@ -161,55 +134,31 @@
   mHasReportedPending = !message.mPending.empty();
   const auto bytes = EncodePeerLoad(message);
   for (const auto& peer : mPeerAddresses()) {
-    const auto address = net::ParseSocketAddress(peer);
-    if (!address) {
-      continue;
-    }
-    boost::system::error_code ec;
-    mSocket.send_to(boost::asio::buffer(bytes),
-                    Udp::endpoint(address.value().address(), address.value().port()),
-                    0,
-                    ec);
     // A failed send is not retried: the next message replaces this one.
-    mMetrics.CounterOf("gentianloom_load_news_total", ec ? "sent=\"no\"" : "sent=\"yes\"").Add();
-    mBytesSent += ec ? 0 : bytes.size();
-    sentBytes += bytes.size() + kHeaderBytes;
+    const bool isSent = mSocket.Send(peer, bytes);
+    mMetrics.CounterOf("gentianloom_load_news_total", isSent ? "sent=\"yes\"" : "sent=\"no\"")
+      .Add();
+    sentBytes += bytes.size() + PeerSocket::kHeaderBytes;
   }
   return sentBytes;
 }
 
-net::Task<void> PeerLoadExchange::RunReceiver()
+void PeerLoadExchange::OnDatagram(std::string_view aBytes)
 {
-  std::array<char, kMaxDatagramBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  while (true) {
-    Udp::endpoint sender;
-    boost::system::error_code ec;
-    const auto n = co_await mSocket.async_receive_from(
-      boost::asio::buffer(buf),
-      sender,
-      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-    if (ec == boost::asio::error::operation_aborted) {
-      co_return;
-    }
-    if (ec) {
-      continue; // ICMP error for an earlier datagram: a peer's port is closed
-    }
-    mBytesReceived += n;
-    const auto message = DecodePeerLoad(std::string_view(buf.data(), n));
-    if (!message) {
-      mMetrics.CounterOf("gentianloom_load_news_malformed_total").Add();
-      continue;
-    }
-    if (mLastSequences.size() > kMaxTrackedIncarnations) {
-      mLastSequences.clear();
-    }
-    auto& lastSequence = mLastSequences[message.value().mIncarnation];
-    if (message.value().mSequence <= lastSequence) {
-      continue;
-    }
-    lastSequence = message.value().mSequence;
-    ApplyPeerLoad(message.value(), mEndpoints, mClock.Now());
+  const auto message = DecodePeerLoad(aBytes);
+  if (!message) {
+    mMetrics.CounterOf("gentianloom_load_news_malformed_total").Add();
+    return;
+  }
+  if (mLastSequences.size() > kMaxTrackedIncarnations) {
+    mLastSequences.clear();
+  }
+  auto& lastSequence = mLastSequences[message.value().mIncarnation];
+  if (message.value().mSequence <= lastSequence) {
+    return;
   }
+  lastSequence = message.value().mSequence;
+  ApplyPeerLoad(message.value(), mEndpoints, mClock.Now());
 }
 
 } // namespace gentianloom
--- a/tests/gateway/PeerLoadExchangeTest.cpp
+++ b/tests/gateway/PeerLoadExchangeTest.cpp
@@ -79,9 +79,11 @@
     boost::asio::ip::udp::socket peer(loop, { boost::asio::ip::address_v4::loopback(), 0 });
     const auto address = "127.0.0.1:" + std::to_string(peer.local_endpoint().port());
     std::vector<std::string> peers(kPeers, address);
+    PeerSocket socket(loop, metrics);
+    CPPUNIT_ASSERT(socket.Start("127.0.0.1:" + std::to_string(FreeUdpPort(loop))));
     PeerLoadExchange exchange(
-      loop, "run-1", [&] { return peers; }, registry, clock, metrics);
-    CPPUNIT_ASSERT(exchange.Start("127.0.0.1:" + std::to_string(FreeUdpPort(loop))));
+      loop, socket, "run-1", [&] { return peers; }, registry, clock, metrics);
+    exchange.Start();
     const auto start = clock.Now();
     CPPUNIT_ASSERT(testing::RunUntil(loop, [&] {
       exchange.NotifyChange();
@@ -89,7 +91,7 @@
     }));
     const auto seconds = std::chrono::duration<double>(clock.Now() - start).count();
     auto& sent = metrics.CounterOf("gentianloom_load_news_total", "sent=\"yes\"");
-    const auto bytes = static_cast<double>(exchange.Bytes().mSent + sent.Value() * kHeaderBytes);
+    const auto bytes = static_cast<double>(socket.Bytes().mSent + sent.Value() * kHeaderBytes);
     const double oneMessage = bytes / static_cast<double>(sent.Value()) * kPeers;
     CPPUNIT_ASSERT_MESSAGE("the peers must be told of changes", sent.Value() >= kPeers);
     CPPUNIT_ASSERT_LESSEQUAL(kSlowestLinkBytesPerSecond * kMaxLinkShare * seconds + oneMessage,
