ORDER: a stream goes on only at the software version that began it

Cause: the version of an endpoint's software was not read from its entry, and neither a caller's resume nor one within a response looked at it.

An entry without a version names no endpoint.

--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -7,6 +7,8 @@
 #include "gentianloom/gateway/PeerLoadExchange.h"
 #include "gentianloom/gateway/PlatformProtocol.h"
 #include "gentianloom/gateway/PrefixWatcher.h"
+#include "gentianloom/gateway/SoftwareVersionRecord.h"
+#include "gentianloom/gateway/StreamOriginExchange.h"
 #include "gentianloom/gateway/TrafficLog.h"
 #include "gentianloom/membership/InstanceDirectory.h"
 #include "gentianloom/net/HttpService.h"
@@ -59,6 +61,8 @@
   void ApplyConfiguration(const KeyValue& aEntry);
   void UpdateEndpoint(const KeyValue& aEntry);
   void UpdateInstance(const KeyValue& aEntry);
+  /// Adds the software versions of the listed endpoints to the history.
+  void ObserveSoftwareVersions();
   bool IsReady() const;
   net::ServiceReply HandleReadinessCheck() const;
   net::ServiceReply HandleAddressQuery(const net::RequestHead& aHead) const;
@@ -78,11 +82,13 @@
   RelayContext mRelay;
   PeerSocket mPeerSocket;
   PeerLoadExchange mPeerLoadExchange;
+  StreamOriginExchange mStreamOrigins;
   CallerServer mCallerServer;
   PrefixWatcher mConfigurationWatcher;
   PrefixWatcher mEndpointWatcher;
   PrefixWatcher mInstanceWatcher;
   InstanceRegistration mRegistration;
+  SoftwareVersionRecord mVersionRecord;
   TrafficLog mTrafficLog;
 };
 
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -5,6 +5,7 @@
 #include "gentianloom/relay/EventSplitter.h"
 #include "gentianloom/relay/RelayContext.h"
 #include "gentianloom/relay/ResponseWriter.h"
+#include "gentianloom/relay/StreamOrigins.h"
 #include "gentianloom/routing/AttemptObserver.h"
 #include "gentianloom/routing/EndpointChooser.h"
 
@@ -19,6 +20,8 @@
   std::int64_t mEventCount = 0;             ///< events forwarded to the caller
   std::optional<std::int64_t> mLastEventId; ///< id of the last forwarded event that had one
   TimePoint mFirstEventAt{};                ///< when the first event was forwarded
+  /// What began the stream; set before any event is forwarded. Later attempts must have it as well.
+  std::optional<StreamOrigin> mOrigin;
 };
 
 /// The part of a request that is the same for all its attempts.
@@ -30,6 +33,7 @@
   const CallerRequest& mCallerRequest;
   const Route& mRoute;
   std::string mOrganisation; ///< name; empty for an anonymous caller
+  StreamKey mStream = 0;     ///< of the stream that the request begins or resumes
   TimePoint mDeadline{};     ///< the earlier of the caller's and the route's deadlines
 };
 
@@ -98,6 +102,8 @@
   void Finish(AttemptOutcome aOutcome, bool aRequestDidNotRun, std::string aReason);
   void ReleaseConnection();
   void OnFirstEvent();
+  /// Notes the origin of a stream, before its first event of this attempt is forwarded.
+  void RecordOrigin();
   void NotifyPendingTokensChanged() const;
   bool IsStream() const { return mRequest.mRoute.mKind == RouteKind::Streaming; }
   bool IsAtMostOnce() const { return mRequest.mRoute.mKind == RouteKind::AtMostOnce; }
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -7,9 +7,11 @@
 #include "gentianloom/outcome/RetryPolicy.h"
 #include "gentianloom/relay/ConnectionPool.h"
 #include "gentianloom/relay/RequestCodec.h"
+#include "gentianloom/relay/StreamOrigins.h"
 #include "gentianloom/routing/EndpointRegistry.h"
 #include "gentianloom/routing/FirstTokenModel.h"
 #include "gentianloom/routing/RouteTable.h"
+#include "gentianloom/routing/SoftwareVersionHistory.h"
 
 #include <functional>
 #include <map>
@@ -31,6 +33,8 @@
   ConnectionPool mConnections;
   GrantManager& mGrantManager;
   RetryBudget mRetryBudget;
+  SoftwareVersionHistory mVersionHistory{};
+  StreamOrigins* mStreamOrigins = nullptr; ///< null: resumed streams are rejected
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -34,6 +34,10 @@
 
 private:
   bool Admit();
+  /// Finds out what began the stream that the request resumes, if it does. @return false if that is
+  /// not known or not allowed any more; the request was rejected then
+  net::Task<bool> FindStreamOrigin();
+  StreamKey Stream() const;
   net::Task<bool> ReserveTokens();
   net::Task<void> RunAttempts();
   PlacementChoice ChooseEndpoint();
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -68,8 +69,8 @@
   /// service.
   static constexpr Millis kRenewalGracePeriod{ 2'000 };
 
-  /// @brief Adds or updates an entry. A different start time, address or service means a new
-  /// process, which gets a new record.
+  /// @brief Adds or updates an entry. A different start time, address, service or software version
+  /// means a new process, which gets a new record.
   void Put(EndpointEntry aEntry, TimePoint aNow);
 
   /// @brief Applies the removal of an entry: removes the endpoint, or marks it as missing.
@@ -89,7 +90,10 @@
   void RemoveExpired(TimePoint aNow);
 
   /// @brief Endpoints of a service that accept requests; missing ones only if none is listed.
-  std::vector<Ptr> UsableEndpoints(std::string_view aService) const;
+  /// @param aSoftwareVersion only endpoints with this version of their software, if it is set
+  std::vector<Ptr> UsableEndpoints(
+    std::string_view aService,
+    std::optional<std::string_view> aSoftwareVersion = std::nullopt) const;
 
   /// @brief All endpoints by id.
   const std::map<std::string, Ptr, std::less<>>& All() const { return mEndpoints; }
--- /dev/null
+++ b/include/gentianloom/routing/SoftwareVersionHistory.h
@@ -0,0 +1,48 @@
+#ifndef GENTIANLOOM_ROUTING_SOFTWARE_VERSION_HISTORY_H
+#define GENTIANLOOM_ROUTING_SOFTWARE_VERSION_HISTORY_H
+
+#include "gentianloom/base/Clock.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace gentianloom {
+
+/// Versions of the endpoints' software, by service.
+using SoftwareVersions = std::map<std::string, std::set<std::string>, std::less<>>;
+
+/**
+ * @brief Which software versions of each service have served recently. No clock or I/O.
+ *
+ * If only one can have begun a stream, the stream can be resumed although nobody knows its origin.
+ */
+class SoftwareVersionHistory
+{
+public:
+  /// Longer than a caller waits for a stream, with all its retries.
+  static constexpr Millis kStreamLifetime{ 60'000 };
+
+  /// @brief Notes that a version serves now, or may have served until now.
+  void Observe(std::string_view aService, std::string_view aVersion, TimePoint aNow);
+
+  /// @brief States that from a time on, all versions of the last kStreamLifetime were observed.
+  void SetCompleteFrom(TimePoint aTime) { mCompleteFrom = aTime; }
+
+  /// @brief Returns the only version that can have begun a stream of a service that still runs.
+  /// @return nothing if there are several, none, or if the history is not complete
+  std::optional<std::string> SoleVersion(std::string_view aService, TimePoint aNow) const;
+
+  /// @brief Versions that were observed within a time before now.
+  SoftwareVersions ObservedWithin(Millis aTime, TimePoint aNow) const;
+
+private:
+  std::map<std::string, std::map<std::string, TimePoint, std::less<>>, std::less<>> mObservedAt;
+  TimePoint mCompleteFrom = TimePoint::max();
+};
+
+} // namespace gentianloom
+
+#endif
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -102,6 +102,12 @@
       mRelay.mEndpoints,
       aClock,
       mMetrics)
+  , mStreamOrigins(
+      aLoop,
+      mPeerSocket,
+      [this] { return mInstances.PeerAddresses(mSelf.mName); },
+      aClock,
+      mMetrics)
   , mCallerServer(mRelay)
   , mConfigurationWatcher(aLoop,
                           aStore,
@@ -127,12 +133,14 @@
   // Listed only after the takeover of the predecessor's rights: this instance's record replaces
   // that of the predecessor, from which the takeover determines when that process ended.
   , mRegistration(aLoop, aStore, mSelf, [this] { return IsReady() && mRights.HasTakenOver(); })
+  , mVersionRecord(aLoop, aStore, mRelay.mVersionHistory, aClock)
   , mTrafficLog(aLoop,
                 { [this] { return mStore.Bytes(); },
                   [this] { return mPeerSocket.Bytes(); },
                   [this] { return mRelay.mOpenRequests; } },
                 mMetrics)
 {
+  mRelay.mStreamOrigins = &mStreamOrigins;
 }
 
 GrantDependencies Gateway::MakeRightsLinks()
@@ -188,6 +196,7 @@
                 { "usable", std::to_string(records.size()) } });
     const bool mayBeLeaseExpiry = aAvailability == StoreAvailability::RecentlyUnavailable;
     mRelay.mEndpoints.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
+    ObserveSoftwareVersions();
   };
   out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
     for (const auto& it : aEvents) {
@@ -246,6 +255,7 @@
   if (!mSettings.mPeerAddress.empty()) {
     BOOST_OUTCOME_TRY(mPeerSocket.Start(mSettings.mPeerAddress));
     mPeerLoadExchange.Start();
+    mStreamOrigins.Start();
     mRelay.mOnPendingTokensChanged = [this] { mPeerLoadExchange.NotifyChange(); };
   }
   mConfigurationWatcher.Start();
@@ -253,6 +263,7 @@
   mInstanceWatcher.Start();
   mRights.Start();
   mRegistration.Start();
+  mVersionRecord.Start();
   net::Start(mLoop, "housekeeping", RunHousekeeping());
   mTrafficLog.Start();
   mLoopMonitor.Start();
@@ -346,6 +357,15 @@
               { "software_version", entry.value().mSoftwareVersion },
               { "leaving", entry.value().mIsLeaving ? "yes" : "no" } });
   mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now());
+  ObserveSoftwareVersions();
+}
+
+void Gateway::ObserveSoftwareVersions()
+{
+  for (const auto& [id, it] : mRelay.mEndpoints.All()) {
+    const auto& entry = it->mEntry;
+    mRelay.mVersionHistory.Observe(entry.mService, entry.mSoftwareVersion, mClock.Now());
+  }
 }
 
 void Gateway::UpdateInstance(const KeyValue& aEntry)
@@ -394,6 +414,7 @@
 net::Task<void> Gateway::RunHousekeeping()
 {
   while (true) {
+    ObserveSoftwareVersions();
     mRelay.mEndpoints.RemoveExpired(mClock.Now());
     mRelay.mConnections.Prune();
     mRelay.mRetryBudget.SetBurst(
--- /dev/null
+++ b/src/gateway/SoftwareVersionRecord.cpp
@@ -0,0 +1,156 @@
+#include "gentianloom/gateway/SoftwareVersionRecord.h"
+
+#include "gentianloom/base/Jitter.h"
+#include "gentianloom/base/Log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace gentianloom {
+
+namespace {
+
+/// Interval at which the history is compared with the record, and a failed call is repeated. It is
+/// multiplied by a random factor, since all instances notice a new version at once.
+constexpr Millis kUpdateInterval{ 500 };
+constexpr double kMinJitterFactor = 0.5;
+/// Time after which a version is removed. The histories of two instances differ by less than
+/// kStreamLifetime, so none of them adds a version again that another one has removed.
+constexpr Millis kRemovalTime = 2 * SoftwareVersionHistory::kStreamLifetime;
+
+} // namespace
+
+std::string ToText(const SoftwareVersions& aVersions)
+{
+  return nlohmann::json(aVersions).dump();
+}
+
+Result<SoftwareVersions> ParseSoftwareVersions(std::string_view aText)
+{
+  try {
+    return nlohmann::json::parse(aText).get<SoftwareVersions>();
+  } catch (const nlohmann::json::exception& ex) {
+    return MakeError(
+      ErrorCode::MalformedJson, Step::ApplicationCheck, "key-value service", ex.what());
+  }
+}
+
+SoftwareVersions UpdateSoftwareVersions(const SoftwareVersions& aRecorded,
+                                        const SoftwareVersionHistory& aHistory,
+                                        TimePoint aNow)
+{
+  auto out = aHistory.ObservedWithin(SoftwareVersionHistory::kStreamLifetime, aNow);
+  const auto needed = aHistory.ObservedWithin(kRemovalTime, aNow);
+  for (const auto& [service, versions] : aRecorded) {
+    const auto known = needed.find(service);
+    if (known == needed.end()) {
+      continue;
+    }
+    for (const auto& it : versions) {
+      if (known->second.contains(it)) {
+        out[service].insert(it);
+      }
+    }
+  }
+  return out;
+}
+
+SoftwareVersionRecord::SoftwareVersionRecord(net::Loop& aLoop,
+                                             AsyncStore& aStore,
+                                             SoftwareVersionHistory& aHistory,
+                                             const Clock& aClock)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mHistory(aHistory)
+  , mClock(aClock)
+{
+}
+
+void SoftwareVersionRecord::Start()
+{
+  net::Start(mLoop, "software versions", Run());
+}
+
+net::Task<void> SoftwareVersionRecord::Run()
+{
+  bool isRead = false;
+  while (true) {
+    if (!isRead) {
+      isRead = co_await Read();
+    } else if (UpdateSoftwareVersions(mRecorded, mHistory, mClock.Now()) != mRecorded) {
+      co_await Update();
+    }
+    const auto pause = kUpdateInterval * (kMinJitterFactor + Jitter());
+    co_await net::Signal::Sleep(mLoop, std::chrono::duration_cast<Micros>(pause));
+  }
+}
+
+bool SoftwareVersionRecord::Load(std::span<const KeyValue> aEntries)
+{
+  mRevision = 0;
+  mRecorded.clear();
+  bool isValid = true;
+  for (const auto& it : aEntries) {
+    mRevision = it.mModRevision;
+    auto versions = ParseSoftwareVersions(it.mValue);
+    isValid = versions.has_value();
+    if (isValid) {
+      mRecorded = std::move(versions.value());
+      continue;
+    }
+    LogChange(LogLevel::Warning,
+              "endpoints",
+              "the record of software versions is invalid; it will be replaced",
+              { { "error", ToString(versions.error()) } });
+  }
+  return isValid;
+}
+
+net::Task<bool> SoftwareVersionRecord::Read()
+{
+  const auto answer = co_await mStore.Range(std::string(kSoftwareVersionKey));
+  if (!answer) {
+    co_return false;
+  }
+  const bool isValid = Load(answer.value().mEntries);
+  const auto now = mClock.Now();
+  for (const auto& [service, versions] : mRecorded) {
+    for (const auto& it : versions) {
+      mHistory.Observe(service, it, now);
+    }
+  }
+  const Millis missingTime = isValid ? Millis(0) : SoftwareVersionHistory::kStreamLifetime;
+  mHistory.SetCompleteFrom(now + missingTime);
+  LogChange(LogLevel::Info,
+            "endpoints",
+            "read the record of software versions",
+            { { "versions", ToText(mRecorded) }, { "revision", std::to_string(mRevision) } });
+  co_return true;
+}
+
+net::Task<void> SoftwareVersionRecord::Update()
+{
+  const auto answer = co_await mStore.Range(std::string(kSoftwareVersionKey));
+  if (!answer) {
+    co_return;
+  }
+  Load(answer.value().mEntries);
+  auto updated = UpdateSoftwareVersions(mRecorded, mHistory, mClock.Now());
+  if (updated == mRecorded) {
+    co_return;
+  }
+  Transaction transaction;
+  transaction.mCompares.push_back({ std::string(kSoftwareVersionKey), mRevision });
+  transaction.mWrites.push_back({ std::string(kSoftwareVersionKey), ToText(updated) });
+  const auto result = co_await mStore.Commit(std::move(transaction));
+  if (result.mCommit.mEffect != Effect::Applied) {
+    co_return; // the next round reads the record again
+  }
+  mRevision = result.mCommit.mRevision;
+  mRecorded = std::move(updated);
+  LogChange(LogLevel::Info,
+            "endpoints",
+            "wrote the record of software versions",
+            { { "versions", ToText(mRecorded) }, { "revision", std::to_string(mRevision) } });
+}
+
+} // namespace gentianloom
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -85,6 +85,20 @@
   model.AddSample(mTokensToPrefill, latency.count());
 }
 
+void EndpointAttempt::RecordOrigin()
+{
+  if (mHasForwardedEvent) {
+    return;
+  }
+  if (!mProgress.mOrigin) {
+    mProgress.mOrigin =
+      StreamOrigin{ mEndpoint->mEntry.mService, mEndpoint->mEntry.mSoftwareVersion };
+  }
+  if (mRequest.mRoute.mIsResumable && mContext.mStreamOrigins != nullptr) {
+    mContext.mStreamOrigins->Record(mRequest.mStream, *mProgress.mOrigin);
+  }
+}
+
 void EndpointAttempt::NotifyPendingTokensChanged() const
 {
   if (mContext.mOnPendingTokensChanged && IsStream()) {
@@ -314,6 +328,7 @@
   if (chunk.empty()) {
     return;
   }
+  RecordOrigin();
   if (mWriter.State() == ResponseState::NotStarted) {
     mProgress.mFirstEventAt = mContext.mClock.Now();
     mWriter.StartStream(MakeForwardedResponseHead());
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -91,7 +91,11 @@
 net::Task<bool> RequestExchange::Run()
 {
   mContext.mRetryBudget.OnRequest();
-  if (Admit()) {
+  bool isAdmitted = Admit();
+  if (isAdmitted) {
+    isAdmitted = co_await FindStreamOrigin();
+  }
+  if (isAdmitted) {
     const bool isReserved = co_await ReserveTokens();
     if (isReserved) {
       co_await RunAttempts();
@@ -156,6 +160,47 @@
   return true;
 }
 
+StreamKey RequestExchange::Stream() const
+{
+  const auto& begunBy = mRequest.mResumedRequest.empty() ? mRequest.mId : mRequest.mResumedRequest;
+  return MakeStreamKey(mAccount == nullptr ? std::string() : mAccount->mName, begunBy);
+}
+
+net::Task<bool> RequestExchange::FindStreamOrigin()
+{
+  const bool isResume = mRequest.mResumeAfter || !mRequest.mResumedRequest.empty();
+  if (mRoute->mKind != RouteKind::Streaming || !isResume) {
+    co_return true;
+  }
+  if (!mRequest.mResumedRequest.empty() && mContext.mStreamOrigins != nullptr) {
+    mProgress.mOrigin = co_await mContext.mStreamOrigins->Find(Stream());
+  }
+  const auto sole = mContext.mVersionHistory.SoleVersion(mService, mContext.mClock.Now());
+  if (!mProgress.mOrigin && mRoute->mServices.size() == 1 && sole) {
+    mProgress.mOrigin = StreamOrigin{ mService, *sole };
+  }
+  const auto& origin = mProgress.mOrigin;
+  const bool isAllowed =
+    origin && std::any_of(mRoute->mServices.begin(), mRoute->mServices.end(), [&](const auto& it) {
+      return it.mService == origin->mService;
+    });
+  if (isAllowed) {
+    mService = origin->mService;
+    co_return true;
+  }
+  auto error =
+    MakeError(ErrorCode::NoEndpoint,
+              Step::RequestPlace,
+              mService,
+              origin ? "the service that began this stream is not on its route any more; "
+                       "the request did not run"
+                     : "the software version that began this stream is not known; the "
+                       "request did not run");
+  error.mRetryAfter = kRetryAfter;
+  SendError(kUnavailable, error);
+  co_return false;
+}
+
 net::Task<bool> RequestExchange::ReserveTokens()
 {
   const bool isPrepaidRequest = mAccount != nullptr && mAccount->mPrepaid && mRequest.mPromptTokens;
@@ -206,7 +251,11 @@
 PlacementChoice RequestExchange::ChooseEndpoint()
 {
   const auto now = mContext.mClock.Now();
-  const auto usable = mContext.mEndpoints.UsableEndpoints(mService);
+  std::optional<std::string_view> softwareVersion;
+  if (mProgress.mOrigin) {
+    softwareVersion = mProgress.mOrigin->mSoftwareVersion;
+  }
+  const auto usable = mContext.mEndpoints.UsableEndpoints(mService, softwareVersion);
   PlacementRequest request;
   request.mTieBreakHash = StableHash(mRequest.mId);
   request.mZone = mContext.mZone;
@@ -248,7 +297,7 @@
   const AttemptRequest request{ mHead,    mBody,
                                 mHasBody, mRequest,
                                 *mRoute,  mAccount == nullptr ? std::string() : mAccount->mName,
-                                mDeadline };
+                                Stream(), mDeadline };
   bool willRetry = true;
   while (willRetry) {
     if (mWriter.IsCallerDisconnected()) {
@@ -257,7 +306,9 @@
     }
     mPlacement = ChooseEndpoint();
     if (!mPlacement.mEndpoint) {
-      mFailureReason = "no endpoint of " + mService + " accepts work";
+      mFailureReason = "no endpoint of " + mService +
+                       (mProgress.mOrigin ? " with the stream's software version" : "") +
+                       " accepts work";
       break;
     }
     {
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -13,7 +13,8 @@
   if (known != mEndpoints.end()) {
     const auto& old = known->second->mEntry;
     const bool isSameRun = old.mStartedAt == aEntry.mStartedAt && old.mAddress == aEntry.mAddress &&
-                           old.mService == aEntry.mService;
+                           old.mService == aEntry.mService &&
+                           old.mSoftwareVersion == aEntry.mSoftwareVersion;
     if (!isSameRun) {
       RemoveRecord(known);
     }
@@ -84,7 +85,8 @@
 }
 
 std::vector<EndpointRegistry::Ptr> EndpointRegistry::UsableEndpoints(
-  std::string_view aService) const
+  std::string_view aService,
+  std::optional<std::string_view> aSoftwareVersion) const
 {
   std::vector<Ptr> listed;
   std::vector<Ptr> missing;
@@ -92,6 +94,9 @@
     if (it->mEntry.mService != aService || !it->AcceptsRequests()) {
       continue;
     }
+    if (aSoftwareVersion && it->mEntry.mSoftwareVersion != *aSoftwareVersion) {
+      continue;
+    }
     (it->mState == EntryState::Listed ? listed : missing).push_back(it);
   }
   return listed.empty() ? missing : listed;
--- /dev/null
+++ b/tests/gateway/SoftwareVersionRecordTest.cpp
@@ -0,0 +1,67 @@
+#include "gentianloom/gateway/SoftwareVersionRecord.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace gentianloom {
+
+class SoftwareVersionRecordTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SoftwareVersionRecordTest);
+  CPPUNIT_TEST(TestSoleVersion);
+  CPPUNIT_TEST(TestUpdate);
+  CPPUNIT_TEST(TestText);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr TimePoint kStart{ std::chrono::hours(1) };
+  static constexpr Millis kLifetime = SoftwareVersionHistory::kStreamLifetime;
+
+public:
+  // A stream whose origin nobody knows may go on only if one version can have begun it.
+  void TestSoleVersion()
+  {
+    SoftwareVersionHistory history;
+    history.Observe("pool", "v1", kStart);
+    CPPUNIT_ASSERT(!history.SoleVersion("pool", kStart)); // others may have served before
+    history.SetCompleteFrom(kStart);
+    CPPUNIT_ASSERT(history.SoleVersion("pool", kStart) == "v1");
+    CPPUNIT_ASSERT(!history.SoleVersion("desk", kStart));
+    const auto later = kStart + Millis(1);
+    history.Observe("pool", "v2", later);
+    CPPUNIT_ASSERT(!history.SoleVersion("pool", later));
+    CPPUNIT_ASSERT(!history.SoleVersion("pool", kStart + kLifetime));
+    history.Observe("pool", "v2", later + kLifetime);
+    CPPUNIT_ASSERT(history.SoleVersion("pool", later + kLifetime) == "v2");
+  }
+
+  // A version is recorded at once, and stays until no instance needs it any more.
+  void TestUpdate()
+  {
+    SoftwareVersionHistory history;
+    history.Observe("pool", "v1", kStart);
+    const SoftwareVersions old = { { "gone", { "v0" } }, { "pool", { "v0", "v1" } } };
+    const SoftwareVersions first = { { "pool", { "v1" } } };
+    CPPUNIT_ASSERT(UpdateSoftwareVersions({}, history, kStart) == first);
+    CPPUNIT_ASSERT(UpdateSoftwareVersions(old, history, kStart) == first);
+    history.Observe("pool", "v0", kStart);
+    const auto now = kStart + kLifetime + Millis(1);
+    history.Observe("pool", "v1", now);
+    CPPUNIT_ASSERT(UpdateSoftwareVersions(old, history, now).at("pool").size() == 2);
+    CPPUNIT_ASSERT(UpdateSoftwareVersions(first, history, now) == first);
+    const auto end = kStart + 2 * kLifetime + Millis(1);
+    history.Observe("pool", "v1", end);
+    CPPUNIT_ASSERT(UpdateSoftwareVersions(old, history, end) == first);
+  }
+
+  void TestText()
+  {
+    const SoftwareVersions versions = { { "desk", {} }, { "pool", { "v1", "v2" } } };
+    CPPUNIT_ASSERT(ParseSoftwareVersions(ToText(versions)).value() == versions);
+    for (const auto* it : { "", "[]", "{\"pool\":1}", "{\"pool\":[1]}", "{\"pool\":[\"v1\"" }) {
+      CPPUNIT_ASSERT_MESSAGE(it, !ParseSoftwareVersions(it));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SoftwareVersionRecordTest);
+
+} // namespace gentianloom
--- a/tests/platform/WireProtocolTest.cpp
+++ b/tests/platform/WireProtocolTest.cpp
@@ -80,7 +80,10 @@
                                 with("10.1.2.3:80", "nowhere"),
                                 with("64", "\"many\""),
                                 with("\"s\"", "\"\""),
-                                with("\"zone\"", "\"area\"") };
+                                with("\"zone\"", "\"area\""),
+                                with("\"version\"", "\"weights\""),
+                                with("\"v1\"", "1"),
+                                with("\"v1\"", "\"\"") };
     for (const auto& it : bad) {
       CPPUNIT_ASSERT_MESSAGE(it, !mProtocol.DecodeEndpoint("i-1", it));
     }
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -305,6 +305,12 @@
 
 class Server(ThreadingHTTPServer):
     daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        """A client that closes its connection is no error; anything else is printed."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
     page = 500
 
 
--- a/tests/platform/stream_version_test.py
+++ b/tests/platform/stream_version_test.py
@@ -4,6 +4,7 @@
 What two software versions of an endpoint write does not fit together: a stream may go on only at an
 endpoint of the version that began it, at whatever gateway its caller comes back, or not at all.
 """
+import json
 import time
 import unittest
 
@@ -131,6 +132,47 @@
         self.check_refused(self.second, attempt, "refused")
         self.assertEqual(200, self.second.call("/resume/x", "new", self.headers(1)).status)
 
+    def test_version_that_served_before_a_restart_is_not_forgotten(self):
+        for name in ("w2", "w4"):
+            self.platform.send_command(remove="servers/" + name)
+        self.begin(self.first, "old", 1)
+        self.wait_for_recorded_versions({"v1", "v2"})
+        for name in ("w1", "w3"):
+            self.platform.send_command(remove="servers/" + name)
+        for name in ("w2", "w4"):
+            self.platform.list_endpoint(name)
+        self.first.kill()
+        self.second.kill()
+        self.second.start()
+        response = self.second.call("/resume/x", "new", self.headers(1) | {"Last-Event-Id": "2"})
+        self.assertEqual(503, response.status)
+        self.check_refused(self.second, "old", "named")
+
+    def wait_for_recorded_versions(self, expected):
+        key = "/gentianloom/software-versions"
+        self.first.wait(lambda: set(json.loads(
+            self.platform.send_command()["items"].get(key, "{}")).get("pool", [])) == expected)
+
+
+class SoleVersionTest(unittest.TestCase):
+    def test_stream_goes_on_while_one_version_serves(self):
+        # Callers need not name the request that began the stream, and a restart changes nothing.
+        platform = Platform({"w1": "v1", "w2": "v1"})
+        self.addCleanup(platform.close)
+        gateway = Environment(platform=platform)
+        self.addCleanup(gateway.close)
+        for restarts in (False, True):
+            if restarts:
+                gateway.kill()
+                gateway.start()
+                gateway.wait(lambda: len([it for it in gateway.log_lines() if it["change"] ==
+                                          "read the record of software versions"]) == 2)
+            for number, fields in enumerate(({"Last-Event-Id": "2"},
+                                             {"Last-Event-Id": "2", "Resumes": "forgotten"})):
+                with self.subTest(restarts=restarts, fields=fields):
+                    response = gateway.call("/resume/x", f"sole{restarts}{number}", fields)
+                    self.assertEqual((200, True), (response.status, response.is_complete))
+
 
 if __name__ == "__main__":
     unittest.main()
