--- a/tests/platform/gateway_environment.py
+++ b/tests/platform/gateway_environment.py
@@ -74,10 +74,10 @@
         for name in self.versions:
             self.list_endpoint(name)
 
-    def list_endpoint(self, name, state="ready"):
+    def list_endpoint(self, name, state="ready", **more):
         self.send_command(put="servers/" + name, value={
             "service": "pool", "address": self.addresses["workers"][name], "zone": "a", "slots": 8,
-            "state": state, "version": self.versions[name]})
+            "state": state, "version": self.versions[name], **more})
 
     def send_command(self, **command):
         connection = http.client.HTTPConnection(self.addresses["control"], timeout=5)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -33,6 +33,10 @@
         self.history = []
         self.revision = 1
         self.leases = {}
+        self.era = 1
+        self.copy = None
+        self.oldest_revision = 0  # watches from an earlier one get 410
+        self.accepts_any_lease = False  # lease numbers that went back belong to others
         # Or "busy" (503), "silent" (no response), "lost" (POST calls are executed, but get no
         # response).
         self.mode = "up"
@@ -48,6 +52,17 @@
         self.items[key] = item
         self.history.append(item)
 
+    def save_copy(self):
+        self.copy = json.dumps([self.items, self.revision, list(self.leases.items())])
+
+    def go_back_to_copy(self):
+        """Comes back from the copy: later items, leases and history are gone, the era rises."""
+        self.items, self.revision, leases = json.loads(self.copy)
+        self.leases = {number: tuple(lease) for number, lease in leases}
+        self.history = []
+        self.oldest_revision = self.revision
+        self.era += 1
+
     def remove(self, key):
         if self.items.pop(key, None):
             self.revision += 1
@@ -90,6 +105,8 @@
         self.send_response(status)
         for name, value in headers:
             self.send_header(name, value)
+        if isinstance(self.server.state, Store):
+            self.send_header("Store-Era", str(self.server.state.era))
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
         self.wfile.write(data)
@@ -110,7 +127,11 @@
                 store.changed.wait_for(lambda: store.mode != "silent", timeout=MAX_WAIT_S)
                 return None
             store.expire_leases()
+            era = store.era
             status, out = self.route(store, method, url.path, query, body)
+            if store.era != era:
+                self.close_connection = True  # a watch that waited when the store went away
+                return None
             if store.mode == "lost" and method == "POST":
                 self.close_connection = True
                 return None
@@ -134,7 +155,7 @@
         if path.startswith("/kv-keep/"):
             lease = int(path.rsplit("/", 1)[1])
             if lease not in store.leases:
-                return 404, {}
+                return (200 if store.accepts_any_lease else 404), {}
             ttl = store.leases[lease][0]
             store.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
             return 200, {"ttl-ms": ttl}
@@ -145,9 +166,10 @@
 
     def watch(self, store, query):
         after = int(query["after"])
-        if after < getattr(self.server, "oldest_revision", 0):
+        if after < store.oldest_revision or after > store.revision:
             return 410, {}
         end = time.monotonic() + int(query["wait-ms"]) / 1000
+        era = store.era
         store.watches += 1
         number = store.watches
         while True:
@@ -159,6 +181,8 @@
             events = [it for it in store.history
                       if it["rev"] > after and it["key"].startswith(query["prefix"])]
             left = end - time.monotonic()
+            if store.era != era:
+                return 503, {}
             if events or left <= 0 or store.mode != "up":
                 return 200, {"events": events, "at": store.revision}
             store.changed.wait(min(left, 0.1))
@@ -283,6 +307,8 @@
         with store.changed:
             if "store_mode" in command:
                 store.mode = command["store_mode"]
+            for _ in range(command.get("fill", 0)):
+                store.put("unrelated", b"")
             if "put" in command:
                 store.put(command["put"], json.dumps(command["value"]).encode())
             if "remove" in command:
@@ -290,7 +316,12 @@
             if command.get("silence_watches"):
                 store.silent_watches = store.watches
             if command.get("forget_history"):
-                platform["store_server"].oldest_revision = store.revision
+                store.oldest_revision = store.revision
+            if command.get("save_copy"):
+                store.save_copy()
+            if command.get("go_back"):
+                store.go_back_to_copy()
+                store.accepts_any_lease = command.get("accepts_any_lease", False)
             if "worker" in command:
                 vars(platform["workers"][command["worker"]]).update(command["set"])
             store.changed.notify_all()
@@ -325,9 +356,9 @@
     names = sys.argv[1:] or ["w1", "w2"]
     store = Store()
     workers = {it: Worker(it, store.changed) for it in names}
-    store_server, store_address = start_server(StoreHandler, store)
+    _, store_address = start_server(StoreHandler, store)
     addresses = {it: start_server(WorkerHandler, workers[it])[1] for it in names}
-    platform = {"store": store, "workers": workers, "store_server": store_server}
+    platform = {"store": store, "workers": workers}
     _, control = start_server(ControlHandler, platform)
     print(json.dumps({"store": store_address, "workers": addresses, "control": control}),
           flush=True)
