--- a/include/gentianloom/external/AsyncStore.h
+++ b/include/gentianloom/external/AsyncStore.h
@@ -13,6 +13,7 @@
 /// Response to a watch request.
 struct WatchResponse
 {
+  std::int64_t mEra = 0;  ///< of the service, see AsyncStore::Era()
   bool mIsTooOld = false; ///< changes since the revision were discarded; read all keys again
   Revision mRevision = 0; ///< revision from which to continue the watch
   std::vector<WatchEvent> mEvents;
@@ -35,6 +36,14 @@
 public:
   virtual ~AsyncStore() = default;
 
+  /**
+   * @brief Returns the highest era that a response has stated; 0 if none has.
+   *
+   * The era rises when the service comes back from an older copy of its data: what was written
+   * since the copy is gone, and revisions are given out a second time.
+   */
+  virtual std::int64_t Era() const { return 0; }
+
   /// @brief Reads all keys with a prefix, page by page.
   /// @return the entries and the revision of the first page
   virtual net::Task<Result<RangeResponse>> Range(std::string aPrefix) = 0;
--- a/include/gentianloom/external/KeyValueStore.h
+++ b/include/gentianloom/external/KeyValueStore.h
@@ -32,6 +32,7 @@
 /// Response to a read. If the key does not exist, the list is empty; this is not an error.
 struct RangeResponse
 {
+  std::int64_t mEra = 0;  ///< of the service, see AsyncStore::Era()
   Revision mRevision = 0; ///< revision of the service at the time of the read
   std::vector<KeyValue> mEntries;
 };
--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -64,6 +64,9 @@
   net::Task<bool> ReadSnapshot();
   /// Waits once for changes. Returns whether the call succeeded.
   net::Task<bool> Watch();
+  /// Makes the next call read a snapshot if the service has come back from an older copy, since
+  /// revisions are then given out a second time. Returns whether it has.
+  bool CheckEra(std::int64_t aEra);
   void RecordCallResult(bool aHasSucceeded, const std::string& aError);
   StoreAvailability Availability() const;
 
@@ -77,6 +80,7 @@
   bool mHasSynced = false;
   bool mNeedsSnapshot = true;
   bool mIsUnavailable = false;
+  std::int64_t mEra = 0; ///< of the service, when mRevision was read
   Revision mRevision = 0;
   TimePoint mLastFailureAt{};
   int mConsecutiveFailures = 0;
--- a/include/gentianloom/net/HttpClient.h
+++ b/include/gentianloom/net/HttpClient.h
@@ -24,6 +24,7 @@
 {
   int mStatus = 0;
   std::string mBody;
+  HeaderList mHeaders;
 };
 
 /// Bytes of message bodies sent and received since the start of a client.
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -74,6 +74,10 @@
   if (!answer) {
     co_return false;
   }
+  if (answer.value().mEra < mStore.Era()) {
+    co_return true; // a delayed response; the snapshot is read again
+  }
+  CheckEra(answer.value().mEra);
   mRevision = answer.value().mRevision;
   mNeedsSnapshot = false;
   mHasSynced = true;
@@ -81,14 +85,38 @@
   co_return true;
 }
 
+bool PrefixWatcher::CheckEra(std::int64_t aEra)
+{
+  if (aEra <= mEra) {
+    return false;
+  }
+  if (mHasSynced) {
+    // Keys that were written since the copy are missing until their owners write them again.
+    mLastFailureAt = mClock.Now();
+    mNeedsSnapshot = true;
+    LogChange(LogLevel::Warning,
+              "store",
+              "the key-value service came back from an older copy; reading a new snapshot",
+              { { "prefix", mPrefix }, { "era", std::to_string(aEra) } });
+  }
+  mEra = aEra;
+  return mHasSynced;
+}
+
 net::Task<bool> PrefixWatcher::Watch()
 {
+  if (CheckEra(mStore.Era())) {
+    co_return true;
+  }
   const auto answer = co_await mStore.Watch(mPrefix, mRevision, mWatchTimeout);
   RecordCallResult(answer.has_value(), answer ? "" : ToString(answer.error()));
   if (!answer) {
     co_return false;
   }
   const auto& it = answer.value();
+  if (it.mEra < mEra || CheckEra(it.mEra)) {
+    co_return true; // a delayed response, or one with revisions of another history
+  }
   if (it.mIsTooOld) {
     LogChange(LogLevel::Warning,
               "store",
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -113,6 +113,7 @@
     co_return HttpFailure::Lost;
   }
   reply.mStatus = parser.Head().mStatus;
+  reply.mHeaders = parser.Head().mHeaders;
   if (parser.Head().mKeepAlive && channel->IsUsable() && channel->Received().empty()) {
     mIdle.push_back(channel);
   } else {
--- a/tests/gateway/PrefixWatcherTest.cpp
+++ b/tests/gateway/PrefixWatcherTest.cpp
@@ -57,6 +57,12 @@
     expect("deletion", "-p/a ");
     store.SetMode(StoreMode::HistoryCompacted);
     expect("new snapshot after the store discarded its history", "snapshot1 ");
+    // The store comes back from an older copy and gives revisions out again: a watch from the last
+    // one seen would miss the change for good.
+    store.mEra = 2;
+    store.mRevision = 1;
+    store.Put("p/d", "1");
+    expect("new snapshot after the store came back from a copy", "snapshot2? ");
     const auto watches = store.mWatchCalls;
     store.SetMode(StoreMode::Down);
     CPPUNIT_ASSERT(testing::RunUntil(loop, [&] { return store.mWatchCalls > watches + 1; }));
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -307,6 +307,11 @@
         with store.changed:
             if "store_mode" in command:
                 store.mode = command["store_mode"]
+            if command.get("save_copy"):
+                store.save_copy()
+            if command.get("go_back"):
+                store.go_back_to_copy()
+                store.accepts_any_lease = command.get("accepts_any_lease", False)
             for _ in range(command.get("fill", 0)):
                 store.put("unrelated", b"")
             if "put" in command:
@@ -317,11 +322,6 @@
                 store.silent_watches = store.watches
             if command.get("forget_history"):
                 store.oldest_revision = store.revision
-            if command.get("save_copy"):
-                store.save_copy()
-            if command.get("go_back"):
-                store.go_back_to_copy()
-                store.accepts_any_lease = command.get("accepts_any_lease", False)
             if "worker" in command:
                 vars(platform["workers"][command["worker"]]).update(command["set"])
             store.changed.notify_all()
--- a/tests/support/MemoryAsyncStore.h
+++ b/tests/support/MemoryAsyncStore.h
@@ -26,6 +26,8 @@
 class MemoryAsyncStore final : public AsyncStore
 {
 public:
+  std::int64_t Era() const override { return mEra; }
+
   net::Task<Result<RangeResponse>> Range(std::string aPrefix) override
   {
     ++mRangeCalls;
@@ -33,6 +35,7 @@
       co_return Failure();
     }
     RangeResponse out;
+    out.mEra = mEra;
     out.mRevision = mRevision;
     for (const auto& [key, it] : mItems) {
       if (key.starts_with(aPrefix)) {
@@ -97,6 +100,7 @@
         out.mEvents.push_back(it);
       }
     }
+    out.mEra = mEra;
     if (out.mEvents.empty() && !out.mIsTooOld && mChanged) {
       co_await mChanged->WaitFor(aWait);
     }
@@ -143,6 +147,7 @@
   std::map<std::string, KeyValue> mItems;
   std::vector<WatchEvent> mHistory;
   Revision mRevision = 1;
+  std::int64_t mEra = 1;
   int mRangeCalls = 0; ///< number of calls so far, also of failed ones
   int mCommitCalls = 0;
   int mWatchCalls = 0;
