PrefixWatcherTest: the store's old history is gone when it comes back

Registration: after a change of era the instance writes its record again under a new lease (test_instance_is_registered_again failed before where the lease's number had become another instance's).

--- a/src/gateway/InstanceRegistration.cpp
+++ b/src/gateway/InstanceRegistration.cpp
@@ -68,6 +68,13 @@
   bool isWritten = false;
   bool isLeavingPublished = false;
   while (true) {
+    // After the store came back from an older copy, the record may be gone and the lease's number
+    // may be another instance's.
+    if (mStore.Era() != mEra) {
+      mEra = mStore.Era();
+      mLease = 0;
+      isWritten = false;
+    }
     if (mSelf.mIsLeaving || mMayBeListed()) {
       if (!isWritten || isLeavingPublished != mSelf.mIsLeaving) {
         const bool isLeaving = mSelf.mIsLeaving;
--- a/tests/gateway/PrefixWatcherTest.cpp
+++ b/tests/gateway/PrefixWatcherTest.cpp
@@ -61,6 +61,7 @@
     // one seen would miss the change for good.
     store.mEra = 2;
     store.mRevision = 1;
+    store.mHistory.clear();
     store.Put("p/d", "1");
     expect("new snapshot after the store came back from a copy", "snapshot2? ");
     const auto watches = store.mWatchCalls;
