--- a/include/gentianloom/gateway/InstanceRegistration.h
+++ b/include/gentianloom/gateway/InstanceRegistration.h
@@ -44,7 +44,7 @@
   const InstanceRecord& mSelf;
   std::function<bool()> mMayBeListed;
   std::int64_t mEra = 0; ///< of the store, when the record was last written or checked
-  LeaseId mLease = 0; ///< 0 if there is none
+  LeaseId mLease = 0;    ///< 0 if there is none
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -20,7 +20,8 @@
 enum class StoreAvailability : std::uint8_t
 {
   Available,
-  RecentlyUnavailable
+  RecentlyUnavailable,
+  RestoredFromCopy ///< the service has come back from an older copy; entries may be older than seen
 };
 
 /// Callbacks of a PrefixWatcher.
@@ -79,6 +80,7 @@
   Metrics& mMetrics;
   bool mHasSynced = false;
   bool mNeedsSnapshot = true;
+  bool mIsRestored = false; ///< the next snapshot is the first one of an era
   bool mIsUnavailable = false;
   std::int64_t mEra = 0; ///< of the service, when mRevision was read
   Revision mRevision = 0;
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -25,6 +25,7 @@
   std::int64_t mSlots = 0; ///< maximum number of concurrent requests; 0: not known
   /// Version of the endpoint's software; not that of its weights, nor of the configuration.
   std::string mSoftwareVersion;
+  std::int64_t mSequence = 0;  ///< rises with each write of the endpoint's process
   std::int64_t mStartedAt = 0; ///< wall-clock milliseconds; distinguishes processes with one id
   bool mIsLeaving = false;
   Millis mWarmUpRemaining{ 0 }; ///< remaining warm-up time, in which the endpoint is slow
@@ -69,6 +70,10 @@
   /// service.
   static constexpr Millis kRenewalGracePeriod{ 2'000 };
 
+  /// Time for which removed entries are remembered, longer than a copy of the key-value service is
+  /// old when the service comes back from it.
+  static constexpr Millis kRemovedEntryLifetime{ 60'000 };
+
   /// @brief Adds or updates an entry. A different start time, address, service or software version
   /// means a new process, which gets a new record.
   void Put(EndpointEntry aEntry, TimePoint aNow);
@@ -82,8 +87,16 @@
   /// Remove().
   void Replace(std::vector<EndpointEntry> aEntries, bool aAfterOutage, TimePoint aNow);
 
+  /**
+   * @brief Drops the entries of an older copy that say less than is known here.
+   *
+   * An entry is outdated if the same process has written a later one, or has been removed since.
+   * For a known endpoint the known entry takes its place.
+   */
+  void DropOutdated(std::vector<EndpointEntry>& aEntries) const;
+
   /// @brief Removes an endpoint whose address now belongs to another one.
-  void OnAddressReassigned(std::string_view aId);
+  void OnAddressReassigned(std::string_view aId, TimePoint aNow);
 
   /// @brief Removes endpoints that have been missing for kRenewalGracePeriod. Must be called
   /// periodically.
@@ -101,9 +114,17 @@
   std::size_t Size() const { return mEndpoints.size(); }
 
 private:
-  void RemoveRecord(std::map<std::string, Ptr, std::less<>>::iterator aEndpoint);
+  void RemoveRecord(std::map<std::string, Ptr, std::less<>>::iterator aEndpoint, TimePoint aNow);
+
+  /// The last entry of an endpoint that was removed.
+  struct RemovedEntry
+  {
+    EndpointEntry mEntry;
+    TimePoint mRemovedAt{};
+  };
 
   std::map<std::string, Ptr, std::less<>> mEndpoints;
+  std::map<std::string, RemovedEntry, std::less<>> mRemoved;
 };
 
 } // namespace gentianloom
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -194,7 +194,10 @@
               "read the list of endpoints",
               { { "entries", std::to_string(aEntries.size()) },
                 { "usable", std::to_string(records.size()) } });
-    const bool mayBeLeaseExpiry = aAvailability == StoreAvailability::RecentlyUnavailable;
+    const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
+    if (aAvailability == StoreAvailability::RestoredFromCopy) {
+      mRelay.mEndpoints.DropOutdated(records);
+    }
     mRelay.mEndpoints.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
     ObserveSoftwareVersions();
   };
@@ -227,7 +230,7 @@
         records.push_back(std::move(record.value()));
       }
     }
-    const bool mayBeLeaseExpiry = aAvailability == StoreAvailability::RecentlyUnavailable;
+    const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
     mInstances.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
   };
   out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -4,6 +4,7 @@
 #include "gentianloom/base/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gentianloom {
 
@@ -81,7 +82,9 @@
   mRevision = answer.value().mRevision;
   mNeedsSnapshot = false;
   mHasSynced = true;
-  mHandlers.mOnSnapshot(answer.value().mEntries, Availability());
+  const bool isRestored = std::exchange(mIsRestored, false);
+  mHandlers.mOnSnapshot(answer.value().mEntries,
+                        isRestored ? StoreAvailability::RestoredFromCopy : Availability());
   co_return true;
 }
 
@@ -94,6 +97,7 @@
     // Keys that were written since the copy are missing until their owners write them again.
     mLastFailureAt = mClock.Now();
     mNeedsSnapshot = true;
+    mIsRestored = true;
     LogChange(LogLevel::Warning,
               "store",
               "the key-value service came back from an older copy; reading a new snapshot",
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -258,7 +258,7 @@
     mEndpoint->mLoad.OnReportedLoad(*mResponse.mLoad, now);
   }
   if (mResponse.mIsMisdirected) {
-    mContext.mEndpoints.OnAddressReassigned(mEndpoint->mEntry.mId);
+    mContext.mEndpoints.OnAddressReassigned(mEndpoint->mEntry.mId, now);
     Finish(AttemptOutcome::Refused, true, "the address now belongs to another endpoint");
     return;
   }
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -16,7 +16,7 @@
                            old.mService == aEntry.mService &&
                            old.mSoftwareVersion == aEntry.mSoftwareVersion;
     if (!isSameRun) {
-      RemoveRecord(known);
+      RemoveRecord(known, aNow);
     }
   }
   auto& it = mEndpoints[aEntry.mId];
@@ -36,7 +36,7 @@
     return;
   }
   if (!aAfterOutage) {
-    RemoveRecord(it);
+    RemoveRecord(it, aNow);
   } else if (it->second->mState == EntryState::Listed) {
     it->second->mState = EntryState::Missing;
     it->second->mMissingSince = aNow;
@@ -63,22 +63,41 @@
   }
 }
 
-void EndpointRegistry::OnAddressReassigned(std::string_view aId)
+void EndpointRegistry::DropOutdated(std::vector<EndpointEntry>& aEntries) const
+{
+  const auto age = [](const EndpointEntry& aEntry) {
+    return std::pair(aEntry.mStartedAt, aEntry.mSequence);
+  };
+  std::erase_if(aEntries, [&](const EndpointEntry& aEntry) {
+    const auto it = mRemoved.find(aEntry.mId);
+    return it != mRemoved.end() && age(aEntry) <= age(it->second.mEntry);
+  });
+  for (auto& it : aEntries) {
+    const auto known = mEndpoints.find(it.mId);
+    if (known != mEndpoints.end() && age(it) < age(known->second->mEntry)) {
+      it = known->second->mEntry;
+    }
+  }
+}
+
+void EndpointRegistry::OnAddressReassigned(std::string_view aId, TimePoint aNow)
 {
   const auto it = mEndpoints.find(aId);
   if (it != mEndpoints.end()) {
-    RemoveRecord(it);
+    RemoveRecord(it, aNow);
   }
 }
 
 void EndpointRegistry::RemoveExpired(TimePoint aNow)
 {
+  std::erase_if(
+    mRemoved, [&](const auto& it) { return aNow - it.second.mRemovedAt > kRemovedEntryLifetime; });
   for (auto it = mEndpoints.begin(); it != mEndpoints.end();) {
     const auto& endpoint = *it->second;
     const auto next = std::next(it);
     if (endpoint.mState == EntryState::Missing &&
         aNow - endpoint.mMissingSince >= kRenewalGracePeriod) {
-      RemoveRecord(it);
+      RemoveRecord(it, aNow);
     }
     it = next;
   }
@@ -102,10 +121,12 @@
   return listed.empty() ? missing : listed;
 }
 
-void EndpointRegistry::RemoveRecord(std::map<std::string, Ptr, std::less<>>::iterator aEndpoint)
+void EndpointRegistry::RemoveRecord(std::map<std::string, Ptr, std::less<>>::iterator aEndpoint,
+                                    TimePoint aNow)
 {
   // Requests in flight still refer to the record and must see that it was removed.
   aEndpoint->second->mState = EntryState::Removed;
+  mRemoved[aEndpoint->first] = { aEndpoint->second->mEntry, aNow };
   mEndpoints.erase(aEndpoint);
 }
 
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(TestLeavingAndRemoved);
   CPPUNIT_TEST(TestOutage);
   CPPUNIT_TEST(TestNewProcess);
+  CPPUNIT_TEST(TestSoftwareVersions);
+  CPPUNIT_TEST(TestOutdatedEntries);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,7 +56,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("c"), UsableIds(registry));
     // Requests in flight still refer to the removed endpoint.
     CPPUNIT_ASSERT(!heldEndpoint->AcceptsRequests());
-    registry.OnAddressReassigned("c");
+    registry.OnAddressReassigned("c", mNow);
     CPPUNIT_ASSERT_EQUAL(std::string(), UsableIds(registry));
     CPPUNIT_ASSERT(registry.UsableEndpoints("other").empty());
   }
@@ -92,6 +94,73 @@
     CPPUNIT_ASSERT(!before->AcceptsRequests());
   }
 
+  // A stream may go on only at its software version, also at an endpoint whose entry may have
+  // expired in an outage.
+  void TestSoftwareVersions()
+  {
+    EndpointRegistry registry;
+    for (const auto* id : { "a", "b", "c" }) {
+      auto entry = MakeEntry(id);
+      entry.mSoftwareVersion = entry.mId == "a" ? "v1" : "v2";
+      registry.Put(entry, mNow);
+    }
+    const auto ids = [&](const std::string& aVersion) {
+      std::string out;
+      for (const auto& it : registry.UsableEndpoints("pool", aVersion)) {
+        out += it->mEntry.mId;
+      }
+      return out;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), UsableIds(registry));
+    CPPUNIT_ASSERT_EQUAL(std::string("bc"), ids("v2"));
+    registry.Remove("a", /*aAfterOutage=*/true, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::string("bc"), UsableIds(registry));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), ids("v1"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), ids("v3"));
+    // An update in place is a new process.
+    const auto before = registry.UsableEndpoints("pool", "v2").front();
+    auto updated = before->mEntry;
+    updated.mSoftwareVersion = "v3";
+    registry.Put(updated, mNow);
+    CPPUNIT_ASSERT(!before->AcceptsRequests());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), ids("v3"));
+  }
+
+  // After the key-value service came back from an older copy, entries of endpoints that left or
+  // ended since appeared usable again.
+  void TestOutdatedEntries()
+  {
+    struct Row
+    {
+      std::string mName;
+      std::int64_t mStartedAt;
+      std::int64_t mSequence;
+      std::string mUsable; // of "a", which is leaving, and "b", which has gone
+    };
+    const Row rows[] = { { "older", 1, 4, "" },
+                         { "the same write", 1, 5, "a" },
+                         { "a later write", 1, 6, "ab" },
+                         { "a later process", 2, 1, "ab" },
+                         { "an earlier process", 0, 9, "" } };
+    for (const auto& row : rows) {
+      EndpointRegistry registry;
+      for (const auto* id : { "a", "b" }) {
+        auto entry = MakeEntry(id, 1, /*aIsLeaving=*/true);
+        entry.mSequence = 5;
+        registry.Put(entry, mNow);
+      }
+      registry.Remove("b", /*aAfterOutage=*/false, mNow);
+      std::vector<EndpointEntry> copy = { MakeEntry("a", row.mStartedAt),
+                                          MakeEntry("b", row.mStartedAt) };
+      for (auto& it : copy) {
+        it.mSequence = row.mSequence;
+      }
+      registry.DropOutdated(copy);
+      registry.Replace(std::move(copy), /*aAfterOutage=*/true, mNow);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mUsable, UsableIds(registry));
+    }
+  }
+
 private:
   TimePoint mNow{ std::chrono::hours(1) };
 };
