BUDGET: tokens drawn since an older copy of the store are not drawn twice

Store-Era: after the store has come back from an older copy, what instances drew since is in nobody's record.

Change: an instance that notices a new era drops all cached revisions, writes back the shards of which it knows a later state (more writes of the same history) and its own usage report, and draws or returns nothing for 4 s, in which all others do the same; held tokens serve meanwhile, other requests get 503 at once. A predecessor's report of another era frees nothing. Shards state the era of their last write, so that later starts need not wait.

--- a/include/gentianloom/budget/BudgetRecord.h
+++ b/include/gentianloom/budget/BudgetRecord.h
@@ -102,6 +102,7 @@
 /// Several budgets stored in one value of the key-value service.
 struct ShardRecord
 {
+  std::int64_t mEra = 0;     ///< era of the key-value service at the last write, see AsyncStore
   std::int64_t mCommits = 0; ///< number of writes
   std::int64_t mPruned = 0;  ///< bills of commits up to this one may have been removed too early
   std::map<std::string, WriterRecord> mWriters;
--- a/include/gentianloom/budget/GrantManager.h
+++ b/include/gentianloom/budget/GrantManager.h
@@ -118,6 +118,13 @@
     std::optional<UsageReport> mReport;
   };
 
+  /// What was known of the key-value service before it came back from an older copy.
+  struct KnownState
+  {
+    std::map<int, CachedShard> mShards;
+    CachedReport mReport;
+  };
+
   /// A transaction and the cached state that is valid once it is committed.
   struct PlannedWrite
   {
@@ -148,6 +155,13 @@
                       int aShard,
                       bool aIsWithinCaps,
                       Tokens aFreed) const;
+  // Changes of the key-value service's era, see GrantEra.cpp.
+  void CheckEra();
+  bool IsSettled() const;
+  Transaction PlanRestore(std::map<int, CachedShard>& aRestored) const;
+  /// @return whether nothing is left to write back
+  net::Task<bool> RestoreAfterEraChange();
+
   net::Task<void> RefreshCache();
   /// @return whether the transaction took effect
   net::Task<bool> Write(std::set<int> aShards, bool aIsClosing);
@@ -203,6 +217,9 @@
   std::map<int, CachedShard> mCachedShards;
   CachedReport mCachedReport;
   std::vector<std::weak_ptr<net::Signal>> mWaiters;
+  std::int64_t mEra = 0; ///< of the key-value service, as known to the rounds
+  TimePoint mEraSeenAt{};
+  std::optional<KnownState> mKnownBefore; ///< set while it has to be compared with the new era's
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -31,6 +31,7 @@
   Millis mWallTime{ 0 };                   ///< wall-clock time of the report
   bool mIsWallClockSteady = false;         ///< no jump of the wall clock since the process start
   std::map<int, SeparateHoldings> mShards; ///< what the incarnation holds, by shard
+  std::int64_t mEra = 0; ///< era of the key-value service at the report, see AsyncStore
 };
 
 /// What a successor under the same instance name knows about the end of its predecessor.
@@ -40,6 +41,7 @@
   Millis mStartedAt{ 0 };     ///< boot clock when the successor listened on the address
   Millis mWallTime{ 0 };      ///< wall-clock time of mStartedAt
   bool mIsLeaseAlive = false; ///< the predecessor's lease had not expired when it was read
+  std::int64_t mEra = 0;      ///< current era; a report of another one may not be the last
 };
 
 /// @brief Returns the key of an instance's usage report in the key-value service.
--- a/include/gentianloom/gateway/SoftwareVersionRecord.h
+++ b/include/gentianloom/gateway/SoftwareVersionRecord.h
@@ -61,6 +61,7 @@
   AsyncStore& mStore;
   SoftwareVersionHistory& mHistory;
   const Clock& mClock;
+  std::int64_t mEra = 0;  ///< of the store, when the record was last read
   Revision mRevision = 0; ///< of the record when it was last read; 0: there was none
   SoftwareVersions mRecorded;
 };
--- a/src/budget/BudgetRecord.cpp
+++ b/src/budget/BudgetRecord.cpp
@@ -242,6 +242,7 @@
 ShardRecord ReadShard(const Json& aJson)
 {
   ShardRecord out;
+  out.mEra = aJson.value("era", std::int64_t{ 0 });
   out.mCommits = aJson.at("commits").get<std::int64_t>();
   out.mPruned = aJson.at("pruned").get<std::int64_t>();
   for (const auto& [name, it] : aJson.at("writers").items()) {
@@ -310,6 +311,7 @@
     bills[key] = Json::array({ it.mTokens, it.mCommit, it.mWritten.count() });
   }
   return Json{
+    { "era", aShard.mEra },
     { "commits", aShard.mCommits },
     { "pruned", aShard.mPruned },
     { "writers", std::move(writers) },
--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -125,7 +125,7 @@
   }
   const auto answer = mLedger.Reserve(aBudget, aTokens, now, usableTokens);
   if (answer == ReserveAnswer::Wait) {
-    if (mPacer.IsStoreUnavailable()) {
+    if (mPacer.IsStoreUnavailable() || !IsSettled()) {
       // No tokens can be drawn, and the usable tokens do not cover the request.
       mLedger.RefuseWaiting(aBudget, now, false);
       return ReserveAnswer::Unavailable;
@@ -219,6 +219,12 @@
     mLedger.TrackBudget(it, now);
   }
   mLedger.SetSecondsSinceOutage(std::chrono::duration<double>(now - mFailedAt).count());
+  CheckEra();
+  const bool isRestored = co_await RestoreAfterEraChange();
+  if (!isRestored) {
+    EndRound();
+    co_return;
+  }
   co_await RefreshCache();
   mCaps.SetReportInterval(IdleInterval());
   auto due = mLedger.DueShards(now);
@@ -302,6 +308,10 @@
     OnStoreResult(false, ToString(reports.error()));
     co_return false;
   }
+  CheckEra();
+  if (shards.value().mEra != mEra || reports.value().mEra != mEra) {
+    co_return false; // the era changed between the two reads
+  }
   mRefreshedAt = mClock.Now();
   mCachedShards.clear();
   mCachedReport = {};
@@ -343,14 +353,16 @@
   const PlanInput input{
     mClock.Now(), mClock.WallTime(), mDependencies.mConfiguredBudget, aIsClosing
   };
+  const bool isSettled = IsSettled();
   PlannedWrite out;
   auto shards =
     mCachedReport.mReport ? mCachedReport.mReport->mShards : std::map<int, SeparateHoldings>();
   for (const auto it : aShards) {
     auto record = MakeFullShard(it);
-    if (!mLedger.Reconcile(it, record) || mLedger.IsClosed(it)) {
+    if (!isSettled || !mLedger.Reconcile(it, record) || mLedger.IsClosed(it)) {
       continue;
     }
+    record.mEra = mEra;
     const auto batch = mLedger.Plan(it, record, input);
     auto own = SeparateHolder(record, mIdentity.mIncarnation);
     shards.erase(it);
@@ -363,6 +375,7 @@
   }
   out.mReport = mCaps.Plan(mLedger.Holdings(), input.mNow, input.mWallTime);
   out.mReport.mShards = std::move(shards);
+  out.mReport.mEra = mEra;
   AddReport(out.mTransaction, out.mReport);
   return out;
 }
@@ -378,7 +391,7 @@
   mRefreshedAt = now;
   std::string prefix(kShardPrefix);
   const auto range = co_await mStore.RangeStale(std::move(prefix));
-  if (!range) {
+  if (!range || range.value().mEra != mEra) {
     co_return; // an outage is detected by the next write
   }
   for (const auto& it : range.value().mEntries) {
@@ -397,12 +410,16 @@
 {
   aShards = TakeFirst(aShards, kMaxShards);
   for (int n = 0; n < kMaxWriteAttempts; ++n) {
+    CheckEra();
     if (!mIsCacheValid) {
       const bool isRead = co_await ReadAll();
       if (!isRead) {
         co_return false;
       }
     }
+    if (mKnownBefore) {
+      co_return false; // the next round writes it back first
+    }
     const auto& stored = mCachedReport.mReport;
     if (stored && stored->mIncarnation != mIdentity.mIncarnation) {
       mIsReplaced = true;
--- a/src/budget/GrantTakeOver.cpp
+++ b/src/budget/GrantTakeOver.cpp
@@ -25,7 +25,7 @@
     OnStoreResult(false, ToString(range.error()));
     co_return std::nullopt;
   }
-  PredecessorEvidence out{ mIdentity.mBoot, Millis(0), mStartedWallTime, false };
+  PredecessorEvidence out{ mIdentity.mBoot, Millis(0), mStartedWallTime, false, mEra };
   out.mStartedAt = std::chrono::duration_cast<Millis>(mStartedAt.time_since_epoch());
   for (const auto& it : range.value().mEntries) {
     const auto record = ParseInstanceRecord(it.mValue);
@@ -40,6 +40,7 @@
 net::Task<bool> GrantManager::TakeOver()
 {
   for (bool continues = true; continues;) {
+    CheckEra();
     if (!mIsCacheValid) {
       const bool isRead = co_await ReadAll();
       if (!isRead) {
@@ -50,6 +51,9 @@
     if (!report || report->mIncarnation == mIdentity.mIncarnation) {
       co_return true;
     }
+    if (!IsSettled()) {
+      co_return false;
+    }
     const auto evidence = co_await ReadPredecessorEvidence(report->mIncarnation);
     if (!evidence) {
       co_return false;
@@ -88,6 +92,7 @@
   auto record = MakeFullShard(aShard);
   const auto freed = ClosePredecessor(record, aPredecessor, aIsWithinCaps);
   ++record.mCommits;
+  record.mEra = mEra;
   auto report = aPredecessor;
   report.mShards.erase(aShard);
   Transaction transaction;
@@ -108,7 +113,8 @@
 /// predecessor are closed.
 net::Task<bool> GrantManager::ReplaceReport()
 {
-  const auto report = mCaps.Plan(mLedger.Holdings(), mClock.Now(), mClock.WallTime());
+  auto report = mCaps.Plan(mLedger.Holdings(), mClock.Now(), mClock.WallTime());
+  report.mEra = mEra;
   Transaction transaction;
   AddReport(transaction, report);
   const auto answer = co_await mStore.Commit(std::move(transaction));
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -54,7 +54,8 @@
                                { "wall_ms", aReport.mWallTime.count() },
                                { "wall_steady", aReport.mIsWallClockSteady },
                                { "caps", aReport.mCaps },
-                               { "shards", std::move(shards) } };
+                               { "shards", std::move(shards) },
+                               { "era", aReport.mEra } };
   return out.dump();
 }
 
@@ -69,6 +70,7 @@
     out.mReserveDelay = Millis(json.at("opens_after_ms").get<std::int64_t>());
     out.mWallTime = Millis(json.value("wall_ms", std::int64_t{ 0 }));
     out.mIsWallClockSteady = json.value("wall_steady", false);
+    out.mEra = json.value("era", std::int64_t{ 0 });
     out.mCaps = json.at("caps").get<std::map<std::string, Tokens>>();
     // Reports of older versions have no shards: their entries are in the shards themselves.
     const auto shards = json.value("shards", nlohmann::json::array());
@@ -83,6 +85,9 @@
 
 bool EndedWithinCaps(const UsageReport& aPredecessor, const PredecessorEvidence& aEvidence)
 {
+  if (aPredecessor.mEra != aEvidence.mEra) {
+    return false;
+  }
   const auto isWithinDelay = [&](Millis aTime) {
     return aTime >= Millis(0) && aTime <= aPredecessor.mReserveDelay;
   };
--- a/src/gateway/SoftwareVersionRecord.cpp
+++ b/src/gateway/SoftwareVersionRecord.cpp
@@ -74,6 +74,10 @@
 {
   bool isRead = false;
   while (true) {
+    if (mStore.Era() != mEra) {
+      mEra = mStore.Era(); // the record may be an older one now
+      isRead = false;
+    }
     if (!isRead) {
       isRead = co_await Read();
     } else if (UpdateSoftwareVersions(mRecorded, mHistory, mClock.Now()) != mRecorded) {
--- a/tests/budget/GrantManagerTest.cpp
+++ b/tests/budget/GrantManagerTest.cpp
@@ -8,6 +8,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <tuple>
+#include <utility>
 
 namespace gentianloom {
 
@@ -101,6 +103,20 @@
   return ParseShard(it->second.mValue).value().mBudgets.at("b").Unallocated();
 }
 
+/// Makes a process draw and spend tokens, in requests of a tenth of them.
+void DrawFor(Process& aProcess, Tokens aTokens, ManualClock& aClock)
+{
+  for (int n = 0; n < 10; ++n) {
+    while (aProcess.Reserve(aTokens / 10) != ReserveAnswer::Reserved) {
+      aClock.Advance(kBackOff);
+      aProcess.RunRound();
+    }
+    aProcess.mManager.Settle("b", aTokens / 10, aTokens / 10);
+  }
+  aClock.Advance(kBackOff);
+  aProcess.RunRound();
+}
+
 } // namespace
 
 class GrantManagerTest : public CppUnit::TestFixture
@@ -117,6 +133,7 @@
   CPPUNIT_TEST(TestTakeOverReadsOnce);
   CPPUNIT_TEST(TestNoOverspend);
   CPPUNIT_TEST(TestReplacedProcessStops);
+  CPPUNIT_TEST(TestStoreComesBackFromCopy);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +148,64 @@
     CPPUNIT_ASSERT(process.Reserve(500) == ReserveAnswer::Reserved);
   }
 
+  // Tokens that were drawn since the copy were in nobody's record, and others drew them again.
+  void TestStoreComesBackFromCopy()
+  {
+    struct Row
+    {
+      std::string mName;
+      bool mIsDrawnByBoth; ///< since the copy
+      bool mFirstEnds;     ///< the process that drew most has ended when the store comes back
+    };
+    const Row rows[] = { { "one drew", false, false },
+                         { "both drew", true, false },
+                         { "one drew and has ended", false, true } };
+    for (const auto& row : rows) {
+      MemoryAsyncStore store;
+      Process first(store, mClock, "run-1", "boot", { "b" }, "instance-1");
+      Process second(store, mClock, "run-2", "boot", { "b" }, "instance-2");
+      const auto runBoth = [&](int aRounds) {
+        for (int n = 0; n < aRounds; ++n) {
+          first.RunRound();
+          second.RunRound();
+          mClock.Advance(kBackOff);
+        }
+      };
+      first.mManager.Start();
+      second.mManager.Start();
+      runBoth(2);
+      const auto copy = std::pair(store.mItems, store.mRevision);
+      DrawFor(first, kPrepaid / 2, mClock);
+      if (row.mIsDrawnByBoth) {
+        DrawFor(second, kPrepaid / 4, mClock);
+      }
+      mClock.Advance(Millis(2'000));
+      second.RunRound(); // reads what the other one has drawn
+      std::tie(store.mItems, store.mRevision) = copy;
+      store.mEra = 2;
+      const auto held = [](const Process& aProcess) {
+        const auto& it = aProcess.mManager.Holdings().at("b");
+        return it.mGranted - it.mReturned;
+      };
+      const auto drawn = held(first) + held(second);
+      CPPUNIT_ASSERT(drawn > kPrepaid / 2);
+      for (int n = 0; n < 30; ++n) {
+        second.Reserve(kPrepaid / 8);
+        second.RunRound();
+        if (!row.mFirstEnds) {
+          first.RunRound();
+        }
+        mClock.Advance(kBackOff);
+        const auto all = held(first) + held(second);
+        CPPUNIT_ASSERT_MESSAGE(row.mName, all <= kPrepaid);
+        const bool isRestoring = n < 10; // 3 s
+        CPPUNIT_ASSERT_MESSAGE(row.mName, !isRestoring || all == drawn);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mName, kPrepaid, UnallocatedTokens(store) + held(first) + held(second));
+    }
+  }
+
   // There are more shards than fit in one transaction: one round must still draw on all budgets.
   void TestManyBudgets()
   {
--- a/tests/budget/UsageCapsTest.cpp
+++ b/tests/budget/UsageCapsTest.cpp
@@ -135,6 +135,9 @@
     }
     auto unsteady = MakeReport(0);
     unsteady.mIsWallClockSteady = false;
+    // A report of another era may not be the predecessor's last one.
+    const PredecessorEvidence later{ "boot", Millis(12'000), Millis(702'000), false, /*mEra=*/2 };
+    CPPUNIT_ASSERT(!EndedWithinCaps(MakeReport(0), later));
     CPPUNIT_ASSERT(!EndedWithinCaps(unsteady, { "boot-2", Millis(3), Millis(702'000), true }));
   }
 
--- a/tests/platform/store_era_test.py
+++ b/tests/platform/store_era_test.py
@@ -91,6 +91,18 @@
             self.assertEqual(200, gateway.call("/send/x", f"kept{n}").status)
             time.sleep(0.1)
 
+    def test_software_version_is_recorded_again(self):
+        gateway = self.start_gateway()
+        key = "/gentianloom/software-versions"
+        gateway.wait(lambda: key in self.platform.send_command()["items"])
+        self.platform.send_command(save_copy=True)
+        self.platform.versions["w2"] = "v2"
+        self.platform.list_endpoint("w2")
+        gateway.wait(lambda: "v2" in self.platform.send_command()["items"][key])
+        self.platform.send_command(go_back=True)
+        self.assertNotIn("v2", self.platform.send_command()["items"][key])
+        gateway.wait(lambda: "v2" in self.platform.send_command()["items"][key])
+
     def test_instance_is_registered_again(self):
         for number, accepts_any_lease in enumerate((False, True)):
             with self.subTest(accepts_any_lease=accepts_any_lease):
