--- a/include/gentianloom/gateway/StreamOriginTable.h
+++ b/include/gentianloom/gateway/StreamOriginTable.h
@@ -12,13 +12,13 @@
 namespace gentianloom {
 
 /**
- * @brief Origins of recent streams, each kept for kLifetime after it was last put. No I/O.
+ * @brief Origins of recent streams, each kept for kRetention after it was last put. No I/O.
  */
 class StreamOriginTable
 {
 public:
   /// Longer than a caller waits for a stream, with all its retries.
-  static constexpr Millis kLifetime{ 60'000 };
+  static constexpr Millis kRetention{ 60'000 };
   /// Bound of the memory; beyond it the oldest entries are dropped.
   static constexpr std::size_t kMaxEntries = 20'000;
 
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -34,7 +34,7 @@
   GrantManager& mGrantManager;
   RetryBudget mRetryBudget;
   SoftwareVersionHistory mVersionHistory{};
-  StreamOrigins* mStreamOrigins = nullptr; ///< null: resumed streams are rejected
+  StreamOrigins* mStreamOrigins = nullptr; ///< null: no origin is known
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -37,6 +37,9 @@
   /// Finds out what began the stream that the request resumes, if it does. @return false if that is
   /// not known or not allowed any more; the request was rejected then
   net::Task<bool> FindStreamOrigin();
+  /// The origin of any stream on the route, if only one can have begun it.
+  std::optional<StreamOrigin> SoleOrigin() const;
+  void RejectResume(std::string_view aReason);
   StreamKey Stream() const;
   net::Task<bool> ReserveTokens();
   net::Task<void> RunAttempts();
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -72,7 +72,7 @@
 
   /// Time for which removed entries are remembered, longer than a copy of the key-value service is
   /// old when the service comes back from it.
-  static constexpr Millis kRemovedEntryLifetime{ 60'000 };
+  static constexpr Millis kRemovedEntryRetention{ 60'000 };
 
   /// @brief Adds or updates an entry. A different start time, address, service or software version
   /// means a new process, which gets a new record.
--- a/include/gentianloom/routing/SoftwareVersionHistory.h
+++ b/include/gentianloom/routing/SoftwareVersionHistory.h
@@ -23,12 +23,12 @@
 {
 public:
   /// Longer than a caller waits for a stream, with all its retries.
-  static constexpr Millis kStreamLifetime{ 60'000 };
+  static constexpr Millis kMaxStreamAge{ 60'000 };
 
   /// @brief Notes that a version serves now, or may have served until now.
   void Observe(std::string_view aService, std::string_view aVersion, TimePoint aNow);
 
-  /// @brief States that from a time on, all versions of the last kStreamLifetime were observed.
+  /// @brief States that from a time on, all versions of the last kMaxStreamAge were observed.
   void SetCompleteFrom(TimePoint aTime) { mCompleteFrom = aTime; }
 
   /// @brief Returns the only version that can have begun a stream of a service that still runs.
--- a/src/gateway/SoftwareVersionRecord.cpp
+++ b/src/gateway/SoftwareVersionRecord.cpp
@@ -14,8 +14,8 @@
 constexpr Millis kUpdateInterval{ 500 };
 constexpr double kMinJitterFactor = 0.5;
 /// Time after which a version is removed. The histories of two instances differ by less than
-/// kStreamLifetime, so none of them adds a version again that another one has removed.
-constexpr Millis kRemovalTime = 2 * SoftwareVersionHistory::kStreamLifetime;
+/// kMaxStreamAge, so none of them adds a version again that another one has removed.
+constexpr Millis kRemovalTime = 2 * SoftwareVersionHistory::kMaxStreamAge;
 
 } // namespace
 
@@ -38,7 +38,7 @@
                                         const SoftwareVersionHistory& aHistory,
                                         TimePoint aNow)
 {
-  auto out = aHistory.ObservedWithin(SoftwareVersionHistory::kStreamLifetime, aNow);
+  auto out = aHistory.ObservedWithin(SoftwareVersionHistory::kMaxStreamAge, aNow);
   const auto needed = aHistory.ObservedWithin(kRemovalTime, aNow);
   for (const auto& [service, versions] : aRecorded) {
     const auto known = needed.find(service);
@@ -122,7 +122,7 @@
       mHistory.Observe(service, it, now);
     }
   }
-  const Millis missingTime = isValid ? Millis(0) : SoftwareVersionHistory::kStreamLifetime;
+  const Millis missingTime = isValid ? Millis(0) : SoftwareVersionHistory::kMaxStreamAge;
   mHistory.SetCompleteFrom(now + missingTime);
   LogChange(LogLevel::Info,
             "endpoints",
--- a/src/gateway/StreamOriginTable.cpp
+++ b/src/gateway/StreamOriginTable.cpp
@@ -6,7 +6,7 @@
 {
   mEntries[aStream] = { aOrigin, aNow };
   mByAge.emplace_back(aNow, aStream);
-  while (mByAge.size() > kMaxEntries || aNow - mByAge.front().first > kLifetime) {
+  while (mByAge.size() > kMaxEntries || aNow - mByAge.front().first > kRetention) {
     DropOldest();
   }
 }
@@ -24,7 +24,7 @@
 std::optional<StreamOrigin> StreamOriginTable::Find(StreamKey aStream, TimePoint aNow) const
 {
   const auto it = mEntries.find(aStream);
-  if (it == mEntries.end() || aNow - it->second.mPutAt > kLifetime) {
+  if (it == mEntries.end() || aNow - it->second.mPutAt > kRetention) {
     return std::nullopt;
   }
   return it->second.mOrigin;
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -175,30 +175,45 @@
   if (!mRequest.mResumedRequest.empty() && mContext.mStreamOrigins != nullptr) {
     mProgress.mOrigin = co_await mContext.mStreamOrigins->Find(Stream());
   }
-  const auto sole = mContext.mVersionHistory.SoleVersion(mService, mContext.mClock.Now());
-  if (!mProgress.mOrigin && mRoute->mServices.size() == 1 && sole) {
-    mProgress.mOrigin = StreamOrigin{ mService, *sole };
+  if (!mProgress.mOrigin) {
+    mProgress.mOrigin = SoleOrigin();
   }
-  const auto& origin = mProgress.mOrigin;
-  const bool isAllowed =
-    origin && std::any_of(mRoute->mServices.begin(), mRoute->mServices.end(), [&](const auto& it) {
-      return it.mService == origin->mService;
-    });
-  if (isAllowed) {
-    mService = origin->mService;
-    co_return true;
+  if (!mProgress.mOrigin) {
+    RejectResume("the software version that began this stream is not known");
+    co_return false;
+  }
+  const auto& service = mProgress.mOrigin->mService;
+  const auto& services = mRoute->mServices;
+  const bool isOnRoute = std::any_of(
+    services.begin(), services.end(), [&](const auto& it) { return it.mService == service; });
+  if (!isOnRoute) {
+    RejectResume("the service that began this stream is not on its route any more");
+    co_return false;
   }
-  auto error =
-    MakeError(ErrorCode::NoEndpoint,
-              Step::RequestPlace,
-              mService,
-              origin ? "the service that began this stream is not on its route any more; "
-                       "the request did not run"
-                     : "the software version that began this stream is not known; the "
-                       "request did not run");
+  mService = service;
+  co_return true;
+}
+
+std::optional<StreamOrigin> RequestExchange::SoleOrigin() const
+{
+  if (mRoute->mServices.size() != 1) {
+    return std::nullopt;
+  }
+  auto version = mContext.mVersionHistory.SoleVersion(mService, mContext.mClock.Now());
+  if (!version) {
+    return std::nullopt;
+  }
+  return StreamOrigin{ mService, std::move(*version) };
+}
+
+void RequestExchange::RejectResume(std::string_view aReason)
+{
+  auto error = MakeError(ErrorCode::NoEndpoint,
+                         Step::RequestPlace,
+                         mService,
+                         std::string(aReason) + "; the request did not run");
   error.mRetryAfter = kRetryAfter;
   SendError(kUnavailable, error);
-  co_return false;
 }
 
 net::Task<bool> RequestExchange::ReserveTokens()
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -91,7 +91,7 @@
 void EndpointRegistry::RemoveExpired(TimePoint aNow)
 {
   std::erase_if(
-    mRemoved, [&](const auto& it) { return aNow - it.second.mRemovedAt > kRemovedEntryLifetime; });
+    mRemoved, [&](const auto& it) { return aNow - it.second.mRemovedAt > kRemovedEntryRetention; });
   for (auto it = mEndpoints.begin(); it != mEndpoints.end();) {
     const auto& endpoint = *it->second;
     const auto next = std::next(it);
--- a/src/routing/SoftwareVersionHistory.cpp
+++ b/src/routing/SoftwareVersionHistory.cpp
@@ -15,7 +15,7 @@
   if (aNow < mCompleteFrom) {
     return std::nullopt;
   }
-  const auto observed = ObservedWithin(kStreamLifetime, aNow);
+  const auto observed = ObservedWithin(kMaxStreamAge, aNow);
   const auto it = observed.find(aService);
   if (it == observed.end() || it->second.size() != 1) {
     return std::nullopt;
--- a/tests/gateway/SoftwareVersionRecordTest.cpp
+++ b/tests/gateway/SoftwareVersionRecordTest.cpp
@@ -13,7 +13,7 @@
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ std::chrono::hours(1) };
-  static constexpr Millis kLifetime = SoftwareVersionHistory::kStreamLifetime;
+  static constexpr Millis kMaxAge = SoftwareVersionHistory::kMaxStreamAge;
 
 public:
   // A stream whose origin nobody knows may go on only if one version can have begun it.
@@ -28,9 +28,9 @@
     const auto later = kStart + Millis(1);
     history.Observe("pool", "v2", later);
     CPPUNIT_ASSERT(!history.SoleVersion("pool", later));
-    CPPUNIT_ASSERT(!history.SoleVersion("pool", kStart + kLifetime));
-    history.Observe("pool", "v2", later + kLifetime);
-    CPPUNIT_ASSERT(history.SoleVersion("pool", later + kLifetime) == "v2");
+    CPPUNIT_ASSERT(!history.SoleVersion("pool", kStart + kMaxAge));
+    history.Observe("pool", "v2", later + kMaxAge);
+    CPPUNIT_ASSERT(history.SoleVersion("pool", later + kMaxAge) == "v2");
   }
 
   // A version is recorded at once, and stays until no instance needs it any more.
@@ -43,11 +43,11 @@
     CPPUNIT_ASSERT(UpdateSoftwareVersions({}, history, kStart) == first);
     CPPUNIT_ASSERT(UpdateSoftwareVersions(old, history, kStart) == first);
     history.Observe("pool", "v0", kStart);
-    const auto now = kStart + kLifetime + Millis(1);
+    const auto now = kStart + kMaxAge + Millis(1);
     history.Observe("pool", "v1", now);
     CPPUNIT_ASSERT(UpdateSoftwareVersions(old, history, now).at("pool").size() == 2);
     CPPUNIT_ASSERT(UpdateSoftwareVersions(first, history, now) == first);
-    const auto end = kStart + 2 * kLifetime + Millis(1);
+    const auto end = kStart + 2 * kMaxAge + Millis(1);
     history.Observe("pool", "v1", end);
     CPPUNIT_ASSERT(UpdateSoftwareVersions(old, history, end) == first);
   }
--- a/tests/gateway/StreamOriginTest.cpp
+++ b/tests/gateway/StreamOriginTest.cpp
@@ -79,7 +79,7 @@
     StreamOriginTable table;
     table.Put(1, mOrigin, kStart);
     table.Put(2, { "pool", "v2" }, kStart);
-    const auto later = kStart + StreamOriginTable::kLifetime;
+    const auto later = kStart + StreamOriginTable::kRetention;
     CPPUNIT_ASSERT(table.Find(1, later) == mOrigin);
     CPPUNIT_ASSERT(!table.Find(3, later));
     // A stream that was resumed is kept for longer, the other one expires.
@@ -121,8 +121,10 @@
   // Instances whose lists differ by a few peers must still find each other's keepers.
   void TestKeepers()
   {
+    constexpr int kPeers = 74;
     std::vector<std::string> peers;
-    for (int n = 0; n < 74; ++n) {
+    peers.reserve(kPeers);
+    for (int n = 0; n < kPeers; ++n) {
       peers.push_back("10.0.0." + std::to_string(n) + ":7340");
     }
     std::map<std::string, int> streamsOf;
--- a/tests/platform/store_era_test.py
+++ b/tests/platform/store_era_test.py
@@ -55,12 +55,7 @@
         self.platform.list_endpoint("w1", state="draining", sequence=9)
         gateway.wait_for_log_line(lambda it: it.get("endpoint") == "w1"
                                   and it.get("leaving") == "yes")
-        self.platform.configure_workers(executed=[])
-        self.platform.send_command(go_back=True)
-        for n in range(40):
-            self.assertEqual(200, gateway.call("/send/x", f"leaving{n}").status)
-            time.sleep(0.1)
-        self.assertEqual([], self.platform.send_command()["executed"]["w1"])
+        self.check_not_used_after_going_back(gateway, "w1")
 
     def test_endpoint_that_has_gone_is_not_used_again(self):
         gateway = self.start_gateway()
@@ -70,12 +65,15 @@
         self.platform.send_command(remove="servers/w1")
         gateway.wait_for_log_line(lambda it: it.get("endpoint") == "w1"
                                   and "deleted" in it["change"])
+        self.check_not_used_after_going_back(gateway, "w1")
+
+    def check_not_used_after_going_back(self, gateway, endpoint):
         self.platform.configure_workers(executed=[])
         self.platform.send_command(go_back=True)
         for n in range(40):
-            self.assertEqual(200, gateway.call("/send/x", f"gone{n}").status)
+            self.assertEqual(200, gateway.call("/send/x", f"back{n}").status)
             time.sleep(0.1)
-        self.assertEqual([], self.platform.send_command()["executed"]["w1"])
+        self.assertEqual([], self.platform.send_command()["executed"][endpoint])
 
     def test_endpoint_that_registered_since_the_copy_is_kept(self):
         gateway = self.start_gateway()
