ORDER: a stream without event ids is not begun anew within its response

After an interruption the next attempt had no position to go on from, and its endpoint began the stream anew behind the events already forwarded.

Cause: MayRetry took the route for enough to resume, without a last event id. Change: a response that has started is continued only from a known position; otherwise it is aborted. test_stream_without_event_ids_is_not_resumed failed before (complete, with all pieces of a second run).

--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -294,8 +294,10 @@
   const auto attempts = static_cast<std::int64_t>(mTriedEndpoints.size());
   const bool isRepeatable = mRoute->mKind == RouteKind::Idempotent || mRoute->mIsResumable;
   const bool isResponseStarted = mWriter.State() != ResponseState::NotStarted;
+  // Without the position of the last event, an endpoint would begin the stream anew.
+  const bool isResumable = mRoute->mIsResumable && mProgress.mLastEventId;
   const bool isRetrySafe =
-    aResult.mRequestDidNotRun || (isRepeatable && (!isResponseStarted || mRoute->mIsResumable));
+    aResult.mRequestDidNotRun || (isRepeatable && (!isResponseStarted || isResumable));
   if (!isRetrySafe || mWriter.IsCallerDisconnected() ||
       aResult.mOutcome == AttemptOutcome::TimedOut ||
       aResult.mOutcome == AttemptOutcome::CallerDisconnected || TimeLeft() <= Micros(0)) {
--- a/tests/platform/interrupted_response_test.py
+++ b/tests/platform/interrupted_response_test.py
@@ -103,6 +103,16 @@
                 self.assertEqual([b"id: %d" % it for it in range(1, 6)],
                                  [it for it in response.body.split(b"\n") if it.startswith(b"id")])
 
+    def test_stream_without_event_ids_is_not_resumed(self):
+        # Without a position, the endpoint would begin anew, and pieces would come twice.
+        self.env.call("/resume/x", "first")
+        preferred = "w1" if self.env.send_command()["executed"]["w1"] else "w2"
+        self.env.send_command(worker=preferred, set={
+            "mode": "raw", "raw": UNTIL_CLOSE + "data: a\n\n" + PART, "raw_end": "close"})
+        response = self.env.call("/resume/x", "without")
+        self.assertEqual((200, False), (response.status, response.is_complete))
+        self.assertEqual(b"data: a\n\n", response.body)
+
     def test_broken_off_stream_is_charged_by_its_whole_events(self):
         self.call("/chat/x", "charged", UNTIL_CLOSE + EVENTS + PART, "close")
         self.env.wait_for_log_line(lambda it: it.get("request") == "charged" and "status" in it)
