A response of an older era of the store counts as a failed call

Read again: the watcher asked anew at once after such a response. A store that leaves the header out of one kind of response would have been asked without a pause. It is a failed call now, with the usual back-off. No test: the stand-in does not leave the header out.

--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -59,6 +59,9 @@
   /// @brief Whether the first snapshot has been read.
   bool HasSynced() const { return mHasSynced; }
 
+  /// @brief Time until which all changes have been received.
+  TimePoint ConfirmedUntil() const { return mConfirmedUntil; }
+
 private:
   net::Task<void> Run();
   /// Reads all keys with the prefix. Returns whether the call succeeded.
@@ -68,6 +71,9 @@
   /// Makes the next call read a snapshot if the service has come back from an older copy, since
   /// revisions are then given out a second time. Returns whether it has.
   bool CheckEra(std::int64_t aEra);
+  /// Whether a call returned a response of the current era; records the result of the call.
+  template<typename T>
+  bool IsCurrent(const Result<T>& aAnswer);
   void RecordCallResult(bool aHasSucceeded, const std::string& aError);
   StoreAvailability Availability() const;
 
@@ -85,6 +91,7 @@
   std::int64_t mEra = 0; ///< of the service, when mRevision was read
   Revision mRevision = 0;
   TimePoint mLastFailureAt{};
+  TimePoint mConfirmedUntil{};
   int mConsecutiveFailures = 0;
 };
 
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -68,17 +68,27 @@
   }
 }
 
+template<typename T>
+bool PrefixWatcher::IsCurrent(const Result<T>& aAnswer)
+{
+  const bool isOutdated = aAnswer && aAnswer.value().mEra < mStore.Era();
+  if (isOutdated) {
+    RecordCallResult(false, "a delayed response of an older era");
+  } else {
+    RecordCallResult(aAnswer.has_value(), aAnswer ? "" : ToString(aAnswer.error()));
+  }
+  return aAnswer && !isOutdated;
+}
+
 net::Task<bool> PrefixWatcher::ReadSnapshot()
 {
+  const auto askedAt = mClock.Now();
   const auto answer = co_await mStore.Range(mPrefix);
-  RecordCallResult(answer.has_value(), answer ? "" : ToString(answer.error()));
-  if (!answer) {
+  if (!IsCurrent(answer)) {
     co_return false;
   }
-  if (answer.value().mEra < mStore.Era()) {
-    co_return true; // a delayed response; the snapshot is read again
-  }
   CheckEra(answer.value().mEra);
+  mConfirmedUntil = askedAt;
   mRevision = answer.value().mRevision;
   mNeedsSnapshot = false;
   mHasSynced = true;
@@ -113,13 +123,12 @@
     co_return true;
   }
   const auto answer = co_await mStore.Watch(mPrefix, mRevision, mWatchTimeout);
-  RecordCallResult(answer.has_value(), answer ? "" : ToString(answer.error()));
-  if (!answer) {
+  if (!IsCurrent(answer)) {
     co_return false;
   }
   const auto& it = answer.value();
-  if (it.mEra < mEra || CheckEra(it.mEra)) {
-    co_return true; // a delayed response, or one with revisions of another history
+  if (CheckEra(it.mEra)) {
+    co_return true; // its revisions are of another history
   }
   if (it.mIsTooOld) {
     LogChange(LogLevel::Warning,
@@ -130,6 +139,7 @@
     co_return true;
   }
   mRevision = std::max(mRevision, it.mRevision);
+  mConfirmedUntil = mClock.Now();
   if (!it.mEvents.empty()) {
     mHandlers.mOnEvents(it.mEvents, Availability());
   }
