--- a/include/gentianloom/routing/SoftwareVersionHistory.h
+++ b/include/gentianloom/routing/SoftwareVersionHistory.h
@@ -24,6 +24,9 @@
 public:
   /// Longer than a caller waits for a stream, with all its retries.
   static constexpr Millis kMaxStreamAge{ 60'000 };
+  /// A history that was confirmed longer ago is outdated: other versions may serve by now. The list
+  /// of endpoints is confirmed whenever a watch returns, which takes 2.3 s at most.
+  static constexpr Millis kMaxConfirmationAge{ 2'600 };
 
   /// @brief Notes that a version serves now, or may have served until now.
   void Observe(std::string_view aService, std::string_view aVersion, TimePoint aNow);
@@ -31,8 +34,11 @@
   /// @brief States that from a time on, all versions of the last kMaxStreamAge were observed.
   void SetCompleteFrom(TimePoint aTime) { mCompleteFrom = aTime; }
 
+  /// @brief States that all versions which served up to a time were observed.
+  void ConfirmUntil(TimePoint aTime) { mConfirmedUntil = aTime; }
+
   /// @brief Returns the only version that can have begun a stream of a service that still runs.
-  /// @return nothing if there are several, none, or if the history is not complete
+  /// @return nothing if there are several, none, or if the history is not complete or outdated
   std::optional<std::string> SoleVersion(std::string_view aService, TimePoint aNow) const;
 
   /// @brief Versions that were observed within a time before now.
@@ -41,6 +47,7 @@
 private:
   std::map<std::string, std::map<std::string, TimePoint, std::less<>>, std::less<>> mObservedAt;
   TimePoint mCompleteFrom = TimePoint::max();
+  TimePoint mConfirmedUntil{};
 };
 
 } // namespace gentianloom
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -369,6 +369,7 @@
     const auto& entry = it->mEntry;
     mRelay.mVersionHistory.Observe(entry.mService, entry.mSoftwareVersion, mClock.Now());
   }
+  mRelay.mVersionHistory.ConfirmUntil(mEndpointWatcher.ConfirmedUntil());
 }
 
 void Gateway::UpdateInstance(const KeyValue& aEntry)
--- a/src/routing/SoftwareVersionHistory.cpp
+++ b/src/routing/SoftwareVersionHistory.cpp
@@ -12,7 +12,7 @@
 std::optional<std::string> SoftwareVersionHistory::SoleVersion(std::string_view aService,
                                                                TimePoint aNow) const
 {
-  if (aNow < mCompleteFrom) {
+  if (aNow < mCompleteFrom || aNow - mConfirmedUntil > kMaxConfirmationAge) {
     return std::nullopt;
   }
   const auto observed = ObservedWithin(kMaxStreamAge, aNow);
--- a/tests/gateway/SoftwareVersionRecordTest.cpp
+++ b/tests/gateway/SoftwareVersionRecordTest.cpp
@@ -23,13 +23,19 @@
     history.Observe("pool", "v1", kStart);
     CPPUNIT_ASSERT(!history.SoleVersion("pool", kStart)); // others may have served before
     history.SetCompleteFrom(kStart);
+    CPPUNIT_ASSERT(!history.SoleVersion("pool", kStart)); // others may serve by now
+    history.ConfirmUntil(kStart);
     CPPUNIT_ASSERT(history.SoleVersion("pool", kStart) == "v1");
+    const auto outdatedAt = kStart + SoftwareVersionHistory::kMaxConfirmationAge + Millis(1);
+    CPPUNIT_ASSERT(!history.SoleVersion("pool", outdatedAt));
     CPPUNIT_ASSERT(!history.SoleVersion("desk", kStart));
     const auto later = kStart + Millis(1);
     history.Observe("pool", "v2", later);
     CPPUNIT_ASSERT(!history.SoleVersion("pool", later));
+    history.ConfirmUntil(kStart + kMaxAge);
     CPPUNIT_ASSERT(!history.SoleVersion("pool", kStart + kMaxAge));
     history.Observe("pool", "v2", later + kMaxAge);
+    history.ConfirmUntil(later + kMaxAge);
     CPPUNIT_ASSERT(history.SoleVersion("pool", later + kMaxAge) == "v2");
   }
 
--- a/tests/platform/stream_version_test.py
+++ b/tests/platform/stream_version_test.py
@@ -14,6 +14,8 @@
 STREAMS = 8
 # A resume that can't go on is answered within this time.
 MAX_REFUSAL_S = 0.5
+# A watch that fell silent is noticed within 2.3 s.
+HISTORY_EXPIRY_S = 3
 
 
 class StreamVersionTest(unittest.TestCase):
@@ -173,6 +175,21 @@
                     response = gateway.call("/resume/x", f"sole{restarts}{number}", fields)
                     self.assertEqual((200, True), (response.status, response.is_complete))
 
+    def test_unknown_stream_is_not_resumed_by_an_outdated_history(self):
+        # While the store does not answer, another version may serve that this gateway has not seen.
+        platform = Platform({"w1": "v1", "w2": "v1"})
+        self.addCleanup(platform.close)
+        gateway = Environment(platform=platform)
+        self.addCleanup(gateway.close)
+        fields = {"Last-Event-Id": "2"}
+        self.assertEqual(200, gateway.call("/resume/x", "before", fields).status)
+        platform.send_command(store_mode="silent")
+        time.sleep(HISTORY_EXPIRY_S)
+        self.assertEqual(503, gateway.call("/resume/x", "outdated", fields).status)
+        self.assertEqual(200, gateway.call("/resume/x", "new").status)
+        platform.send_command(store_mode="up")
+        gateway.wait(lambda: gateway.call("/resume/x", "after", fields).status == 200)
+
 
 if __name__ == "__main__":
     unittest.main()
