--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -19,6 +19,7 @@
       RemoveRecord(known, aNow);
     }
   }
+  mRemoved.erase(aEntry.mId);
   auto& it = mEndpoints[aEntry.mId];
   if (!it) {
     it = std::make_shared<Endpoint>();
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(TestNewProcess);
   CPPUNIT_TEST(TestSoftwareVersions);
   CPPUNIT_TEST(TestOutdatedEntries);
+  CPPUNIT_TEST(TestEntryThatReturned);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,6 +162,24 @@
     }
   }
 
+  // An endpoint whose entry had lapsed and was written again was dropped with the copy, since its
+  // removal was remembered.
+  void TestEntryThatReturned()
+  {
+    EndpointRegistry registry;
+    auto entry = MakeEntry("a");
+    entry.mSequence = 5;
+    registry.Put(entry, mNow);
+    registry.Remove("a", /*aAfterOutage=*/false, mNow);
+    auto returned = entry;
+    returned.mSequence = 6;
+    registry.Put(returned, mNow);
+    std::vector<EndpointEntry> copy = { entry, MakeEntry("b") };
+    registry.DropOutdated(copy);
+    registry.Replace(std::move(copy), /*aAfterOutage=*/true, mNow);
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), UsableIds(registry));
+  }
+
 private:
   TimePoint mNow{ std::chrono::hours(1) };
 };
