--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -25,10 +25,12 @@
 constexpr std::size_t kMaxResponseBytes = 8 * 1'024 * 1'024;
 /// Size limit of the bodies of all responses that are being received and not streamed.
 constexpr std::size_t kMaxBufferedBytes = 16 * 1'024 * 1'024;
+/// Size up to which a response does not fail because of what others take.
+constexpr std::size_t kSmallResponseBytes = 512 * 1'024;
 /// Size limit of one event of a stream.
 constexpr std::size_t kMaxEventBytes = 256 * 1'024;
 /// Events beyond one for each output token that the request allows, such as keep-alives.
-constexpr std::int64_t kMaxExtraEvents = 64;
+constexpr std::int64_t kMaxExtraEvents = 4'096;
 /// Extra time after the deadline, so that a response that the endpoint completes at its own time
 /// limit still reaches the caller.
 constexpr Millis kDeadlineGrace{ 60 };
@@ -290,7 +292,9 @@
   if (!IsStream() || !IsSuccess(mParser.Head().mStatus)) {
     mContext.mBufferedBytes += mUnforwardedBody.size() - mCountedBytes;
     mCountedBytes = mUnforwardedBody.size();
-    if (mCountedBytes > kMaxResponseBytes || mContext.mBufferedBytes > kMaxBufferedBytes) {
+    const bool isTooMuchTogether =
+      mContext.mBufferedBytes > kMaxBufferedBytes && mCountedBytes > kSmallResponseBytes;
+    if (mCountedBytes > kMaxResponseBytes || isTooMuchTogether) {
       Finish(AttemptOutcome::Interrupted, false, "the response body is too large");
     }
     return;
