LOST: a service's response may take as long as its caller waits

The daemon, read again: cut a response that was still arriving after three timeouts of a single read, however long its caller would wait. The relay states the caller's time now; EngineStreamTest::TestSlowResponse failed before (with the bound of three timeouts).

--- a/include/gentianloom/external/HttpCall.h
+++ b/include/gentianloom/external/HttpCall.h
@@ -4,9 +4,9 @@
 #include "gentianloom/base/Address.h"
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
-
 #include "gentianloom/external/BoundedSocket.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -75,20 +75,23 @@
 /**
  * @brief Sends one HTTP request on a new connection and reads the complete response.
  *
- * A response of more than kMaxCallResponseBytes, or whose bytes still arrive after three times the
- * timeout, fails.
+ * A response of more than kMaxCallResponseBytes, or that is not complete after the longest
+ * duration, fails.
  *
  * @param aAddress server as `host:port`
  * @param aTimeout for each of connect, send and receive
  * @param aStep step to set in errors
+ * @param aMaxDuration of the whole call; if unset, three times the timeout
  * @return the response with any status, or a CallFailure with ErrorCode::PlatformUnavailable,
  *         ErrorCode::AnswerIncomplete if the body ended early, or ErrorCode::BadSettings if the
  * address is malformed
  */
-boost::outcome_v2::checked<HttpResponse, CallFailure> CallHttp(std::string_view aAddress,
-                                                               const HttpRequest& aRequest,
-                                                               Millis aTimeout,
-                                                               Step aStep);
+boost::outcome_v2::checked<HttpResponse, CallFailure> CallHttp(
+  std::string_view aAddress,
+  const HttpRequest& aRequest,
+  Millis aTimeout,
+  Step aStep,
+  std::optional<Millis> aMaxDuration = std::nullopt);
 
 } // namespace gentianloom
 
--- a/src/external/HttpCall.cpp
+++ b/src/external/HttpCall.cpp
@@ -46,15 +46,17 @@
 boost::outcome_v2::checked<HttpResponse, CallFailure> CallHttp(std::string_view aAddress,
                                                                const HttpRequest& aRequest,
                                                                Millis aTimeout,
-                                                               Step aStep)
+                                                               Step aStep,
+                                                               std::optional<Millis> aMaxDuration)
 {
   auto address = ParseAddress(aAddress);
   if (!address) {
     return CallFailure{ CallProgress::NotSent, address.error() };
   }
   CallProgress progress = CallProgress::NotSent;
+  const auto maxDuration = aMaxDuration.value_or(aTimeout * kTimeoutsPerCall);
   const ReceiveLimits limits{ kMaxCallResponseBytes,
-                              std::chrono::steady_clock::now() + aTimeout * kTimeoutsPerCall };
+                              std::chrono::steady_clock::now() + maxDuration };
   try {
     auto socket = Connect(
       address.value().first, address.value().second, { aTimeout, aTimeout, aTimeout }, limits);
--- a/src/serving/ServiceRelay.cpp
+++ b/src/serving/ServiceRelay.cpp
@@ -116,7 +116,8 @@
   mTriedEndpoints.push_back(placement.mEndpoint);
   const auto left = std::chrono::ceil<Millis>(mExchange->mDeadline - mDependencies.mClock.Now());
   const auto timeout = std::clamp(left, Millis(1), mDependencies.mSettings.mEndpointIdleTimeout);
-  auto result = CallHttp(placement.mAddress, mRequest, timeout, Step::RequestDispatch);
+  const auto maxDuration = std::max(left, timeout);
+  auto result = CallHttp(placement.mAddress, mRequest, timeout, Step::RequestDispatch, maxDuration);
   if (!result) {
     out.mFailure.mRequestDidNotRun = result.error().mProgress == CallProgress::NotSent;
     out.mError = result.error().mError;
--- a/tests/serving/EngineStreamTest.cpp
+++ b/tests/serving/EngineStreamTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(TestUnresponsiveEngine);
   CPPUNIT_TEST(TestEndlessResponse);
   CPPUNIT_TEST(TestEndlessStream);
+  CPPUNIT_TEST(TestSlowResponse);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr Millis kMaxDuration{ 30'000 };
@@ -158,7 +159,30 @@
     }
   }
 
-  /// An event without end, or comments without end, must not hold a stream past its deadline.
+  /// A service that goes on sending for longer than three timeouts, within the caller's time, was
+  /// cut off.
+  void TestSlowResponse()
+  {
+    constexpr Millis kTimeout{ 100 };
+    constexpr Millis kPause{ 50 };
+    constexpr int kParts = 10;
+    testing::ScriptedEngine engine;
+    std::thread sender([&] {
+      engine.AcceptOnly();
+      engine.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kParts) + "\r\n\r\n");
+      for (int n = 0; n < kParts; ++n) {
+        std::this_thread::sleep_for(kPause);
+        engine.Send("a");
+      }
+    });
+    const auto response =
+      CallHttp(engine.Address(), { "GET", "/" }, kTimeout, Step::GrantRead, Millis(10'000));
+    sender.join();
+    CPPUNIT_ASSERT(response.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string(kParts, 'a'), response.value().mBody);
+  }
+
+  /// An event without end must not hold a stream past its deadline.
   void TestEndlessStream()
   {
     const std::string block(64 * 1'024, 'a');
