--- a/tests/platform/gateway_environment.py
+++ b/tests/platform/gateway_environment.py
@@ -66,7 +66,7 @@
 
     def __init__(self, versions=None):
         """`versions`: software version of each endpoint, by its name."""
-        self.versions = versions or {"w1": "v1", "w2": "v1"}
+        self.versions = dict(versions or {"w1": "v1", "w2": "v1"})
         self.process = subprocess.Popen([sys.executable, str(HERE / "standin.py"), *self.versions],
                                         stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
         self.addresses = json.loads(self.process.stdout.readline())
--- a/tests/platform/stream_version_test.py
+++ b/tests/platform/stream_version_test.py
@@ -4,11 +4,12 @@
 What two software versions of an endpoint write does not fit together: a stream may go on only at an
 endpoint of the version that began it, at whatever gateway its caller comes back, or not at all.
 """
+import copy
 import json
 import time
 import unittest
 
-from gateway_environment import Environment, Platform
+from gateway_environment import Environment, Platform, configuration
 
 VERSIONS = {"w1": "v1", "w2": "v2", "w3": "v1", "w4": "v2"}
 STREAMS = 8
@@ -150,6 +151,30 @@
         self.assertEqual(503, response.status)
         self.check_refused(self.second, "old", "named")
 
+    def test_stream_goes_on_at_the_service_that_began_it(self):
+        # The route is split among two services, by a hash of the request's id.
+        services = {"w1": "pool", "w2": "pool", "w3": "other", "w4": "other"}
+        both = copy.deepcopy(configuration(8))
+        both["services"].append(dict(both["services"][0], name="other"))
+        for route in both["routes"]:
+            route["backends"] = [{"service": it, "weight": 1} for it in ("pool", "other")]
+        for name, service in services.items():
+            self.platform.versions[name] = "v1"
+            self.platform.list_endpoint(name, service=service)
+        self.platform.send_command(put="op/config", value=both)
+        for it in (self.first, self.second):
+            it.wait_for_log_line(lambda line: line.get("version") == "8")
+            it.wait_for_log_line(lambda line: line.get("endpoint") == "w4"
+                                 and line.get("service") == "other")
+        for number in range(STREAMS):
+            with self.subTest(number):
+                self.begin(self.first, f"split{number}", number)
+                response = self.resume(self.second, f"joined{number}", f"split{number}", number)
+                self.assertEqual((200, True), (response.status, response.is_complete))
+                began, = self.endpoints_of(f"split{number}")
+                resumed, = self.endpoints_of(f"joined{number}")
+                self.assertEqual(services[began], services[resumed])
+
     def wait_for_recorded_versions(self, expected):
         key = "/gentianloom/software-versions"
         self.first.wait(lambda: set(json.loads(
