--- a/include/gentianloom/external/AsyncStore.h
+++ b/include/gentianloom/external/AsyncStore.h
@@ -26,6 +26,15 @@
   std::vector<KeyValue> mCurrent; ///< after a conflict: existing entries of the conditions' keys
 };
 
+/// Calls of a client so far, by kind.
+struct StoreCalls
+{
+  std::uint64_t mReads = 0; ///< pages
+  std::uint64_t mWatches = 0;
+  std::uint64_t mTransactions = 0;
+  std::uint64_t mLeases = 0; ///< grants, renewals and revocations
+};
+
 /**
  * @brief Client of the platform's key-value service for code that runs on the event loop.
  *
@@ -69,6 +78,9 @@
   /// @brief Bytes of all calls' bodies so far; zero for a store that uses no network.
   virtual net::BodyBytes Bytes() const { return {}; }
 
+  /// @brief Calls made so far, whether answered or not; zero for a store that uses no network.
+  virtual StoreCalls Calls() const { return {}; }
+
   /// @brief Revokes a lease, which deletes its keys.
   virtual net::Task<Result<void>> RevokeLease(LeaseId aLease) = 0;
 };
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -137,7 +137,8 @@
   , mTrafficLog(aLoop,
                 { [this] { return mStore.Bytes(); },
                   [this] { return mPeerSocket.Bytes(); },
-                  [this] { return mRelay.mOpenRequests; } },
+                  [this] { return mRelay.mOpenRequests; },
+                  [this] { return mStore.Calls(); } },
                 mMetrics)
 {
   mRelay.mStreamOrigins = &mStreamOrigins;
