--- a/tests/platform/gateway_environment.py
+++ b/tests/platform/gateway_environment.py
@@ -1,20 +1,24 @@
 """One stand-in of the platform and one gateway, as separate processes, for the process tests.
 
-Both use ports that the system chooses; only these processes are ended.
+The gateway uses free ports below those of outgoing connections; only these processes are ended.
 """
 import http.client
 import json
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+from contextlib import closing
 
 HERE = pathlib.Path(__file__).resolve().parent
 BUILD = pathlib.Path(os.environ.get("GENTIANLOOM_BUILD", HERE.parent.parent / "build"))
 WAIT_S = 8
+PORTS = (12_000, 32_000)  # below the range that Linux gives to outgoing connections
+given_ports = set()
 
 ROUTES = [
     {"name": "chat", "host": "h.example", "prefix": "/chat/", "kind": "streaming",
@@ -39,14 +43,25 @@
             "tenants": [{"name": "org", "api-keys": list(keys), "prepaid": prepaid}]}
 
 
+def is_free(port):
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        try:
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            return True
+        except OSError:
+            return False
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for it in sockets:
-        it.bind(("127.0.0.1", 0))
-    ports = [it.getsockname()[1] for it in sockets]
-    for it in sockets:
-        it.close()
-    return ports
+    """Ports that no outgoing connection takes before a gateway listens on them."""
+    out = []
+    while len(out) < count:
+        port = random.randrange(*PORTS)
+        if port not in given_ports and is_free(port):
+            given_ports.add(port)
+            out.append(port)
+    return out
 
 
 class Response:
@@ -80,9 +95,9 @@
             "state": state, "version": self.versions[name], **more})
 
     def send_command(self, **command):
-        connection = http.client.HTTPConnection(self.addresses["control"], timeout=5)
-        connection.request("POST", "/", json.dumps(command))
-        return json.loads(connection.getresponse().read())
+        with closing(http.client.HTTPConnection(self.addresses["control"], timeout=5)) as connection:
+            connection.request("POST", "/", json.dumps(command))
+            return json.loads(connection.getresponse().read())
 
     def configure_workers(self, **changes):
         for name in self.addresses["workers"]:
@@ -155,9 +170,9 @@
 
     @staticmethod
     def get(port, path):
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
-        connection.request("GET", path)
-        return Response(connection.getresponse())
+        with closing(http.client.HTTPConnection("127.0.0.1", port, timeout=5)) as connection:
+            connection.request("GET", path)
+            return Response(connection.getresponse())
 
     def open_call(self, path, attempt, headers=None, method="POST", body=b"hello", connection=None):
         """Sends a request; returns the response, whose body is not read yet."""
--- a/tests/platform/tests.cmake
+++ b/tests/platform/tests.cmake
@@ -3,8 +3,9 @@
 target_link_libraries(platform-tests gentianloom-platform)
 
 # Run the gateway program against a stand-in of the platform, as separate processes on loopback.
+# Further arguments select classes of the script; without any, all of its tests run.
 function(gentianloom_gateway_test NAME SCRIPT)
-  add_test(NAME ${NAME} COMMAND python3 ${CMAKE_CURRENT_SOURCE_DIR}/platform/${SCRIPT})
+  add_test(NAME ${NAME} COMMAND python3 ${CMAKE_CURRENT_SOURCE_DIR}/platform/${SCRIPT} ${ARGN})
   set_tests_properties(${NAME} PROPERTIES LABELS process TIMEOUT 240
     ENVIRONMENT "GENTIANLOOM_BUILD=${CMAKE_BINARY_DIR}")
 endfunction()
@@ -14,3 +15,5 @@
 gentianloom_gateway_test(process-interrupted-response interrupted_response_test.py)
 gentianloom_gateway_test(process-stream-version stream_version_test.py)
 gentianloom_gateway_test(process-store-era store_era_test.py)
+gentianloom_gateway_test(process-fleet-budget fleet_budget_test.py FleetBudgetTest)
+gentianloom_gateway_test(process-fleet-budget-limits fleet_budget_test.py FleetBudgetLimitTest)
