Log: which request an endpoint ended under, and how the connection ended

Callers repeat a request under which an endpoint ended with a new id each time, so the lines of its repetitions could not be put together, and a line of a failed attempt told neither the organisation nor how long the request had been at the endpoint. New fields, no change of logic: fingerprint (organisation, path without query, body) on both lines; organisation, address, after_sending_ms, head_received and in_flight on the line of a failed attempt.

The state of a connection after any error of the socket is closed; a reset and a connection that timed out unacknowledged differ by after_sending_ms only.

--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -37,12 +37,16 @@
   TimePoint mDeadline{};     ///< the earlier of the caller's and the route's deadlines
 };
 
-/// How an endpoint's response was framed and where it ended, for the log.
+/// How an endpoint's response was framed and where and when it ended, for the log.
 struct ResponseEnd
 {
   net::Framing mFraming = net::Framing::None;
   net::ChannelState mConnection = net::ChannelState::Connecting; ///< of the endpoint connection
-  std::size_t mPartialEventBytes = 0; ///< bytes received after the last complete event
+  std::size_t mPartialEventBytes = 0;  ///< bytes received after the last complete event
+  std::optional<Micros> mAfterSending; ///< since the request was given to the connection; unset if
+                                       ///< it was not
+  bool mIsHeadReceived = false;
+  std::size_t mInFlight = 0; ///< requests of this instance at the endpoint, with this one
 };
 
 /// How an attempt ended.
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -48,6 +48,7 @@
   void ReportFailedAttempts(); ///< aborts a started stream, otherwise sends an error response
   void SendError(int aStatus, const Error& aError);
   void SettleTokens();
+  std::string Fingerprint() const; ///< the same for all repetitions of the request
   void Log() const;
   Micros TimeLeft() const { return mDeadline - mContext.mClock.Now(); }
 
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -380,8 +380,13 @@
   end.mFraming = mParser.BodyFraming();
   end.mConnection = mChannel ? mChannel->State() : net::ChannelState::Closed;
   end.mPartialEventBytes = mSplitter.Incomplete().size();
-  mResult = AttemptResult{ aOutcome, aRequestDidNotRun, std::move(aReason), end };
   const auto now = mContext.mClock.Now();
+  if (mIsRequestSent) {
+    end.mAfterSending = std::chrono::duration_cast<Micros>(now - mRequestSentAt);
+  }
+  end.mIsHeadReceived = mIsHeadReceived;
+  end.mInFlight = static_cast<std::size_t>(mEndpoint->mLoad.InFlight());
+  mResult = AttemptResult{ aOutcome, aRequestDidNotRun, std::move(aReason), end };
   const bool hasFailed =
     aOutcome == AttemptOutcome::Interrupted || aOutcome == AttemptOutcome::NotReached;
   if (hasFailed || aOutcome == AttemptOutcome::Done) {
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -3,6 +3,7 @@
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/Log.h"
 #include "gentianloom/outcome/RetryAfter.h"
+#include "gentianloom/relay/RequestFingerprint.h"
 
 #include <algorithm>
 #include <array>
@@ -345,12 +346,18 @@
       "relay",
       "attempt failed",
       { { "request", mRequest.mId },
+        { "fingerprint", Fingerprint() },
+        { "organisation", request.mOrganisation },
         { "endpoint", mTriedEndpoints.back() },
+        { "address", mPlacement.mEndpoint->mEntry.mAddress },
         { "software_version", mPlacement.mEndpoint->mEntry.mSoftwareVersion },
         { "end", std::string(ToString(mLastAttempt.mOutcome)) },
         { "error", mLastAttempt.mReason },
         { "framing", std::string(net::ToString(end.mFraming)) },
         { "connection", std::string(net::ToString(end.mConnection)) },
+        { "after_sending_ms", end.mAfterSending ? ToMillisText(*end.mAfterSending) : "" },
+        { "head_received", end.mIsHeadReceived ? "yes" : "no" },
+        { "in_flight", ToText(static_cast<std::int64_t>(end.mInFlight)) },
         { "partial_event_bytes", ToText(static_cast<std::int64_t>(end.mPartialEventBytes)) },
         { "proved_not_run", mLastAttempt.mRequestDidNotRun ? "yes" : "no" },
         { "retried", willRetry ? "yes" : "no" } });
@@ -394,6 +401,12 @@
                        "{\"error\":\"" + std::string(ToString(aError.mCode)) + "\"}");
 }
 
+std::string RequestExchange::Fingerprint() const
+{
+  const auto organisation = mAccount == nullptr ? std::string_view() : mAccount->mName;
+  return MakeRequestFingerprint(organisation, mRequest.mPath, mBody);
+}
+
 void RequestExchange::SettleTokens()
 {
   if (mReservedTokens == 0) {
@@ -437,6 +450,7 @@
       { "route", route },
       { "service", mService },
       { "organisation", mAccount == nullptr ? "" : mAccount->mName },
+      { "fingerprint", Fingerprint() },
       { "configuration", mRoutes ? ToText(mRoutes->Version()) : "none" },
       { "endpoint", endpoint ? endpoint->mEntry.mId : "" },
       { "software_version", endpoint ? endpoint->mEntry.mSoftwareVersion : "" },
