Test: a request allows as many tokens as its endpoint delivers

process-fleet-budget-limits counted 25 delivered tokens for small requests that allow 20 at most: the stand-in always sends five events of five tokens. Small requests allow 25 tokens now; the check and its bound are as they were.

--- a/tests/platform/fleet_budget_test.py
+++ b/tests/platform/fleet_budget_test.py
@@ -19,7 +19,7 @@
 ENDPOINTS = {f"w{n}": "v1" for n in range(1, 5)}
 # Prompt tokens and the maximum of output tokens of a request.
 LARGE = (2000, 100)
-SMALL = (100, 20)
+SMALL = (100, 25)
 DELIVERED_TOKENS = 25  # five events of five tokens
 DEADLINE_S = 3
 # Part of the prepaid tokens that requests at their maximum may use here; the promise is 0.97.
