--- a/include/gentianloom/gateway/StreamOriginExchange.h
+++ b/include/gentianloom/gateway/StreamOriginExchange.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLOOM_GATEWAY_STREAM_ORIGIN_EXCHANGE_H
 #define GENTIANLOOM_GATEWAY_STREAM_ORIGIN_EXCHANGE_H
 
+#include "gentianloom/gateway/Keepers.h"
 #include "gentianloom/gateway/PeerSocket.h"
 #include "gentianloom/gateway/StreamOriginTable.h"
 #include "gentianloom/net/Signal.h"
@@ -27,12 +28,6 @@
 /// @brief Decodes a datagram. @return ErrorCode::MalformedRequest if it is not a valid message
 Result<StreamOriginMessage> DecodeStreamOrigin(std::string_view aBytes);
 
-/**
- * @brief Returns the peers that keep the origin of a stream: all of a small fleet, otherwise those
- * that come first in the stream's rendezvous order, which is the same at all instances.
- */
-std::vector<std::string> ChooseOriginKeepers(StreamKey aStream, std::vector<std::string> aPeers);
-
 /**
  * @brief Keeps the origins of streams at several instances, by datagrams.
  *
@@ -69,6 +64,7 @@
     std::set<PeerSocket::Address> mUnknownTo{}; ///< peers that responded without an origin
   };
 
+  std::vector<std::string> KeepersOf(StreamKey aStream) const;
   net::Task<std::optional<StreamOrigin>> AskKeepers(StreamKey aStream);
   void SendToKeepers(const StreamOriginMessage& aMessage);
   void OnDatagram(std::string_view aBytes, const PeerSocket::Address& aSender);
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -1,7 +1,5 @@
 #include "gentianloom/gateway/StreamOriginExchange.h"
 
-#include "gentianloom/base/Ids.h"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -42,27 +40,6 @@
   }
 }
 
-std::vector<std::string> ChooseOriginKeepers(StreamKey aStream, std::vector<std::string> aPeers)
-{
-  constexpr auto kKeepers = StreamOriginExchange::kKeepers;
-  if (aPeers.size() <= kKeepers) {
-    return aPeers;
-  }
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  ranked.reserve(aPeers.size());
-  for (auto& it : aPeers) {
-    const auto rank = StableHash(it, aStream);
-    ranked.emplace_back(rank, std::move(it));
-  }
-  std::partial_sort(ranked.begin(), ranked.begin() + kKeepers, ranked.end());
-  std::vector<std::string> out;
-  out.reserve(kKeepers);
-  for (std::size_t n = 0; n < kKeepers; ++n) {
-    out.push_back(std::move(ranked[n].second));
-  }
-  return out;
-}
-
 StreamOriginExchange::StreamOriginExchange(net::Loop& aLoop,
                                            PeerSocket& aSocket,
                                            std::function<std::vector<std::string>()> aPeerAddresses,
@@ -93,10 +70,15 @@
   SendToKeepers({ PeerMessageKind::StreamOrigin, aStream, aOrigin });
 }
 
+std::vector<std::string> StreamOriginExchange::KeepersOf(StreamKey aStream) const
+{
+  return ChooseKeepers(aStream, mPeerAddresses(), kKeepers);
+}
+
 void StreamOriginExchange::SendToKeepers(const StreamOriginMessage& aMessage)
 {
   const auto bytes = EncodeStreamOrigin(aMessage);
-  for (const auto& it : ChooseOriginKeepers(aMessage.mStream, mPeerAddresses())) {
+  for (const auto& it : KeepersOf(aMessage.mStream)) {
     mSocket.Send(it, bytes);
   }
 }
@@ -117,7 +99,7 @@
 net::Task<std::optional<StreamOrigin>> StreamOriginExchange::AskKeepers(StreamKey aStream)
 {
   const auto deadline = mClock.Now() + kQueryTimeout;
-  const auto keepers = ChooseOriginKeepers(aStream, mPeerAddresses());
+  const auto keepers = KeepersOf(aStream);
   const StreamOriginMessage message{ PeerMessageKind::StreamOriginQuery, aStream };
   const auto query = mQueries.insert(mQueries.end(), Query{ aStream, net::Signal(mLoop) });
   std::optional<StreamOrigin> out;
