SHORT: two keepers of each budget reserve tokens for the requests of all instances

Change: a budget has two keepers, by rendezvous order. Only they draw from its record in advance; the other instances ask them to reserve tokens for each request, by datagram. A keeper treats what it reserved for another instance like a request of its own: before it answers, within its cap, until the settlement comes or the request must have ended (then as used completely). So lost, repeated and reordered messages, and instances that end, can only make it count too much. If no keeper answers within 150 ms each, an instance draws for its request itself, as before. A request waits for tokens for at most a third of the time that its caller waits for the first event; before, all that had waited were sent at once, some of them just before their callers left.

GrantManagerTest: what a request may wait is given to GrantManager as it is now, no longer as three times as much; the table's 3,000 ms became 1,000 ms.

--- a/include/gentianloom/budget/GrantManager.h
+++ b/include/gentianloom/budget/GrantManager.h
@@ -22,7 +22,8 @@
 {
   std::function<ConfiguredBudget(const std::string&)> mConfiguredBudget; ///< by name
   std::function<std::size_t()> mInstanceCount;        ///< number of routers in the fleet
-  std::function<std::vector<std::string>()> mBudgets; ///< names of the budgets in use
+  std::function<std::vector<std::string>()> mBudgets; ///< names of the budgets of which
+                                                      ///< tokens are held in advance
 };
 
 /// Identity of a holder: one incarnation of one instance.
@@ -68,14 +69,14 @@
   /**
    * @brief Reserves tokens. If the answer is Wait, @p aWaiter is notified when the caller should
    *        retry; Notifications() has increased by then.
-   * @param aTimeLeft time until the request's deadline. While the key-value service is unavailable,
-   *                  a request that would wait for the reserve for more than a third of this time
-   *                  is answered ReserveAnswer::Unavailable at once
+   * @param aMaxWait longest time that the request may wait. While the key-value service is
+   *                 unavailable, a request that would wait longer for the reserve is answered
+   *                 ReserveAnswer::Unavailable at once
    */
   ReserveAnswer Reserve(const std::string& aBudget,
                         Tokens aTokens,
                         const std::shared_ptr<net::Signal>& aWaiter,
-                        Micros aTimeLeft);
+                        Micros aMaxWait);
 
   /// @brief Frees a reservation and charges the tokens used.
   void Settle(const std::string& aBudget, Tokens aReserved, Tokens aUsed);
@@ -182,7 +183,7 @@
   net::Task<void> NotifyWhenReserveOpens(Micros aTime);
   std::optional<ReserveAnswer> DecideReserveWait(const Holding& aHolding,
                                                  Tokens aTokens,
-                                                 Micros aTimeLeft,
+                                                 Micros aMaxWait,
                                                  TimePoint aNow);
   void LogHoldings() const;
 
--- a/include/gentianloom/budget/Holding.h
+++ b/include/gentianloom/budget/Holding.h
@@ -59,6 +59,8 @@
   TimePoint mRefusedUntil{};
   int mRefusals = 0; ///< consecutive rounds after which requests were refused
 
+  /// Whether tokens are held in advance; otherwise they are drawn for waiting requests only.
+  bool mHoldsReserve = true;
   bool mHasChanges = false; ///< figures changed locally and have to be written to the record
 
   /// @brief Tokens received from all peers.
@@ -90,6 +92,9 @@
   /// @brief Returns the tokens to return because they are unused or the budget was lowered.
   Tokens TokensToReturn(const GrantPolicy& aPolicy, Tokens aUnallocated) const;
 
+  /// @brief Returns the tokens that should be free after a refill.
+  Tokens Target(const GrantPolicy& aPolicy, const GrantInput& aInput) const;
+
   /// @brief Whether requests wait for tokens, or the free tokens are below the refill threshold and
   ///        unallocated tokens are left.
   bool NeedsRefill(const GrantPolicy& aPolicy) const;
--- a/include/gentianloom/budget/Ledger.h
+++ b/include/gentianloom/budget/Ledger.h
@@ -66,8 +66,8 @@
   /// @brief Sets the seconds for which the key-value service has answered without a failure.
   void SetSecondsSinceOutage(double aSeconds);
 
-  /// @brief Starts to hold tokens of a budget before any request asks for them.
-  void TrackBudget(const std::string& aBudget, TimePoint aNow);
+  /// @brief Sets the budgets of which tokens are held in advance, before any request asks for them.
+  void HoldReserves(const std::vector<std::string>& aBudgets, TimePoint aNow);
 
   /**
    * @brief Reserves tokens. If the answer is Wait, the next draw includes them.
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -1,6 +1,8 @@
 #ifndef GENTIANLOOM_GATEWAY_GATEWAY_H
 #define GENTIANLOOM_GATEWAY_GATEWAY_H
 
+#include "gentianloom/gateway/BudgetExchange.h"
+#include "gentianloom/gateway/BudgetKeepers.h"
 #include "gentianloom/gateway/CallerServer.h"
 #include "gentianloom/gateway/GatewaySettings.h"
 #include "gentianloom/gateway/InstanceRegistration.h"
@@ -53,6 +55,8 @@
 
 private:
   GrantDependencies MakeRightsLinks();
+  /// The budgets that this instance keeps.
+  std::vector<std::string> KeptBudgets();
   PrefixWatchHandlers MakeConfigurationHandlers();
   PrefixWatchHandlers MakeEndpointHandlers();
   PrefixWatchHandlers MakeInstanceHandlers();
@@ -78,9 +82,11 @@
   net::LoopMonitor mLoopMonitor;
   InstanceRecord mSelf;
   InstanceDirectory mInstances;
+  BudgetKeepers mBudgetKeepers;
   GrantManager mRights;
-  RelayContext mRelay;
   PeerSocket mPeerSocket;
+  BudgetExchange mBudgetExchange;
+  RelayContext mRelay;
   PeerLoadExchange mPeerLoadExchange;
   StreamOriginExchange mStreamOrigins;
   CallerServer mCallerServer;
@@ -90,6 +96,7 @@
   InstanceRegistration mRegistration;
   SoftwareVersionRecord mVersionRecord;
   TrafficLog mTrafficLog;
+  TimePoint mStartedAt{};
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -21,9 +21,16 @@
   Load = 0,
   StreamOrigin = 1,
   StreamOriginQuery = 2,
-  StreamOriginUnknown = 3
+  StreamOriginUnknown = 3,
+  ReservationQuery = 4,
+  ReservationAnswer = 5,
+  ReservationSettlement = 6,
+  ReservationSettled = 7
 };
 
+/// Number of kinds of datagrams.
+inline constexpr std::size_t kPeerMessageKinds = 8;
+
 /// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none.
 PeerMessageKind PeerMessageKindOf(std::string_view aBytes);
 
@@ -65,7 +72,7 @@
   net::Loop& mLoop;
   Metrics& mMetrics;
   boost::asio::ip::udp::socket mSocket;
-  std::array<Handler, 4> mHandlers; ///< by PeerMessageKind
+  std::array<Handler, kPeerMessageKinds> mHandlers; ///< by PeerMessageKind
   net::BodyBytes mBytes;
 };
 
--- a/include/gentianloom/membership/InstanceDirectory.h
+++ b/include/gentianloom/membership/InstanceDirectory.h
@@ -76,6 +76,9 @@
   /// @brief Returns the addresses at which the other instances accept load reports.
   std::vector<std::string> PeerAddresses(std::string_view aSelf) const;
 
+  /// @brief As PeerAddresses(), without the instances that are leaving or have expired.
+  std::vector<std::string> ServingPeerAddresses(std::string_view aSelf, TimePoint aNow) const;
+
   /// @brief Returns the number of known instances, including this one.
   std::size_t Size(std::string_view aSelf) const;
 
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -3,11 +3,11 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Metrics.h"
-#include "gentianloom/budget/GrantManager.h"
 #include "gentianloom/outcome/RetryPolicy.h"
 #include "gentianloom/relay/ConnectionPool.h"
 #include "gentianloom/relay/RequestCodec.h"
 #include "gentianloom/relay/StreamOrigins.h"
+#include "gentianloom/relay/TokenReservations.h"
 #include "gentianloom/routing/EndpointRegistry.h"
 #include "gentianloom/routing/FirstTokenModel.h"
 #include "gentianloom/routing/RouteTable.h"
@@ -31,7 +31,7 @@
   EndpointRegistry mEndpoints{};
   std::map<std::string, FirstTokenModel> mFirstTokenModels{}; ///< by service
   ConnectionPool mConnections;
-  GrantManager& mGrantManager;
+  TokenReservations& mReservations;
   RetryBudget mRetryBudget;
   SoftwareVersionHistory mVersionHistory{};
   StreamOrigins* mStreamOrigins = nullptr; ///< null: no origin is known
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -42,6 +42,7 @@
   void RejectResume(std::string_view aReason);
   StreamKey Stream() const;
   net::Task<bool> ReserveTokens();
+  void OnTokensNotReserved(Tokens aTokens); ///< responds by mReservation
   net::Task<void> RunAttempts();
   PlacementChoice ChooseEndpoint();
   bool MayRetry(const AttemptResult& aResult);
@@ -65,7 +66,7 @@
   const Route* mRoute = nullptr;
   const OrganisationAccount* mAccount = nullptr; ///< null for an anonymous request
   std::string mService;
-  Tokens mReservedTokens = 0;
+  TokenReservation mReservation;
   bool mRequestMayHaveRun = false; ///< at least one attempt may have run the request
   StreamProgress mProgress;
   std::vector<std::string> mTriedEndpoints; ///< ids, one for each attempt
--- a/include/gentianloom/routing/RouteTable.h
+++ b/include/gentianloom/routing/RouteTable.h
@@ -38,6 +38,7 @@
   RouteKind mKind = RouteKind::AtMostOnce;
   Millis mTimeout{ 0 };       ///< maximum time until the answer is complete
   Millis mLatencyTarget{ 0 }; ///< streams: target of the time to the first event
+  Millis mPatience{ 0 };      ///< callers do not wait longer for the response, or its first event
   std::int64_t mMaxAttempts = 1;
   bool mAllowsAnonymous = false;
   bool mIsResumable = false;
--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -32,8 +32,6 @@
 constexpr Millis kMaxIdleInterval{ 2'000 };
 /// Shortest pause between rounds.
 constexpr Millis kMinRoundPause{ 1 };
-/// A request waits for the reserve to open for at most its remaining time divided by this.
-constexpr int kMaxWaitDivisor = 3;
 /// Longest sleep between rounds.
 constexpr Millis kMaxSleep{ 1'000 };
 /// Common prefix of the keys of all shards.
@@ -103,7 +101,7 @@
 ReserveAnswer GrantManager::Reserve(const std::string& aBudget,
                                     Tokens aTokens,
                                     const std::shared_ptr<net::Signal>& aWaiter,
-                                    Micros aTimeLeft)
+                                    Micros aMaxWait)
 {
   const auto now = mClock.Now();
   if (mIsReplaced || mIsClosing) {
@@ -114,7 +112,7 @@
   if (holding != mLedger.Holdings().end()) {
     usableTokens = mCaps.UsableTokens(aBudget, holding->second, now);
     if (usableTokens < aTokens && mPacer.IsStoreUnavailable()) {
-      const auto answer = DecideReserveWait(holding->second, aTokens, aTimeLeft, now);
+      const auto answer = DecideReserveWait(holding->second, aTokens, aMaxWait, now);
       if (answer == ReserveAnswer::Wait) {
         mWaiters.push_back(aWaiter);
       }
@@ -142,15 +140,15 @@
 /// nothing if the holding does not cover the request either, or if no report was stored yet.
 std::optional<ReserveAnswer> GrantManager::DecideReserveWait(const Holding& aHolding,
                                                              Tokens aTokens,
-                                                             Micros aTimeLeft,
+                                                             Micros aMaxWait,
                                                              TimePoint aNow)
 {
   const auto timeUntilOpen = mCaps.TimeUntilReserveOpens(aNow);
   if (aHolding.Free() < aTokens || !timeUntilOpen) {
     return std::nullopt;
   }
-  if (*timeUntilOpen > aTimeLeft / kMaxWaitDivisor) {
-    return ReserveAnswer::Unavailable; // the wait would leave the request too little time
+  if (*timeUntilOpen > aMaxWait) {
+    return ReserveAnswer::Unavailable;
   }
   if (!mNotifiesWhenReserveOpens) {
     mNotifiesWhenReserveOpens = true;
@@ -215,9 +213,7 @@
 net::Task<void> GrantManager::RunRound()
 {
   const auto now = mClock.Now();
-  for (const auto& it : mDependencies.mBudgets()) {
-    mLedger.TrackBudget(it, now);
-  }
+  mLedger.HoldReserves(mDependencies.mBudgets(), now);
   mLedger.SetSecondsSinceOutage(std::chrono::duration<double>(now - mFailedAt).count());
   CheckEra();
   const bool isRestored = co_await RestoreAfterEraChange();
--- a/src/budget/Holding.cpp
+++ b/src/budget/Holding.cpp
@@ -87,11 +87,16 @@
            mOthersDemand / weight };
 }
 
+Tokens Holding::Target(const GrantPolicy& aPolicy, const GrantInput& aInput) const
+{
+  return mHoldsReserve ? aPolicy.Target(aInput) : 0;
+}
+
 Tokens Holding::TokensToDraw(const GrantPolicy& aPolicy, Tokens aUnallocated) const
 {
   auto input = MakeGrantInput();
   input.mUnallocated = aUnallocated;
-  const auto target = aPolicy.Target(input);
+  const auto target = Target(aPolicy, input);
   const auto free = Free();
   // Tokens for waiting requests are always drawn, further tokens only below the refill threshold.
   // If a draw could not serve any waiting request, nothing is drawn, so that other routers can use
@@ -114,15 +119,16 @@
   }
   auto input = MakeGrantInput();
   input.mUnallocated = std::max<Tokens>(0, aUnallocated);
-  const auto kept = aPolicy.TokensToKeep(input);
-  const auto idle = free > aPolicy.ReturnThreshold(input, kept) ? free - kept : 0;
+  const auto kept = mHoldsReserve ? aPolicy.TokensToKeep(input) : mLargestRequest;
+  const auto threshold = mHoldsReserve ? aPolicy.ReturnThreshold(input, kept) : kept;
+  const auto idle = free > threshold ? free - kept : 0;
   return std::max<Tokens>({ 0, overdrawn, idle });
 }
 
 bool Holding::NeedsRefill(const GrantPolicy& aPolicy) const
 {
   const auto input = MakeGrantInput();
-  const auto target = static_cast<double>(aPolicy.Target(input));
+  const auto target = static_cast<double>(Target(aPolicy, input));
   return mWaitingTokens > 0 || (mLastUnallocated > 0 && static_cast<double>(Free()) <
                                                           target * aPolicy.RefillFraction(input));
 }
--- a/src/budget/Ledger.cpp
+++ b/src/budget/Ledger.cpp
@@ -45,13 +45,19 @@
   }
 }
 
-void Ledger::TrackBudget(const std::string& aBudget, TimePoint aNow)
+void Ledger::HoldReserves(const std::vector<std::string>& aBudgets, TimePoint aNow)
 {
-  const bool isNew = !mHoldings.contains(aBudget);
-  auto& it = HoldingOf(aBudget);
-  if (isNew) {
-    it.mHasChanges = true;
-    it.mDemandUpdatedAt = aNow;
+  for (auto& [name, it] : mHoldings) {
+    it.mHoldsReserve = false;
+  }
+  for (const auto& budget : aBudgets) {
+    const bool isNew = !mHoldings.contains(budget);
+    auto& it = HoldingOf(budget);
+    it.mHoldsReserve = true;
+    if (isNew) {
+      it.mHasChanges = true;
+      it.mDemandUpdatedAt = aNow;
+    }
   }
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -23,6 +23,8 @@
 constexpr Millis kWatchTimeout{ 1'700 };
 /// As kWatchTimeout, for the list of instances, whose changes are less urgent.
 constexpr Millis kInstanceWatchTimeout{ 8'000 };
+/// Time after the start of a process until which the instances that started together are listed.
+constexpr Millis kInstancesListedAfter{ 1'500 };
 /// Interval at which idle connections and expired endpoint entries are removed.
 constexpr Millis kHousekeepingInterval{ 250 };
 /// Share of GatewaySettings::mRetryShare that is used; leaves a margin for changes of the fleet
@@ -74,6 +76,10 @@
   , mLoopMonitor(aLoop, aClock, mMetrics)
   , mSelf{ mSettings.mInstance,      MakeId("run"),          mSettings.mZone,
            mSettings.mCallerAddress, mSettings.mPeerAddress, false }
+  , mBudgetKeepers(
+      mSettings.mPeerAddress,
+      [this] { return mInstances.ServingPeerAddresses(mSelf.mName, mClock.Now()); },
+      aClock)
   , mRights(aLoop,
             aStore,
             MakeRightsSettings(mSettings),
@@ -81,6 +87,8 @@
             MakeRightsLinks(),
             aClock,
             mMetrics)
+  , mPeerSocket(aLoop, mMetrics)
+  , mBudgetExchange(aLoop, mPeerSocket, mBudgetKeepers, mRights, aClock, mMetrics)
   , mRelay{ aLoop,
             aClock,
             mMetrics,
@@ -90,10 +98,9 @@
             {},
             {},
             ConnectionPool(aLoop, aClock),
-            mRights,
+            mBudgetExchange,
             RetryBudget(mSettings.mRetryShare * kRetrySafetyFactor,
                         ComputeRetryBurst(mSettings.mRetrySlack, 1)) }
-  , mPeerSocket(aLoop, mMetrics)
   , mPeerLoadExchange(
       aLoop,
       mPeerSocket,
@@ -154,9 +161,23 @@
              : ConfiguredBudget{ *account->mPrepaid, mRelay.mRoutes->Version() };
   };
   out.mInstanceCount = [this] { return mInstances.Size(mSelf.mName); };
-  out.mBudgets = [this] {
-    return mRelay.mRoutes ? mRelay.mRoutes->PrepaidOrganisations() : std::vector<std::string>();
-  };
+  out.mBudgets = [this] { return KeptBudgets(); };
+  return out;
+}
+
+std::vector<std::string> Gateway::KeptBudgets()
+{
+  std::vector<std::string> out;
+  // Before the list of instances is known, each instance would count as the keeper of all budgets.
+  if (!mRelay.mRoutes || !mInstanceWatcher.HasSynced() ||
+      mClock.Now() - mStartedAt < kInstancesListedAfter) {
+    return out;
+  }
+  for (auto& it : mRelay.mRoutes->PrepaidOrganisations()) {
+    if (mBudgetKeepers.IsKeeper(it)) {
+      out.push_back(std::move(it));
+    }
+  }
   return out;
 }
 
@@ -250,6 +271,7 @@
 
 Result<void> Gateway::Start()
 {
+  mStartedAt = mClock.Now();
   const auto callers = net::ParseSocketAddress(mSettings.mCallerAddress);
   if (!callers) {
     return callers.error();
@@ -260,6 +282,7 @@
     BOOST_OUTCOME_TRY(mPeerSocket.Start(mSettings.mPeerAddress));
     mPeerLoadExchange.Start();
     mStreamOrigins.Start();
+    mBudgetExchange.Start();
     mRelay.mOnPendingTokensChanged = [this] { mPeerLoadExchange.NotifyChange(); };
   }
   mConfigurationWatcher.Start();
@@ -461,10 +484,12 @@
     std::chrono::duration_cast<Micros>(mSettings.mTerminationGracePeriod * kAcceptingShare);
   const auto acceptUntil =
     shutdownStart + std::min<Micros>(mSettings.mAddressTtl * kAddressTtlMultiple, maxAcceptingTime);
-  while (mClock.Now() < serveUntil && (mClock.Now() < acceptUntil || mRelay.mOpenRequests > 0)) {
+  while (mClock.Now() < serveUntil && (mClock.Now() < acceptUntil || mRelay.mOpenRequests > 0 ||
+                                       mBudgetExchange.OpenRemoteReservations() > 0)) {
     mRelay.mRejectsNewRequests = mClock.Now() >= acceptUntil;
     co_await net::Signal::Sleep(mLoop, kShutdownPollInterval);
   }
+  mBudgetExchange.SettleRemoteReservations();
   co_await mRights.Close(mClock.Now() + kRightsReturnTime / 2);
   co_await mRegistration.Revoke();
   LogChange(LogLevel::Info,
--- a/src/gateway/PeerSocket.cpp
+++ b/src/gateway/PeerSocket.cpp
@@ -10,12 +10,11 @@
 {
   // The first byte is the head of an array; MessagePack writes a small number as itself.
   constexpr std::size_t kKindOffset = 1;
-  constexpr auto kLast = static_cast<unsigned char>(PeerMessageKind::StreamOriginUnknown);
   if (aBytes.size() <= kKindOffset) {
     return PeerMessageKind::Load;
   }
   const auto it = static_cast<unsigned char>(aBytes[kKindOffset]);
-  return it <= kLast ? static_cast<PeerMessageKind>(it) : PeerMessageKind::Load;
+  return it < kPeerMessageKinds ? static_cast<PeerMessageKind>(it) : PeerMessageKind::Load;
 }
 
 PeerSocket::PeerSocket(net::Loop& aLoop, Metrics& aMetrics)
--- /dev/null
+++ b/src/gateway/ReservationMessage.cpp
@@ -0,0 +1,77 @@
+#include "gentianloom/gateway/ReservationMessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace gentianloom {
+
+namespace {
+
+/// Largest number of tokens and of milliseconds that a message may state.
+constexpr std::int64_t kMaxNumber = std::int64_t{ 1 } << 50;
+
+/// @return a number from 0 to kMaxNumber @throws nlohmann::json::exception if it is none
+std::int64_t NumberAt(const nlohmann::json& aArray, std::size_t aIndex)
+{
+  const auto n = aArray.at(aIndex).get<std::int64_t>();
+  if (n < 0 || n > kMaxNumber) {
+    throw nlohmann::json::out_of_range::create(401, "a number is out of range", &aArray);
+  }
+  return n;
+}
+
+} // namespace
+
+std::string EncodeReservation(const ReservationMessage& aMessage)
+{
+  auto json = nlohmann::json::array({ static_cast<int>(aMessage.mKind), aMessage.mId });
+  switch (aMessage.mKind) {
+    case PeerMessageKind::ReservationQuery:
+      json.push_back(aMessage.mBudget);
+      json.push_back(aMessage.mTokens);
+      json.push_back(aMessage.mMaxWait.count());
+      json.push_back(aMessage.mLifetime.count());
+      break;
+    case PeerMessageKind::ReservationAnswer:
+      json.push_back(static_cast<int>(aMessage.mAnswer));
+      json.push_back(aMessage.mOutage.count());
+      break;
+    case PeerMessageKind::ReservationSettlement:
+      json.push_back(aMessage.mUsed);
+      break;
+    default:
+      break;
+  }
+  const auto bytes = nlohmann::json::to_msgpack(json);
+  return { bytes.begin(), bytes.end() };
+}
+
+Result<ReservationMessage> DecodeReservation(std::string_view aBytes)
+{
+  try {
+    const auto json = nlohmann::json::from_msgpack(aBytes.begin(), aBytes.end());
+    ReservationMessage out;
+    out.mKind = PeerMessageKindOf(aBytes);
+    out.mId = json.at(1).get<std::uint64_t>();
+    if (out.mKind == PeerMessageKind::ReservationQuery) {
+      out.mBudget = json.at(2).get<std::string>();
+      out.mTokens = NumberAt(json, 3);
+      out.mMaxWait = Millis(NumberAt(json, 4));
+      out.mLifetime = Millis(NumberAt(json, 5));
+    } else if (out.mKind == PeerMessageKind::ReservationAnswer) {
+      const auto answer = NumberAt(json, 2);
+      if (answer > static_cast<int>(KeeperAnswer::Waiting)) {
+        return MakeError(
+          ErrorCode::MalformedRequest, Step::RequestReserve, "peer", "unknown answer");
+      }
+      out.mAnswer = static_cast<KeeperAnswer>(answer);
+      out.mOutage = Millis(NumberAt(json, 3));
+    } else if (out.mKind == PeerMessageKind::ReservationSettlement) {
+      out.mUsed = NumberAt(json, 2);
+    }
+    return out;
+  } catch (const nlohmann::json::exception& ex) {
+    return MakeError(ErrorCode::MalformedRequest, Step::RequestReserve, "peer", ex.what());
+  }
+}
+
+} // namespace gentianloom
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -119,6 +119,19 @@
   return out;
 }
 
+std::vector<std::string> InstanceDirectory::ServingPeerAddresses(std::string_view aSelf,
+                                                                 TimePoint aNow) const
+{
+  std::vector<std::string> out;
+  for (const auto& [name, it] : mEntries) {
+    const bool isServing = !it.mRecord.mIsLeaving && aNow < it.mExpiresAt;
+    if (name != aSelf && isServing && !it.mRecord.mPeerAddress.empty()) {
+      out.push_back(it.mRecord.mPeerAddress);
+    }
+  }
+  return out;
+}
+
 std::size_t InstanceDirectory::Size(std::string_view aSelf) const
 {
   return mEntries.size() + (mEntries.contains(aSelf) ? 0 : 1);
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -19,6 +19,10 @@
 /// well.
 constexpr Millis kDefaultTimeout{ 30'000 };
 
+/// A request waits for tokens for at most the time that its caller waits, divided by this: the rest
+/// is needed to serve it.
+constexpr int kMaxReserveWaitDivisor = 3;
+
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kPaymentRequired = 402;
@@ -223,47 +227,46 @@
   if (!isPrepaidRequest) {
     co_return true;
   }
-  const auto tokens = *mRequest.mPromptTokens + mRequest.mMaxOutputTokens.value_or(0);
-  while (true) {
-    const auto result =
-      mContext.mGrantManager.Reserve(mAccount->mName, tokens, mSignal, TimeLeft());
-    if (result == ReserveAnswer::Reserved) {
-      mReservedTokens = tokens;
-      break;
-    }
-    const auto notificationCount = mContext.mGrantManager.Notifications();
-    while (result == ReserveAnswer::Wait &&
-           notificationCount == mContext.mGrantManager.Notifications() &&
-           !mWriter.IsCallerDisconnected() && TimeLeft() > Micros(0)) {
-      co_await mSignal->WaitFor(TimeLeft());
-    }
-    if (mWriter.IsCallerDisconnected()) {
-      mFailureReason = "the caller disconnected while tokens were being reserved";
-      co_return false;
-    }
-    if (result == ReserveAnswer::Exhausted) {
-      SendError(kPaymentRequired,
-                MakeError(ErrorCode::BudgetExhausted,
-                          Step::RequestReserve,
-                          mAccount->mName,
-                          "the remaining budget does not cover " + ToText(tokens) +
-                            " tokens; the request did not run"));
-      co_return false;
-    }
-    if (result == ReserveAnswer::Unavailable || TimeLeft() <= Micros(0)) {
-      auto error = MakeError(ErrorCode::BudgetBusy,
-                             Step::RequestReserve,
-                             mAccount->mName,
-                             "tokens cannot be reserved at the moment; the request did not run");
-      error.mRetryAfter = EstimateRetryAfter(mContext.mGrantManager.StoreUnavailableFor());
-      SendError(kUnavailable, error);
-      co_return false;
-    }
-  }
+  TokenRequest request;
+  request.mBudget = mAccount->mName;
+  request.mTokens = *mRequest.mPromptTokens + mRequest.mMaxOutputTokens.value_or(0);
+  request.mMaxWait = std::min<Micros>(TimeLeft(), mRoute->mPatience) / kMaxReserveWaitDivisor;
+  request.mLifetime = TimeLeft();
+  request.mSignal = mSignal;
+  request.mIsAbandoned = [this] { return mWriter.IsCallerDisconnected(); };
+  const auto tokens = request.mTokens;
+  mReservation = co_await mContext.mReservations.Reserve(std::move(request));
   mReserveDuration = mContext.mClock.Now() - mStartedAt;
+  if (mReservation.mOutcome != ReservationOutcome::Reserved) {
+    OnTokensNotReserved(tokens);
+    co_return false;
+  }
   co_return true;
 }
 
+void RequestExchange::OnTokensNotReserved(Tokens aTokens)
+{
+  if (mReservation.mOutcome == ReservationOutcome::Abandoned) {
+    mFailureReason = "the caller disconnected while tokens were being reserved";
+    return;
+  }
+  if (mReservation.mOutcome == ReservationOutcome::Exhausted) {
+    SendError(kPaymentRequired,
+              MakeError(ErrorCode::BudgetExhausted,
+                        Step::RequestReserve,
+                        mAccount->mName,
+                        "the remaining budget does not cover " + ToText(aTokens) +
+                          " tokens; the request did not run"));
+    return;
+  }
+  auto error = MakeError(ErrorCode::BudgetBusy,
+                         Step::RequestReserve,
+                         mAccount->mName,
+                         "tokens cannot be reserved at the moment; the request did not run");
+  error.mRetryAfter = EstimateRetryAfter(mReservation.mOutage);
+  SendError(kUnavailable, error);
+}
+
 PlacementChoice RequestExchange::ChooseEndpoint()
 {
   const auto now = mContext.mClock.Now();
@@ -409,7 +412,7 @@
 
 void RequestExchange::SettleTokens()
 {
-  if (mReservedTokens == 0) {
+  if (mReservation.mTokens == 0) {
     return;
   }
   Tokens usedTokens = 0;
@@ -421,8 +424,8 @@
       std::min(mProgress.mEventCount * tokensPerEvent, mRequest.mMaxOutputTokens.value_or(0));
     usedTokens = mRequest.mPromptTokens.value_or(0) + outputTokens;
   }
-  mContext.mGrantManager.Settle(mAccount->mName, mReservedTokens, usedTokens);
-  mReservedTokens = 0;
+  mContext.mReservations.Settle(mReservation, usedTokens);
+  mReservation.mTokens = 0;
 }
 
 void RequestExchange::Log() const
@@ -470,6 +473,7 @@
       { "partial_event_bytes", ToText(static_cast<std::int64_t>(end.mPartialEventBytes)) },
       { "events", ToText(mProgress.mEventCount) },
       { "reserve_ms", ToMillisText(mReserveDuration) },
+      { "keeper", mReservation.mKeeper },
       { "first_event_ms", hasEvents ? ToMillisText(mProgress.mFirstEventAt - mStartedAt) : "" },
       { "total_ms", ToMillisText(now - mStartedAt) } });
 }
--- a/tests/budget/GrantManagerTest.cpp
+++ b/tests/budget/GrantManagerTest.cpp
@@ -19,8 +19,8 @@
 /// Longer than the longest back-off (300 ms), so that each step of the clock allows a round.
 constexpr Millis kBackOff{ 301 };
 
-/// Remaining time of a request that can wait for the reserve to open.
-constexpr Millis kLongTimeLeft{ 15'000 };
+/// Longest wait of a request that can wait for the reserve to open.
+constexpr Millis kLongWait{ 5'000 };
 
 BudgetSettings Settings()
 {
@@ -75,9 +75,9 @@
     }));
   }
 
-  ReserveAnswer Reserve(Tokens aTokens, Millis aTimeLeft = kLongTimeLeft)
+  ReserveAnswer Reserve(Tokens aTokens, Millis aMaxWait = kLongWait)
   {
-    return mManager.Reserve("b", aTokens, mSignal, aTimeLeft);
+    return mManager.Reserve("b", aTokens, mSignal, aMaxWait);
   }
 
   net::Loop mLoop{ 1 };
@@ -270,7 +270,7 @@
                                  static_cast<int>(process.Reserve(held)));
     CPPUNIT_ASSERT_EQUAL_MESSAGE("a request that cannot wait so long is refused at once",
                                  static_cast<int>(ReserveAnswer::Unavailable),
-                                 static_cast<int>(process.Reserve(held, Millis(3'000))));
+                                 static_cast<int>(process.Reserve(held, Millis(1'000))));
     CPPUNIT_ASSERT_EQUAL_MESSAGE("a request above the held tokens is refused at once",
                                  static_cast<int>(ReserveAnswer::Unavailable),
                                  static_cast<int>(process.Reserve(held + 1)));
