Watches of instances and endpoints return the changes of many keys with one call

Cause: each change of an entry ended a watch of all 75 instances. When the store comes back after an outage, all instances write their records again, and each write was 75 calls. Change: after changes a watch of the instances pauses for 500 ms, one of the endpoints for 100 ms; the configuration's does not.

--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -34,6 +34,13 @@
   std::function<void(const std::vector<WatchEvent>&, StoreAvailability)> mOnEvents;
 };
 
+/// Timing of a PrefixWatcher.
+struct PrefixWatchTiming
+{
+  Millis mTimeout{ 0 };   ///< maximum time that one watch waits for changes
+  Millis mBatchTime{ 0 }; ///< pause after changes, so that those of many keys come with one call
+};
+
 /**
  * @brief Watches all keys with a prefix: reads a snapshot, then watches from its revision on.
  *
@@ -44,11 +51,10 @@
 class PrefixWatcher
 {
 public:
-  /// @param aWatchTimeout maximum time that one watch waits for changes
   PrefixWatcher(net::Loop& aLoop,
                 AsyncStore& aStore,
                 std::string aPrefix,
-                Millis aWatchTimeout,
+                PrefixWatchTiming aTiming,
                 PrefixWatchHandlers aHandlers,
                 const Clock& aClock,
                 Metrics& aMetrics);
@@ -80,7 +86,7 @@
   net::Loop& mLoop;
   AsyncStore& mStore;
   std::string mPrefix;
-  Millis mWatchTimeout;
+  PrefixWatchTiming mTiming;
   PrefixWatchHandlers mHandlers;
   const Clock& mClock;
   Metrics& mMetrics;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -20,9 +20,12 @@
 constexpr double kRightsWriteShare = 0.6;
 /// Maximum wait of one watch. A silent connection is detected after this time and the margin of the
 /// call (600 ms), which must be well below the 3 s after which a version has to be in force.
-constexpr Millis kWatchTimeout{ 1'700 };
-/// As kWatchTimeout, for the list of instances, whose changes are less urgent.
-constexpr Millis kInstanceWatchTimeout{ 8'000 };
+constexpr PrefixWatchTiming kConfigurationWatch{ Millis(1'700) };
+/// Many endpoints change at once when a service is replaced or a rack is lost.
+constexpr PrefixWatchTiming kEndpointWatch{ Millis(1'700), Millis(100) };
+/// For the list of instances, whose changes are less urgent. All of them write their records when
+/// the key-value service comes back, and each write would end a watch of every instance.
+constexpr PrefixWatchTiming kInstanceWatch{ Millis(8'000), Millis(500) };
 /// Time after the start of a process until which the instances that started together are listed.
 constexpr Millis kInstancesListedAfter{ 1'500 };
 /// Interval at which idle connections and expired endpoint entries are removed.
@@ -119,21 +122,21 @@
   , mConfigurationWatcher(aLoop,
                           aStore,
                           aProtocol.ConfigurationKey(),
-                          kWatchTimeout,
+                          kConfigurationWatch,
                           MakeConfigurationHandlers(),
                           aClock,
                           mMetrics)
   , mEndpointWatcher(aLoop,
                      aStore,
                      aProtocol.EndpointPrefix(),
-                     kWatchTimeout,
+                     kEndpointWatch,
                      MakeEndpointHandlers(),
                      aClock,
                      mMetrics)
   , mInstanceWatcher(aLoop,
                      aStore,
                      std::string(kInstancePrefix),
-                     kInstanceWatchTimeout,
+                     kInstanceWatch,
                      MakeInstanceHandlers(),
                      aClock,
                      mMetrics)
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -23,14 +23,14 @@
 PrefixWatcher::PrefixWatcher(net::Loop& aLoop,
                              AsyncStore& aStore,
                              std::string aPrefix,
-                             Millis aWatchTimeout,
+                             PrefixWatchTiming aTiming,
                              PrefixWatchHandlers aHandlers,
                              const Clock& aClock,
                              Metrics& aMetrics)
   : mLoop(aLoop)
   , mStore(aStore)
   , mPrefix(std::move(aPrefix))
-  , mWatchTimeout(aWatchTimeout)
+  , mTiming(aTiming)
   , mHandlers(std::move(aHandlers))
   , mClock(aClock)
   , mMetrics(aMetrics)
@@ -122,7 +122,7 @@
   if (CheckEra(mStore.Era())) {
     co_return true;
   }
-  const auto answer = co_await mStore.Watch(mPrefix, mRevision, mWatchTimeout);
+  const auto answer = co_await mStore.Watch(mPrefix, mRevision, mTiming.mTimeout);
   if (!IsCurrent(answer)) {
     co_return false;
   }
@@ -142,6 +142,7 @@
   mConfirmedUntil = mClock.Now();
   if (!it.mEvents.empty()) {
     mHandlers.mOnEvents(it.mEvents, Availability());
+    co_await net::Signal::Sleep(mLoop, mTiming.mBatchTime);
   }
   co_return true;
 }
--- a/tests/gateway/PrefixWatcherTest.cpp
+++ b/tests/gateway/PrefixWatcherTest.cpp
@@ -31,7 +31,7 @@
     PrefixWatcher watcher(loop,
                           store,
                           "p/",
-                          std::chrono::hours(1),
+                          { std::chrono::hours(1) },
                           { [&](const auto& aEntries, StoreAvailability aAvailability) {
                              record("snapshot" + std::to_string(aEntries.size()), aAvailability);
                            },
