--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -79,7 +79,7 @@
 {
   Millis mReportInterval{ 1'000 }; ///< longest time between reports
   Millis mGracePeriod{ 2'000 };    ///< time from the first missed report until the reserve opens
-  Millis mHeadroom{ 1'500 };       ///< a cap leaves room for the demand of this time
+  Millis mHeadroom{ 2'500 };       ///< a cap leaves room for the demand of this time
 };
 
 /**
