--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -22,6 +22,10 @@
 # Time between the last byte and a reset, so that the other side reads the bytes first.
 RAW_RESET_DELAY_S = 0.1
 ENDLESS_BLOCK_BYTES = 65536
+POLL_S = 0.1  # how often a server looks whether it is to shut down
+# From the begin of a run that ends its endpoint until the end, and until the endpoint is back.
+CRASH_DELAY_S = 0.075
+CRASH_DURATION_S = 1
 
 
 class Store:
@@ -204,11 +208,21 @@
     are sent as they are (`{attempt}` is replaced by the request's id), and `raw_end` says what
     follows: "close" (an orderly close), "reset", "hold" (nothing), or "endless" (`raw_repeat` again
     and again).
+
+    A run whose path, organisation and body are in `crashing` ends the endpoint, see `crash`.
     """
 
     def __init__(self, name, changed):
         self.name = name
         self.changed = changed
+        self.server = None  # that serves this lifetime of the endpoint
+        self.store = None
+        self.crashing = []  # lists of path, organisation and body
+        self.events_before_crash = 0  # that a stream sends first
+        self.new_id_after_crash = False
+        self.lifetime = 1
+        self.crashes = []  # of all lifetimes
+        self.run_s = 0  # how long other requests run
         self.hold_after = 0
         self.mode = "good"
         self.raw = ""
@@ -219,6 +233,42 @@
         self.events = 5
         self.executed = []
 
+    def crash(self, server, request=None):
+        """Resets the listening socket and all connections; listens again after CRASH_DURATION_S.
+
+        The entry in the store stays until then; a new lifetime with another id replaces it.
+        """
+        with self.changed:
+            if server.has_crashed.is_set():
+                return  # under another request at the same time
+            server.has_crashed.set()
+            self.crashes.append({"at": time.monotonic(), "id": self.name, **(request or {})})
+        server.close_connections()
+        threading.Thread(target=self.start_again, args=(server,), daemon=True).start()
+
+    def start_again(self, server):
+        server.shutdown()
+        server.server_close()
+        # Bound at once, so that no other process is given the port; connections are refused.
+        out = Server(server.server_address, WorkerHandler, bind_and_activate=False)
+        out.server_bind()
+        time.sleep(CRASH_DURATION_S)
+        with self.changed:
+            old_name = self.name
+            self.lifetime += 1
+            if self.new_id_after_crash:
+                self.name = f"{self.name.split('.')[0]}.{self.lifetime}"
+            out.state = self
+            self.server = out
+            out.server_activate()
+            threading.Thread(target=out.serve_forever, args=(POLL_S,), daemon=True).start()
+            entry = json.loads(base64.b64decode(self.store.items["servers/" + old_name]["value"]))
+            entry |= {"sequence": 1, "born": int(time.time() * 1000)}
+            if self.name != old_name:
+                self.store.remove("servers/" + old_name)
+            self.store.put("servers/" + self.name, json.dumps(entry).encode())
+            self.changed.notify_all()
+
 
 class WorkerHandler(Handler):
     def serve(self):
@@ -230,8 +280,18 @@
             return self.respond(421, b"", common + [("X-Instance-Id", worker.name)])
         if worker.mode == "full":
             return self.respond(503, b"", common + [("X-Not-Executed", "1")])
+        if self.server.has_crashed.is_set():
+            self.close_connection = True
+            return None
+        text = body.decode("latin-1")
         worker.executed.append({"path": self.path, "headers": dict(self.headers.items()),
-                            "body": body.decode("latin-1")})
+                                "body": text, "at": time.monotonic(), "endpoint": worker.name})
+        request = [self.path, self.headers.get("X-Tenant-Id", ""), text]
+        if request in worker.crashing:
+            return self.crash(worker, request, common)
+        if self.server.has_crashed.wait(worker.run_s):
+            self.close_connection = True
+            return None
         if worker.mode == "reset":
             self.close_connection = True
             return None
@@ -250,6 +310,16 @@
             return self.respond(200, b"whole response", common)
         return self.stream(worker, common)
 
+    def crash(self, worker, request, headers):
+        self.close_connection = True
+        if worker.events_before_crash and "X-Token-Usage" in self.headers:
+            self.start_stream(headers + [("X-Server-Signature", "sig")])
+            first = int(self.headers.get("Last-Event-Id", 0)) + 1
+            for n in range(first, first + worker.events_before_crash):
+                self.send_event(n)
+        if not self.server.has_crashed.wait(CRASH_DELAY_S):
+            worker.crash(self.server, dict(zip(("path", "organisation", "body"), request)))
+
     def send_raw(self, worker, attempt):
         self.close_connection = True
         data = worker.raw.replace("{attempt}", attempt).encode()
@@ -277,21 +347,27 @@
         except OSError:
             pass  # reset
 
-    def stream(self, worker, headers):
+    def start_stream(self, headers):
         self.send_response(200)
         for name, value in headers + [("Content-Type", "text/event-stream"),
                                       ("Transfer-Encoding", "chunked")]:
             self.send_header(name, value)
         self.end_headers()
+
+    def send_event(self, number):
+        event = f"id: {number}\ndata: token {number}\n\n".encode()
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+        self.wfile.flush()
+
+    def stream(self, worker, headers):
+        self.start_stream(headers)
         first = int(self.headers.get("Last-Event-Id", 0)) + 1
         for n in range(first, worker.events + 1):
             if worker.mode == "breaks" and n == 3:
                 self.wfile.write(b"9\r\nid: 3\ndat\r\n")
                 self.close_connection = True
                 return
-            event = f"id: {n}\ndata: token {n}\n\n".encode()
-            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            self.wfile.flush()
+            self.send_event(n)
             if n == worker.hold_after:
                 with worker.changed:
                     worker.changed.wait_for(lambda: worker.hold_after == 0, timeout=MAX_WAIT_S)
@@ -327,10 +403,14 @@
                 store.oldest_revision = store.revision
             if "worker" in command:
                 vars(platform["workers"][command["worker"]]).update(command["set"])
+            for name in command.get("crash", ()):
+                worker = platform["workers"][name]
+                worker.crash(worker.server)
             store.changed.notify_all()
             out = {"executed": {k: it.executed for k, it in platform["workers"].items()},
                    "endless": {k: [it.endless_bytes, it.endless_closed]
                                for k, it in platform["workers"].items()},
+                   "crashes": [it for w in platform["workers"].values() for it in w.crashes],
                    "calls": store.calls,
                    "items": {k: base64.b64decode(it["value"]).decode()
                              for k, it in store.items.items()}}
@@ -339,6 +419,35 @@
 
 class Server(ThreadingHTTPServer):
     daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, *arguments, **named):
+        self.has_crashed = threading.Event()
+        self.connections = set()
+        super().__init__(*arguments, **named)
+
+    def get_request(self):
+        connection, address = super().get_request()
+        self.connections.add(connection)
+        if self.has_crashed.is_set():
+            connection.shutdown(socket.SHUT_RD)
+        return connection, address
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        if not self.has_crashed.is_set():
+            return super().shutdown_request(request)
+        request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        return self.close_request(request)  # a reset, without an orderly close before it
+
+    def close_connections(self):
+        """Refuses new connections at once; ends the reads of all others, which are reset then."""
+        self.socket.shutdown(socket.SHUT_RDWR)
+        for it in list(self.connections):
+            try:
+                it.shutdown(socket.SHUT_RD)
+            except OSError:
+                pass  # has ended by itself
 
     def handle_error(self, request, client_address):
         """A client that closes its connection is no error; anything else is printed."""
@@ -351,7 +460,7 @@
 def start_server(handler, state):
     server = Server(("127.0.0.1", 0), handler)
     server.state = state
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    threading.Thread(target=server.serve_forever, args=(POLL_S,), daemon=True).start()
     return server, "127.0.0.1:%d" % server.server_address[1]
 
 
@@ -360,7 +469,10 @@
     store = Store()
     workers = {it: Worker(it, store.changed) for it in names}
     _, store_address = start_server(StoreHandler, store)
-    addresses = {it: start_server(WorkerHandler, workers[it])[1] for it in names}
+    addresses = {}
+    for name, worker in workers.items():
+        worker.server, addresses[name] = start_server(WorkerHandler, worker)
+        worker.store = store
     platform = {"store": store, "workers": workers}
     _, control = start_server(ControlHandler, platform)
     print(json.dumps({"store": store_address, "workers": addresses, "control": control}),
