BUDGET: a request that crashes endpoints is blocked at all instances

Cause: nothing in the gateway remembered under which request an endpoint had ended. No instance sees more than its own runs, and callers repeat the request at any instance, with a new id each time.

Change: each instance reports an interrupted run, by the fingerprint of organisation, host, path and body, to eight keepers of that fingerprint. CrashEvidence tells the request at fault from those beside it by two facts: it never completes, so a completed run clears it, here or at another instance; and it ends endpoints one after the other, so a run counts only if it was sent after the interruption before it, and the loss of a rack counts once. After three in a row the keeper blocks the request for ten minutes and writes that to the key-value service, under the prefix of the instances, which every instance watches anyway: all learn it with one event, and one that starts later reads it before it is ready. A record that is lost (leases that run out in an outage, an older copy of the store) is written again by a keeper; an instance that has seen a run complete since the first interruption takes the block back. A blocked request gets 503 at once, with the rest of the block as Retry-After: it did not run, and 4xx would state that the request is wrong. After two interruptions in a row it is not sent again for the same caller either. A router's fingerprint includes the query now.

--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "gentianloom/gateway/BudgetExchange.h"
 #include "gentianloom/gateway/BudgetKeepers.h"
 #include "gentianloom/gateway/CallerServer.h"
+#include "gentianloom/gateway/CrashReportExchange.h"
 #include "gentianloom/gateway/GatewaySettings.h"
 #include "gentianloom/gateway/InstanceRegistration.h"
 #include "gentianloom/gateway/PeerLoadExchange.h"
@@ -89,6 +90,7 @@
   RelayContext mRelay;
   PeerLoadExchange mPeerLoadExchange;
   StreamOriginExchange mStreamOrigins;
+  CrashReportExchange mCrashReports;
   CallerServer mCallerServer;
   PrefixWatcher mConfigurationWatcher;
   PrefixWatcher mEndpointWatcher;
--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -25,11 +25,13 @@
   ReservationQuery = 4,
   ReservationAnswer = 5,
   ReservationSettlement = 6,
-  ReservationSettled = 7
+  ReservationSettled = 7,
+  CrashReport = 8,
+  CrashCleared = 9
 };
 
 /// Number of kinds of datagrams.
-inline constexpr std::size_t kPeerMessageKinds = 8;
+inline constexpr std::size_t kPeerMessageKinds = 10;
 
 /// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none.
 PeerMessageKind PeerMessageKindOf(std::string_view aBytes);
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -6,6 +6,7 @@
 #include "gentianloom/outcome/RetryPolicy.h"
 #include "gentianloom/relay/ConnectionPool.h"
 #include "gentianloom/relay/RequestCodec.h"
+#include "gentianloom/relay/RequestGuard.h"
 #include "gentianloom/relay/StreamOrigins.h"
 #include "gentianloom/relay/TokenReservations.h"
 #include "gentianloom/routing/EndpointRegistry.h"
@@ -35,6 +36,7 @@
   RetryBudget mRetryBudget;
   SoftwareVersionHistory mVersionHistory{};
   StreamOrigins* mStreamOrigins = nullptr; ///< null: no origin is known
+  RequestGuard* mGuard = nullptr;          ///< null: no request is blocked
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -49,7 +49,10 @@
   void ReportFailedAttempts(); ///< aborts a started stream, otherwise sends an error response
   void SendError(int aStatus, const Error& aError);
   void SettleTokens();
-  std::string Fingerprint() const; ///< the same for all repetitions of the request
+  /// Responds to a request that crashes endpoints. @return whether it is blocked
+  bool RejectIfBlocked();
+  /// Tells the guard how the last attempt ended.
+  void ReportToGuard();
   void Log() const;
   Micros TimeLeft() const { return mDeadline - mContext.mClock.Now(); }
 
@@ -65,6 +68,7 @@
   RouteTable::Ptr mRoutes; ///< configuration at admission, used until the request ends
   const Route* mRoute = nullptr;
   const OrganisationAccount* mAccount = nullptr; ///< null for an anonymous request
+  std::string mFingerprint;                      ///< the same for all repetitions of the request
   std::string mService;
   TokenReservation mReservation;
   bool mRequestMayHaveRun = false; ///< at least one attempt may have run the request
--- a/include/gentianloom/relay/RequestFingerprint.h
+++ b/include/gentianloom/relay/RequestFingerprint.h
@@ -7,12 +7,12 @@
 namespace gentianloom {
 
 /**
- * @brief Hashes what a request and its repetitions have in common, for the log.
+ * @brief Hashes what a request and its repetitions have in common.
  *
  * The request id is not included, because each repetition of a caller has a new one. An absent body
  * counts as an empty one.
  * @param aOrganisation name; empty for an anonymous caller
- * @param aPath without the query string
+ * @param aPath host and path, with the query
  * @return 16 hexadecimal digits, the same on every instance
  * @par Complexity linear in the path and the body
  */
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -118,6 +118,14 @@
       [this] { return mInstances.PeerAddresses(mSelf.mName); },
       aClock,
       mMetrics)
+  , mCrashReports(
+      aLoop,
+      mPeerSocket,
+      mSettings.mPeerAddress,
+      [this] { return mInstances.PeerAddresses(mSelf.mName); },
+      aStore,
+      aClock,
+      mMetrics)
   , mCallerServer(mRelay)
   , mConfigurationWatcher(aLoop,
                           aStore,
@@ -152,6 +160,7 @@
                 mMetrics)
 {
   mRelay.mStreamOrigins = &mStreamOrigins;
+  mRelay.mGuard = &mCrashReports;
 }
 
 GrantDependencies Gateway::MakeRightsLinks()
@@ -249,7 +258,12 @@
   PrefixWatchHandlers out;
   out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability aAvailability) {
     std::vector<InstanceRecord> records;
+    std::vector<KeyValue> blockedRequests;
     for (const auto& it : aEntries) {
+      if (it.mKey.starts_with(kBlockedRequestPrefix)) {
+        blockedRequests.push_back(it);
+        continue;
+      }
       auto record = ParseInstanceRecord(it.mValue);
       if (record) {
         records.push_back(std::move(record.value()));
@@ -257,9 +271,15 @@
     }
     const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
     mInstances.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
+    mCrashReports.OnRecords(blockedRequests);
   };
   out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
     for (const auto& it : aEvents) {
+      if (it.mEntry.mKey.starts_with(kBlockedRequestPrefix)) {
+        it.mIsDeleted ? mCrashReports.OnRecordDeleted(it.mEntry.mKey)
+                      : mCrashReports.OnRecord(it.mEntry);
+        continue;
+      }
       if (!it.mIsDeleted) {
         UpdateInstance(it.mEntry);
         continue;
@@ -286,6 +306,7 @@
     mPeerLoadExchange.Start();
     mStreamOrigins.Start();
     mBudgetExchange.Start();
+    mCrashReports.Start();
     mRelay.mOnPendingTokensChanged = [this] { mPeerLoadExchange.NotifyChange(); };
   }
   mConfigurationWatcher.Start();
@@ -419,7 +440,9 @@
 
 bool Gateway::IsReady() const
 {
-  return mRelay.mRoutes != nullptr && mEndpointWatcher.HasSynced() && !mSelf.mIsLeaving;
+  // The records of the instances hold the blocked requests as well.
+  return mRelay.mRoutes != nullptr && mEndpointWatcher.HasSynced() &&
+         mInstanceWatcher.HasSynced() && !mSelf.mIsLeaving;
 }
 
 net::ServiceReply Gateway::HandleReadinessCheck() const
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -162,7 +162,9 @@
     }
   }
   mService = RouteTable::ChooseService(*mRoute, StableHash(mRequest.mId));
-  return true;
+  const auto organisation = mAccount == nullptr ? std::string_view() : mAccount->mName;
+  mFingerprint = MakeRequestFingerprint(organisation, mRequest.mHost + mHead.mTarget, mBody);
+  return !RejectIfBlocked();
 }
 
 StreamKey RequestExchange::Stream() const
@@ -302,7 +304,8 @@
   const bool isResumable = mRoute->mIsResumable && mProgress.mLastEventId;
   const bool isRetrySafe =
     aResult.mRequestDidNotRun || (isRepeatable && (!isResponseStarted || isResumable));
-  if (!isRetrySafe || mWriter.IsCallerDisconnected() ||
+  const bool isSuspect = mContext.mGuard != nullptr && !mContext.mGuard->MayRetry(mFingerprint);
+  if (!isRetrySafe || isSuspect || mWriter.IsCallerDisconnected() ||
       aResult.mOutcome == AttemptOutcome::TimedOut ||
       aResult.mOutcome == AttemptOutcome::CallerDisconnected || TimeLeft() <= Micros(0)) {
     return false;
@@ -325,6 +328,9 @@
       mFailureReason = "the caller disconnected";
       co_return;
     }
+    if (!mRequestMayHaveRun && RejectIfBlocked()) {
+      co_return; // it was blocked while it waited
+    }
     mPlacement = ChooseEndpoint();
     if (!mPlacement.mEndpoint) {
       mFailureReason = "no endpoint of " + mService +
@@ -336,6 +342,7 @@
       EndpointAttempt attempt(mContext, request, mPlacement, mWriter, mProgress, mSignal);
       mLastAttempt = co_await attempt.Run();
     }
+    ReportToGuard();
     mTriedEndpoints.push_back(mPlacement.mEndpoint->mEntry.mId);
     mRequestMayHaveRun = mRequestMayHaveRun || !mLastAttempt.mRequestDidNotRun;
     if (mLastAttempt.mOutcome == AttemptOutcome::Done ||
@@ -349,7 +356,7 @@
       "relay",
       "attempt failed",
       { { "request", mRequest.mId },
-        { "fingerprint", Fingerprint() },
+        { "fingerprint", mFingerprint },
         { "organisation", request.mOrganisation },
         { "endpoint", mTriedEndpoints.back() },
         { "address", mPlacement.mEndpoint->mEntry.mAddress },
@@ -404,10 +411,37 @@
                        "{\"error\":\"" + std::string(ToString(aError.mCode)) + "\"}");
 }
 
-std::string RequestExchange::Fingerprint() const
+bool RequestExchange::RejectIfBlocked()
 {
-  const auto organisation = mAccount == nullptr ? std::string_view() : mAccount->mName;
-  return MakeRequestFingerprint(organisation, mRequest.mPath, mBody);
+  if (mContext.mGuard == nullptr) {
+    return false;
+  }
+  const auto blockedFor = mContext.mGuard->BlockedFor(mFingerprint);
+  if (!blockedFor) {
+    return false;
+  }
+  auto error = MakeError(ErrorCode::RequestCrashesEndpoints,
+                         Step::RequestPlace,
+                         mService,
+                         "endpoints ended under this request one after the other; it did not run");
+  error.mRetryAfter = *blockedFor;
+  SendError(kUnavailable, error);
+  return true;
+}
+
+void RequestExchange::ReportToGuard()
+{
+  const auto& end = mLastAttempt.mResponseEnd;
+  if (mContext.mGuard == nullptr || !end.mAfterSending) {
+    return;
+  }
+  const auto sentAt = mContext.mClock.Now() - *end.mAfterSending;
+  if (mLastAttempt.mOutcome == AttemptOutcome::Done) {
+    mContext.mGuard->OnCompleted(mFingerprint, sentAt);
+  } else if (mLastAttempt.mOutcome == AttemptOutcome::Interrupted &&
+             end.mConnection != net::ChannelState::Open) {
+    mContext.mGuard->OnInterrupted(mFingerprint, sentAt);
+  }
 }
 
 void RequestExchange::SettleTokens()
@@ -453,7 +487,7 @@
       { "route", route },
       { "service", mService },
       { "organisation", mAccount == nullptr ? "" : mAccount->mName },
-      { "fingerprint", Fingerprint() },
+      { "fingerprint", mFingerprint },
       { "configuration", mRoutes ? ToText(mRoutes->Version()) : "none" },
       { "endpoint", endpoint ? endpoint->mEntry.mId : "" },
       { "software_version", endpoint ? endpoint->mEntry.mSoftwareVersion : "" },
--- /dev/null
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -0,0 +1,233 @@
+#include "gentianloom/gateway/CrashReportExchange.h"
+
+#include "gentianloom/base/Ids.h"
+#include "gentianloom/gateway/Keepers.h"
+
+#include "support/MemoryAsyncStore.h"
+#include "support/RunLoop.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace gentianloom {
+
+class CrashReportExchangeTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CrashReportExchangeTest);
+  CPPUNIT_TEST(TestInterruptionsAtManyInstances);
+  CPPUNIT_TEST(TestCompletionTakesBlockBack);
+  CPPUNIT_TEST(TestRecordIsWrittenAgain);
+  CPPUNIT_TEST(TestBlockEnds);
+  CPPUNIT_TEST(TestMessages);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr int kInstances = 30; // more than there are keepers
+  const std::string mFingerprint = "0123456789abcdef";
+
+  /// An instance with its own socket on the loopback interface.
+  struct Instance
+  {
+    explicit Instance(CrashReportExchangeTest& aTest)
+      : mSocket(aTest.mLoop, mMetrics)
+      , mAddress("127.0.0.1:" + std::to_string(FreePort(aTest.mLoop)))
+      , mExchange(
+          aTest.mLoop,
+          mSocket,
+          mAddress,
+          [this, &aTest] {
+            auto out = aTest.mAddresses;
+            std::erase(out, mAddress);
+            return out;
+          },
+          aTest.mStore,
+          aTest.mClock,
+          mMetrics)
+    {
+      CPPUNIT_ASSERT(mSocket.Start(mAddress));
+      mExchange.Start();
+      aTest.mAddresses.push_back(mAddress);
+    }
+
+    static std::uint16_t FreePort(net::Loop& aLoop)
+    {
+      boost::asio::ip::udp::socket it(aLoop, { boost::asio::ip::address_v4::loopback(), 0 });
+      return it.local_endpoint().port();
+    }
+
+    Metrics mMetrics;
+    PeerSocket mSocket;
+    std::string mAddress;
+    CrashReportExchange mExchange;
+  };
+
+  net::Loop mLoop{ 1 };
+  ManualClock mClock;
+  MemoryAsyncStore mStore;
+  std::vector<std::string> mAddresses;
+  std::vector<std::unique_ptr<Instance>> mInstances;
+
+  template<typename Condition>
+  void Run(Condition aCondition)
+  {
+    CPPUNIT_ASSERT(testing::RunUntil(mLoop, aCondition));
+  }
+
+  /// Lets the loop handle what has arrived.
+  void RunBriefly()
+  {
+    mLoop.restart();
+    mLoop.run_for(Millis(120));
+  }
+
+  const KeyValue* Record() const
+  {
+    const auto it = mStore.mItems.find(std::string(kBlockedRequestPrefix) + mFingerprint);
+    return it == mStore.mItems.end() ? nullptr : &it->second;
+  }
+
+  /// Interrupts three runs in a row, each at another instance, none of which is a keeper.
+  void InterruptThreeRuns()
+  {
+    const auto keepers = ChooseKeepersOfFingerprint();
+    int interruptions = 0;
+    for (const auto& it : mInstances) {
+      const bool isKeeper =
+        std::find(keepers.begin(), keepers.end(), it->mAddress) != keepers.end();
+      if (isKeeper || interruptions == CrashEvidence::kInterruptionsToBlock) {
+        continue;
+      }
+      const auto sentAt = mClock.Now();
+      mClock.Advance(Millis(80));
+      it->mExchange.OnInterrupted(mFingerprint, sentAt);
+      ++interruptions;
+      RunBriefly();
+      mClock.Advance(Millis(100));
+    }
+  }
+
+  std::vector<std::string> ChooseKeepersOfFingerprint() const
+  {
+    return ChooseKeepers(StableHash(mFingerprint), mAddresses, CrashReportExchange::kKeepers);
+  }
+
+  /// Gives the record to all instances, as their watches do.
+  void DistributeRecord()
+  {
+    const auto record = *Record();
+    for (const auto& it : mInstances) {
+      it->mExchange.OnRecord(record);
+    }
+  }
+
+  long CountBlocking() const
+  {
+    return std::count_if(mInstances.begin(), mInstances.end(), [this](const auto& it) {
+      return it->mExchange.BlockedFor(mFingerprint).has_value();
+    });
+  }
+
+public:
+  void setUp() override
+  {
+    mClock.Advance(std::chrono::hours(1));
+    for (int n = 0; n < kInstances; ++n) {
+      mInstances.push_back(std::make_unique<Instance>(*this));
+    }
+  }
+
+  // Each instance saw one interruption only, so that none of them stopped the request.
+  void TestInterruptionsAtManyInstances()
+  {
+    InterruptThreeRuns();
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return Record() != nullptr;
+    });
+    CPPUNIT_ASSERT_EQUAL(static_cast<long>(CrashReportExchange::kKeepers), CountBlocking());
+    DistributeRecord();
+    CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
+    CPPUNIT_ASSERT(!mInstances.front()->mExchange.BlockedFor("another"));
+    constexpr int kMaxCommits = 3; // two instances may write before they see each other's record
+    CPPUNIT_ASSERT_LESSEQUAL(kMaxCommits, mStore.mCommitCalls);
+  }
+
+  // A request that completes must not stay blocked, whatever ended beside it.
+  void TestCompletionTakesBlockBack()
+  {
+    auto& witness = mInstances.back()->mExchange;
+    const auto begin = mClock.Now();
+    InterruptThreeRuns();
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return Record() != nullptr;
+    });
+    witness.OnCompleted(mFingerprint, begin + Millis(300));
+    DistributeRecord();
+    CPPUNIT_ASSERT(!witness.BlockedFor(mFingerprint));
+    Run([this] {
+      mClock.Advance(Millis(10));
+      const auto record = ParseBlockedRequestRecord(Record()->mValue);
+      return !record.value().mIsBlocked;
+    });
+    DistributeRecord();
+    CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
+  }
+
+  // The store lost the record in an outage: an instance that starts after it must learn the block.
+  void TestRecordIsWrittenAgain()
+  {
+    InterruptThreeRuns();
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return Record() != nullptr;
+    });
+    DistributeRecord();
+    mStore.Remove(Record()->mKey);
+    for (const auto& it : mInstances) {
+      it->mExchange.OnRecords({});
+    }
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return Record() != nullptr;
+    });
+    CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
+  }
+
+  // A request whose endpoints were mended is tried again, and blocked by one more interruption.
+  void TestBlockEnds()
+  {
+    InterruptThreeRuns();
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return Record() != nullptr;
+    });
+    DistributeRecord();
+    mClock.Advance(CrashReportExchange::kBlockTime);
+    CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
+    const auto sentAt = mClock.Now();
+    mClock.Advance(Millis(80));
+    mInstances.front()->mExchange.OnInterrupted(mFingerprint, sentAt);
+    CPPUNIT_ASSERT(mInstances.front()->mExchange.BlockedFor(mFingerprint));
+  }
+
+  // A datagram that is cut or was not sent by an instance must not be taken for a report.
+  void TestMessages()
+  {
+    const CrashMessage message{ PeerMessageKind::CrashReport, mFingerprint, Millis(80), Millis(0) };
+    const auto bytes = EncodeCrashMessage(message);
+    const auto decoded = DecodeCrashMessage(bytes);
+    CPPUNIT_ASSERT(decoded);
+    CPPUNIT_ASSERT_EQUAL(mFingerprint, decoded.value().mFingerprint);
+    CPPUNIT_ASSERT(decoded.value().mSentAgo == Millis(80));
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+      CPPUNIT_ASSERT(!DecodeCrashMessage(std::string_view(bytes).substr(0, n)));
+    }
+    CPPUNIT_ASSERT(!ParseBlockedRequestRecord("{}"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashReportExchangeTest);
+
+} // namespace gentianloom
