--- a/include/gentianloom/gateway/CrashReportExchange.h
+++ b/include/gentianloom/gateway/CrashReportExchange.h
@@ -54,10 +54,11 @@
  * @brief Blocks requests that crash the endpoints which run them, at all instances.
  *
  * Callers repeat such a request at any instance, and no instance sees more than its own runs. Each
- * reports the interruptions that it sees to the keepers of the request's fingerprint, by datagram.
- * A keeper that finds the evidence sufficient blocks the request and writes that to the key-value
- * service, from which all instances learn it, also those that start later. An instance that has
- * seen a run complete since the first interruption takes the block back.
+ * reports the interruptions that it sees, unless the endpoint still accepts connections, to the
+ * keepers of the request's fingerprint, by datagram. A keeper that finds the evidence sufficient
+ * blocks the request and writes that to the key-value service, from which all instances learn it,
+ * also those that start later. An instance that has seen a run complete since the first
+ * interruption takes the block back.
  */
 class CrashReportExchange final : public RequestGuard
 {
@@ -67,6 +68,9 @@
   /// How long a request is blocked. After that one more interruption blocks it again.
   static constexpr Millis kBlockTime{ 600'000 };
 
+  /// Returns whether an endpoint accepts connections, after a bounded time.
+  using Probe = std::function<net::Task<bool>(std::string aAddress)>;
+
   /**
    * @param aSelf address of this instance, the same that its peers know
    * @param aPeers returns the addresses of the other instances
@@ -75,6 +79,7 @@
                       PeerSocket& aSocket,
                       std::string aSelf,
                       std::function<std::vector<std::string>()> aPeers,
+                      Probe aProbe,
                       AsyncStore& aStore,
                       const Clock& aClock,
                       Metrics& aMetrics);
@@ -84,7 +89,9 @@
 
   std::optional<Millis> BlockedFor(const std::string& aFingerprint) const override;
   bool MayRetry(const std::string& aFingerprint) const override;
-  void OnInterrupted(const std::string& aFingerprint, TimePoint aSentAt) override;
+  void OnInterrupted(const std::string& aFingerprint,
+                     TimePoint aSentAt,
+                     const std::string& aAddress) override;
   void OnCompleted(const std::string& aFingerprint, TimePoint aSentAt) override;
 
   /// @brief Takes over the stored record of a request.
@@ -106,6 +113,15 @@
     Revision mRevision = 0;
   };
 
+  /// A run that was interrupted at an endpoint of which it is not known yet whether it has ended.
+  struct UnprovedInterruption
+  {
+    std::string mFingerprint;
+    TimePoint mSentAt{};
+    TimePoint mEndedAt{};
+  };
+
+  net::Task<void> ProbeEndpoint(std::string aAddress);
   std::vector<std::string> KeepersOf(const std::string& aFingerprint) const;
   void SendToKeepers(const CrashMessage& aMessage);
   void OnDatagram(std::string_view aBytes);
@@ -122,12 +138,14 @@
   PeerSocket& mSocket;
   std::string mSelf;
   std::function<std::vector<std::string>()> mPeers;
+  Probe mProbe;
   AsyncStore& mStore;
   const Clock& mClock;
   Metrics& mMetrics;
   CrashEvidence mEvidence;
-  std::map<std::string, Block> mBlocks; ///< by fingerprint
-  TimePoint mReportWindowAt{};          ///< start of the current second of reports
+  std::map<std::string, std::vector<UnprovedInterruption>> mUnproved; ///< by endpoint address
+  std::map<std::string, Block> mBlocks;                               ///< by fingerprint
+  TimePoint mReportWindowAt{}; ///< start of the current second of reports
   int mReportsInWindow = 0;
 };
 
--- a/include/gentianloom/relay/RequestGuard.h
+++ b/include/gentianloom/relay/RequestGuard.h
@@ -27,7 +27,10 @@
 
   /// @brief Notes that the connection to an endpoint ended while a request ran there.
   /// @param aSentAt when the request was sent to the endpoint
-  virtual void OnInterrupted(const std::string& aFingerprint, TimePoint aSentAt) = 0;
+  /// @param aAddress of the endpoint
+  virtual void OnInterrupted(const std::string& aFingerprint,
+                             TimePoint aSentAt,
+                             const std::string& aAddress) = 0;
 
   /// @brief Notes that an endpoint completed its response to a request.
   virtual void OnCompleted(const std::string& aFingerprint, TimePoint aSentAt) = 0;
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -96,6 +96,7 @@
                                          PeerSocket& aSocket,
                                          std::string aSelf,
                                          std::function<std::vector<std::string>()> aPeers,
+                                         Probe aProbe,
                                          AsyncStore& aStore,
                                          const Clock& aClock,
                                          Metrics& aMetrics)
@@ -103,6 +104,7 @@
   , mSocket(aSocket)
   , mSelf(std::move(aSelf))
   , mPeers(std::move(aPeers))
+  , mProbe(std::move(aProbe))
   , mStore(aStore)
   , mClock(aClock)
   , mMetrics(aMetrics)
@@ -135,11 +137,34 @@
          (!suspect || suspect->mInterruptions < kInterruptionsWithoutRetry);
 }
 
-void CrashReportExchange::OnInterrupted(const std::string& aFingerprint, TimePoint aSentAt)
+void CrashReportExchange::OnInterrupted(const std::string& aFingerprint,
+                                        TimePoint aSentAt,
+                                        const std::string& aAddress)
 {
+  auto& unproved = mUnproved[aAddress];
+  unproved.push_back({ aFingerprint, aSentAt, mClock.Now() });
+  const bool isFirst = unproved.size() == 1;
+  if (isFirst) {
+    net::Start(mLoop, "endpoint probe", ProbeEndpoint(aAddress));
+  }
+}
+
+net::Task<void> CrashReportExchange::ProbeEndpoint(std::string aAddress)
+{
+  const bool isAlive = co_await mProbe(aAddress);
+  const auto unproved = std::exchange(mUnproved[aAddress], {});
+  mUnproved.erase(aAddress);
+  if (isAlive) {
+    co_return; // it reset the connections of these requests, but did not end under them
+  }
   const auto now = mClock.Now();
-  SendToKeepers({ PeerMessageKind::CrashReport, aFingerprint, Age(aSentAt, now), Millis(0) });
-  AddInterruption(aFingerprint, aSentAt, now);
+  for (const auto& it : unproved) {
+    SendToKeepers({ PeerMessageKind::CrashReport,
+                    it.mFingerprint,
+                    Age(it.mSentAt, now),
+                    Age(it.mEndedAt, now) });
+    AddInterruption(it.mFingerprint, it.mSentAt, it.mEndedAt);
+  }
 }
 
 void CrashReportExchange::OnCompleted(const std::string& aFingerprint, TimePoint aSentAt)
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/Log.h"
+#include "gentianloom/net/ConnectionProbe.h"
 #include "gentianloom/net/HttpClient.h"
 #include "gentianloom/net/HttpService.h"
 
@@ -28,6 +29,8 @@
 constexpr PrefixWatchTiming kInstanceWatch{ Millis(8'000), Millis(500) };
 /// Time after the start of a process until which the instances that started together are listed.
 constexpr Millis kInstancesListedAfter{ 1'500 };
+/// An endpoint that does not accept a connection within this time counts as ended.
+constexpr Millis kProbeTimeout{ 300 };
 /// Interval at which idle connections and expired endpoint entries are removed.
 constexpr Millis kHousekeepingInterval{ 250 };
 /// Share of GatewaySettings::mRetryShare that is used; leaves a margin for changes of the fleet
@@ -123,6 +126,9 @@
       mPeerSocket,
       mSettings.mPeerAddress,
       [this] { return mInstances.PeerAddresses(mSelf.mName); },
+      [this](std::string aAddress) {
+        return net::AcceptsConnections(mLoop, std::move(aAddress), kProbeTimeout);
+      },
       aStore,
       aClock,
       mMetrics)
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -440,7 +440,7 @@
     mContext.mGuard->OnCompleted(mFingerprint, sentAt);
   } else if (mLastAttempt.mOutcome == AttemptOutcome::Interrupted &&
              end.mConnection != net::ChannelState::Open) {
-    mContext.mGuard->OnInterrupted(mFingerprint, sentAt);
+    mContext.mGuard->OnInterrupted(mFingerprint, sentAt, mPlacement.mEndpoint->mEntry.mAddress);
   }
 }
 
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -17,6 +17,7 @@
 {
   CPPUNIT_TEST_SUITE(CrashReportExchangeTest);
   CPPUNIT_TEST(TestInterruptionsAtManyInstances);
+  CPPUNIT_TEST(TestEndpointsThatOnlyReset);
   CPPUNIT_TEST(TestCompletionTakesBlockBack);
   CPPUNIT_TEST(TestRecordIsWrittenAgain);
   CPPUNIT_TEST(TestBlockEnds);
@@ -41,6 +42,7 @@
             std::erase(out, mAddress);
             return out;
           },
+          [&aTest](std::string) { return aTest.Probe(); },
           aTest.mStore,
           aTest.mClock,
           mMetrics)
@@ -62,6 +64,9 @@
     CrashReportExchange mExchange;
   };
 
+  net::Task<bool> Probe() { co_return mEndpointsAcceptConnections; }
+
+  bool mEndpointsAcceptConnections = false;
   net::Loop mLoop{ 1 };
   ManualClock mClock;
   MemoryAsyncStore mStore;
@@ -100,7 +105,7 @@
       }
       const auto sentAt = mClock.Now();
       mClock.Advance(Millis(80));
-      it->mExchange.OnInterrupted(mFingerprint, sentAt);
+      it->mExchange.OnInterrupted(mFingerprint, sentAt, "127.0.0.1:1");
       ++interruptions;
       RunBriefly();
       mClock.Advance(Millis(100));
@@ -153,6 +158,15 @@
     CPPUNIT_ASSERT_LESSEQUAL(kMaxCommits, mStore.mCommitCalls);
   }
 
+  // Endpoints that reset connections and live on were taken for crashed, and requests were blocked.
+  void TestEndpointsThatOnlyReset()
+  {
+    mEndpointsAcceptConnections = true;
+    InterruptThreeRuns();
+    CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
+    CPPUNIT_ASSERT(Record() == nullptr);
+  }
+
   // A request that completes must not stay blocked, whatever ended beside it.
   void TestCompletionTakesBlockBack()
   {
@@ -208,7 +222,8 @@
     CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
     const auto sentAt = mClock.Now();
     mClock.Advance(Millis(80));
-    mInstances.front()->mExchange.OnInterrupted(mFingerprint, sentAt);
+    mInstances.front()->mExchange.OnInterrupted(mFingerprint, sentAt, "127.0.0.1:1");
+    RunBriefly();
     CPPUNIT_ASSERT(mInstances.front()->mExchange.BlockedFor(mFingerprint));
   }
 
--- a/tests/platform/crashing_request_test.py
+++ b/tests/platform/crashing_request_test.py
@@ -258,6 +258,29 @@
         fleet.close()
 
 
+RESET_ROWS = [("idempotent", "/read/reset"), ("at most once", "/send/reset"),
+              ("resumable stream", "/resume/reset")]
+RESET_S = 2
+
+
+def play_resets(name, path, checks):
+    """Endpoints reset all connections with requests for some time, but do not end."""
+    fleet = Fleet()
+    try:
+        fleet.platform.configure_workers(mode="reset")
+        fleet.keep_sending("reset", path, "k1", b"")
+        time.sleep(RESET_S)
+        fleet.platform.configure_workers(mode="good")
+        time.sleep(MARGIN_S)
+        end = time.monotonic()
+        time.sleep(PHASE_S)
+        fleet.finish()
+        after = [it for it in fleet.calls if it.sent_at > end]
+        checks.check_served(name, "innocent request, after resets", after, 1)
+    finally:
+        fleet.close()
+
+
 class CrashingRequestTest(unittest.TestCase):
     def run_together(self, plays):
         checks = Checks()
@@ -274,6 +297,10 @@
     def test_innocent_request_is_served_after_losses_of_several_endpoints(self):
         self.run_together([(play_losses, *row) for row in LOSS_ROWS])
 
+    # A guard that takes every reset connection for a crash blocks requests of endpoints that live.
+    def test_request_that_endpoints_reset_is_not_blocked(self):
+        self.run_together([(play_resets, *row) for row in RESET_ROWS])
+
 
 if __name__ == "__main__":
     unittest.main(warnings="ignore")  # the lines of the checks stand alone
