--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -42,7 +42,7 @@
             std::erase(out, mAddress);
             return out;
           },
-          [&aTest](std::string) { return aTest.Probe(); },
+          [&aTest](const std::string&) { return aTest.Probe(); },
           aTest.mStore,
           aTest.mClock,
           mMetrics)
