A gateway is ready once it has read the software versions of endpoints

What callers saw: right after a gateway was ready, streams resumed without a known origin were refused with 503 "the software version that began this stream is not known", though one version serves. Cause: the record of versions is read by a task of its own, and readiness did not wait for it. Test: test_ready_gateway_knows_the_versions (the stand-in delays that read by 0.5 s), failed before.

--- a/include/gentianloom/gateway/SoftwareVersionRecord.h
+++ b/include/gentianloom/gateway/SoftwareVersionRecord.h
@@ -48,6 +48,9 @@
   /// @brief Starts to read and update the record. Call it once.
   void Start();
 
+  /// @brief Whether the record has been read.
+  bool HasRead() const { return mHasRead; }
+
 private:
   net::Task<void> Run();
   /// Reads the record and adds it to the history. @return whether the store responded
@@ -64,6 +67,7 @@
   std::int64_t mEra = 0;  ///< of the store, when the record was last read
   Revision mRevision = 0; ///< of the record when it was last read; 0: there was none
   SoftwareVersions mRecorded;
+  bool mHasRead = false;
 };
 
 } // namespace gentianloom
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -448,7 +448,7 @@
 {
   // The records of the instances hold the blocked requests as well.
   return mRelay.mRoutes != nullptr && mEndpointWatcher.HasSynced() &&
-         mInstanceWatcher.HasSynced() && !mSelf.mIsLeaving;
+         mInstanceWatcher.HasSynced() && mVersionRecord.HasRead() && !mSelf.mIsLeaving;
 }
 
 net::ServiceReply Gateway::HandleReadinessCheck() const
--- a/src/gateway/SoftwareVersionRecord.cpp
+++ b/src/gateway/SoftwareVersionRecord.cpp
@@ -80,6 +80,7 @@
     }
     if (!isRead) {
       isRead = co_await Read();
+      mHasRead = mHasRead || isRead;
     } else if (UpdateSoftwareVersions(mRecorded, mHistory, mClock.Now()) != mRecorded) {
       co_await Update();
     }
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -22,6 +22,7 @@
 # Time between the last byte and a reset, so that the other side reads the bytes first.
 RAW_RESET_DELAY_S = 0.1
 ENDLESS_BLOCK_BYTES = 65536
+SLOW_READ_S = 0.5
 POLL_S = 0.1  # how often a server looks whether it is to shut down
 # From the begin of a run that ends its endpoint until the end, and until the endpoint is back.
 CRASH_DELAY_S = 0.075
@@ -45,6 +46,7 @@
         # response).
         self.mode = "up"
         self.watches = 0
+        self.slow_prefix = None  # reads of this prefix wait for SLOW_READ_S
         self.silent_watches = 0  # watches up to this number never get a response
         self.calls = 0
 
@@ -143,6 +145,8 @@
 
     def route(self, store, method, path, query, body):
         if path == "/kv-range":
+            if query["prefix"] == store.slow_prefix:
+                store.changed.wait_for(lambda: False, timeout=SLOW_READ_S)
             matching = [store.items[k] for k in sorted(store.items) if k.startswith(query["prefix"])
                      and k > query.get("after", "")]
             page = matching[:self.server.page]
@@ -386,6 +390,8 @@
         with store.changed:
             if "store_mode" in command:
                 store.mode = command["store_mode"]
+            if "slow_prefix" in command:
+                store.slow_prefix = command["slow_prefix"]
             if command.get("save_copy"):
                 store.save_copy()
             if command.get("go_back"):
--- a/tests/platform/stream_version_test.py
+++ b/tests/platform/stream_version_test.py
@@ -200,6 +200,16 @@
                     response = gateway.call("/resume/x", f"sole{restarts}{number}", fields)
                     self.assertEqual((200, True), (response.status, response.is_complete))
 
+    def test_ready_gateway_knows_the_versions(self):
+        # A gateway that was ready before it had read them refused all streams of unknown origin.
+        platform = Platform({"w1": "v1", "w2": "v1"})
+        self.addCleanup(platform.close)
+        platform.send_command(slow_prefix="/gentianloom/software-versions")
+        gateway = Environment(platform=platform)
+        self.addCleanup(gateway.close)
+        response = gateway.call("/resume/x", "first", {"Last-Event-Id": "2"})
+        self.assertEqual((200, True), (response.status, response.is_complete))
+
     def test_unknown_stream_is_not_resumed_by_an_outdated_history(self):
         # While the store does not answer, another version may serve that this gateway has not seen.
         platform = Platform({"w1": "v1", "w2": "v1"})
