SHORT: a keeper that has just started holds a reserve of the budgets in use

Cause: until instances that started together are listed, no tokens were held in advance. Now those of budgets for which requests have come are held at once; before any request, nothing is lost by waiting.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -186,13 +186,14 @@
 std::vector<std::string> Gateway::KeptBudgets()
 {
   std::vector<std::string> out;
-  // Before the list of instances is known, each instance would count as the keeper of all budgets.
-  if (!mRelay.mRoutes || !mInstanceWatcher.HasSynced() ||
-      mClock.Now() - mStartedAt < kInstancesListedAfter) {
+  if (!mRelay.mRoutes || !mInstanceWatcher.HasSynced()) {
     return out;
   }
+  // Of instances that start together, each would count as the keeper of all budgets at first.
+  const bool areInstancesListed = mClock.Now() - mStartedAt >= kInstancesListedAfter;
   for (auto& it : mRelay.mRoutes->PrepaidOrganisations()) {
-    if (mBudgetKeepers.IsKeeper(it)) {
+    const bool isInUse = mRights.Holdings().contains(it);
+    if ((areInstancesListed || isInUse) && mBudgetKeepers.IsKeeper(it)) {
       out.push_back(std::move(it));
     }
   }
