BUDGET: what was drawn is not forgotten when a conflict tells of an older copy of the store

Two causes, one fault: the fleet forgot what nobody but the dead instance had in its own record. - The first call that an instance made after the store came back could be a transaction. It conflicted, and the entries of the copy that came with the conflict replaced what the instance knew before it looked at the era. Now they are left alone, and the next round writes back what is known. - An instance that holds nothing did not read the records at all. It reads them now like the others. Evidence: MemoryAsyncStore stated a new era before any response had brought it, which hid the race; it does so with the next response now, and TestStoreComesBackFromCopy fails ("both drew") without the first change.

--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -377,11 +377,23 @@
 }
 
 /// Reads the shards, possibly a stale state, to update the unallocated tokens of budgets for which
-/// this process has nothing to write.
+/// this process has nothing to write. A process that holds nothing reads them as well: after the
+/// service came back from an older copy, it may be the only one that knows what was drawn since.
 net::Task<void> GrantManager::RefreshCache()
 {
   const auto now = mClock.Now();
-  if (now - mRefreshedAt < IdleInterval() || mPacer.IsStoreUnavailable() || !mIsCacheValid) {
+  if (now - mRefreshedAt < IdleInterval()) {
+    co_return;
+  }
+  if (!mIsCacheValid && mLedger.Holdings().empty()) {
+    mRefreshedAt = now;
+    const bool isRead = co_await ReadAll();
+    if (isRead) {
+      OnStoreResult(true, "");
+    }
+    co_return;
+  }
+  if (mPacer.IsStoreUnavailable() || !mIsCacheValid) {
     co_return;
   }
   mRefreshedAt = now;
@@ -469,6 +481,9 @@
     return true;
   }
   mMetrics.CounterOf("gentianloom_budget_conflicts_total").Add();
+  if (mStore.Era() != mEra) {
+    return true; // the entries are of an older copy: what is known here has to be written back
+  }
   OnConflict(aAnswer.mCurrent);
   return false;
 }
--- a/tests/support/MemoryAsyncStore.h
+++ b/tests/support/MemoryAsyncStore.h
@@ -26,7 +26,7 @@
 class MemoryAsyncStore final : public AsyncStore
 {
 public:
-  std::int64_t Era() const override { return mEra; }
+  std::int64_t Era() const override { return mStatedEra; }
 
   net::Task<Result<RangeResponse>> Range(std::string aPrefix) override
   {
@@ -34,6 +34,7 @@
     if (mMode == StoreMode::Down) {
       co_return Failure();
     }
+    mStatedEra = mEra;
     RangeResponse out;
     out.mEra = mEra;
     out.mRevision = mRevision;
@@ -59,6 +60,7 @@
     if (mMode == StoreMode::Down) {
       co_return out;
     }
+    mStatedEra = mEra;
     for (const auto& it : aTransaction.mCompares) {
       const auto found = mItems.find(it.mKey);
       const auto revision = found == mItems.end() ? 0 : found->second.mModRevision;
@@ -89,6 +91,8 @@
     if (mMode == StoreMode::Down) {
       co_return Failure();
     }
+    const bool isNewEra = mStatedEra != mEra;
+    mStatedEra = mEra;
     WatchResponse out;
     out.mIsTooOld = mMode == StoreMode::HistoryCompacted;
     if (out.mIsTooOld) {
@@ -101,7 +105,7 @@
       }
     }
     out.mEra = mEra;
-    if (out.mEvents.empty() && !out.mIsTooOld && mChanged) {
+    if (out.mEvents.empty() && !out.mIsTooOld && !isNewEra && mChanged) {
       co_await mChanged->WaitFor(aWait);
     }
     co_return out;
@@ -147,8 +151,8 @@
   std::map<std::string, KeyValue> mItems;
   std::vector<WatchEvent> mHistory;
   Revision mRevision = 1;
-  std::int64_t mEra = 1;
-  int mRangeCalls = 0; ///< number of calls so far, also of failed ones
+  std::int64_t mEra = 1; ///< known to the client with the next response
+  int mRangeCalls = 0;   ///< number of calls so far, also of failed ones
   int mCommitCalls = 0;
   int mWatchCalls = 0;
 
@@ -161,6 +165,7 @@
   }
 
   std::unique_ptr<net::Signal> mChanged;
+  std::int64_t mStatedEra = 0;
 
   static Error Failure()
   {
