Token counts of requests, loads and datagrams are bounded

Cause: ReserveTokens adds both counts, and neither had an upper bound. Change: the codec takes counts from 0 to 2^40 for the prompt, its parts and the output, else 400; the relay adds them only if both are in that range, whatever the codec. In the same way: loads that an endpoint reports (ignored if out of range), its Keep-Alive (limited), pending tokens of peers (were not bounded), the times in reservation datagrams (2^50 ms overflow a timer's nanoseconds; now 2^32 ms), and floating-point numbers in datagrams.

--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -13,6 +13,10 @@
 
 namespace gentianloom {
 
+/// Largest number of tokens that a request may state for its prompt, for one part of it or for its
+/// output. No model processes as many, and sums of thousands of such counts still fit into Tokens.
+inline constexpr Tokens kMaxTokenCount = Tokens{ 1 } << 40;
+
 /// A caller's request, independent of the wire format.
 struct CallerRequest
 {
@@ -27,6 +31,16 @@
   std::optional<std::int64_t> mResumeAfter; ///< last event received of an interrupted stream
   std::string mResumedRequest; ///< id of the request that brought the first event of the
                                ///< interrupted stream; empty if none was sent
+
+  /// @brief Returns the tokens that the request uses at most, or nothing if a count is not between
+  /// 0 and kMaxTokenCount. A request without counts uses none.
+  std::optional<Tokens> MaxTokens() const
+  {
+    const auto isValid = [](Tokens it) { return it >= 0 && it <= kMaxTokenCount; };
+    const auto prompt = mPromptTokens.value_or(0);
+    const auto output = mMaxOutputTokens.value_or(0);
+    return isValid(prompt) && isValid(output) ? std::optional(prompt + output) : std::nullopt;
+  }
 };
 
 /// Metadata that the router adds to a forwarded request.
--- /dev/null
+++ b/src/gateway/DatagramNumber.cpp
@@ -0,0 +1,18 @@
+#include "gentianloom/gateway/DatagramNumber.h"
+
+#include <nlohmann/json.hpp>
+
+namespace gentianloom {
+
+std::int64_t ReadDatagramNumber(const nlohmann::json& aArray, std::size_t aIndex, std::int64_t aMax)
+{
+  const auto& it = aArray.at(aIndex);
+  // MessagePack also has floating-point numbers; get() would convert them without a check.
+  const auto n = it.is_number_integer() ? it.get<std::int64_t>() : -1;
+  if (n < 0 || n > aMax) {
+    throw nlohmann::json::out_of_range::create(401, "a number is out of range", &aArray);
+  }
+  return n;
+}
+
+} // namespace gentianloom
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/gateway/PeerLoadExchange.h"
 
 #include "gentianloom/base/Ids.h"
+#include "gentianloom/gateway/DatagramNumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -55,7 +56,7 @@
     const auto& pending = json.at(2);
     for (std::size_t n = 0; n + 1 < pending.size(); n += 2) {
       out.mPending.push_back(
-        { pending.at(n).get<std::uint64_t>(), pending.at(n + 1).get<std::int64_t>() });
+        { pending.at(n).get<std::uint64_t>(), ReadDatagramNumber(pending, n + 1) });
     }
     return out;
   } catch (const nlohmann::json::exception& ex) {
--- a/src/gateway/ReservationMessage.cpp
+++ b/src/gateway/ReservationMessage.cpp
@@ -1,23 +1,15 @@
 #include "gentianloom/gateway/ReservationMessage.h"
 
+#include "gentianloom/gateway/DatagramNumber.h"
+
 #include <nlohmann/json.hpp>
 
 namespace gentianloom {
 
 namespace {
 
-/// Largest number of tokens and of milliseconds that a message may state.
-constexpr std::int64_t kMaxNumber = std::int64_t{ 1 } << 50;
-
-/// @return a number from 0 to kMaxNumber @throws nlohmann::json::exception if it is none
-std::int64_t NumberAt(const nlohmann::json& aArray, std::size_t aIndex)
-{
-  const auto n = aArray.at(aIndex).get<std::int64_t>();
-  if (n < 0 || n > kMaxNumber) {
-    throw nlohmann::json::out_of_range::create(401, "a number is out of range", &aArray);
-  }
-  return n;
-}
+/// Longest time that a message may state, about 50 days: timers count nanoseconds in 64 bits.
+constexpr std::int64_t kMaxMillis = std::int64_t{ 1 } << 32;
 
 } // namespace
 
@@ -54,19 +46,19 @@
     out.mId = json.at(1).get<std::uint64_t>();
     if (out.mKind == PeerMessageKind::ReservationQuery) {
       out.mBudget = json.at(2).get<std::string>();
-      out.mTokens = NumberAt(json, 3);
-      out.mMaxWait = Millis(NumberAt(json, 4));
-      out.mLifetime = Millis(NumberAt(json, 5));
+      out.mTokens = ReadDatagramNumber(json, 3);
+      out.mMaxWait = Millis(ReadDatagramNumber(json, 4, kMaxMillis));
+      out.mLifetime = Millis(ReadDatagramNumber(json, 5, kMaxMillis));
     } else if (out.mKind == PeerMessageKind::ReservationAnswer) {
-      const auto answer = NumberAt(json, 2);
+      const auto answer = ReadDatagramNumber(json, 2);
       if (answer > static_cast<int>(KeeperAnswer::Waiting)) {
         return MakeError(
           ErrorCode::MalformedRequest, Step::RequestReserve, "peer", "unknown answer");
       }
       out.mAnswer = static_cast<KeeperAnswer>(answer);
-      out.mOutage = Millis(NumberAt(json, 3));
+      out.mOutage = Millis(ReadDatagramNumber(json, 3));
     } else if (out.mKind == PeerMessageKind::ReservationSettlement) {
-      out.mUsed = NumberAt(json, 2);
+      out.mUsed = ReadDatagramNumber(json, 2);
     }
     return out;
   } catch (const nlohmann::json::exception& ex) {
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -229,9 +229,18 @@
   if (!isPrepaidRequest) {
     co_return true;
   }
+  const auto maxTokens = mRequest.MaxTokens();
+  if (!maxTokens) {
+    SendError(kBadRequest,
+              MakeError(ErrorCode::MalformedRequest,
+                        Step::RequestReserve,
+                        "caller",
+                        "the token counts of the request are out of range; it did not run"));
+    co_return false;
+  }
   TokenRequest request;
   request.mBudget = mAccount->mName;
-  request.mTokens = *mRequest.mPromptTokens + mRequest.mMaxOutputTokens.value_or(0);
+  request.mTokens = *maxTokens;
   request.mMaxWait = std::min<Micros>(TimeLeft(), mRoute->mPatience) / kMaxReserveWaitDivisor;
   request.mLifetime = TimeLeft();
   request.mSignal = mSignal;
--- a/tests/gateway/BudgetExchangeTest.cpp
+++ b/tests/gateway/BudgetExchangeTest.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/gateway/BudgetExchange.h"
 
+#include "gentianloom/gateway/DatagramNumber.h"
+
 #include "support/MemoryAsyncStore.h"
 #include "support/RunLoop.h"
 
@@ -130,6 +132,7 @@
   CPPUNIT_TEST(TestAbandonedRequest);
   CPPUNIT_TEST(TestOutage);
   CPPUNIT_TEST(TestMessages);
+  CPPUNIT_TEST(TestTimesOutOfRange);
   CPPUNIT_TEST_SUITE_END();
 
   Fleet mFleet;
@@ -291,6 +294,36 @@
     }
     query.mTokens = -1;
     CPPUNIT_ASSERT_MESSAGE("negative number", !DecodeReservation(EncodeReservation(query)));
+    query.mTokens = kMaxDatagramTokens;
+    CPPUNIT_ASSERT(DecodeReservation(EncodeReservation(query)));
+    query.mTokens = kMaxDatagramTokens + 1;
+    CPPUNIT_ASSERT_MESSAGE("too many tokens", !DecodeReservation(EncodeReservation(query)));
+  }
+
+  // A timer counts nanoseconds: with the longest times that a message could state, it overflowed.
+  void TestTimesOutOfRange()
+  {
+    constexpr Millis kLongest{ std::int64_t{ 1 } << 32 };
+    struct Row
+    {
+      Millis mMaxWait;
+      Millis mLifetime;
+      bool mIsValid;
+    };
+    const Row rows[] = {
+      { kLongest, kLongest, true },
+      { kLongest + Millis(1), Millis(1), false },
+      { Millis(1), kLongest + Millis(1), false },
+      { Millis(-1), Millis(1), false },
+      { Millis(1), Millis(-1), false },
+    };
+    for (const auto& row : rows) {
+      ReservationMessage query;
+      query.mBudget = "organisation";
+      query.mMaxWait = row.mMaxWait;
+      query.mLifetime = row.mLifetime;
+      CPPUNIT_ASSERT_EQUAL(row.mIsValid, DecodeReservation(EncodeReservation(query)).has_value());
+    }
   }
 };
 
--- a/tests/gateway/PeerLoadExchangeTest.cpp
+++ b/tests/gateway/PeerLoadExchangeTest.cpp
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <string>
 
 namespace gentianloom {
@@ -15,6 +16,7 @@
   CPPUNIT_TEST_SUITE(PeerLoadExchangeTest);
   CPPUNIT_TEST(TestApplyReplacesPending);
   CPPUNIT_TEST(TestMalformedDatagrams);
+  CPPUNIT_TEST(TestTokensOutOfRange);
   CPPUNIT_TEST(TestTrafficOfLargeFleet);
   CPPUNIT_TEST_SUITE_END();
 
@@ -56,6 +58,23 @@
     }
   }
 
+  // Pending tokens of peers are summed: a number that cannot be real must not overflow the sum.
+  void TestTokensOutOfRange()
+  {
+    constexpr std::int64_t kMaxTokens = std::int64_t{ 1 } << 50;
+    for (const auto tokens : { std::int64_t{ 0 }, kMaxTokens }) {
+      CPPUNIT_ASSERT(DecodePeerLoad(EncodePeerLoad({ "run-1", 1, { { 1, tokens } } })));
+    }
+    for (const auto tokens :
+         { std::int64_t{ -1 }, kMaxTokens + 1, std::numeric_limits<std::int64_t>::max() }) {
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(tokens),
+                             !DecodePeerLoad(EncodePeerLoad({ "run-1", 1, { { 1, tokens } } })));
+    }
+    // 1e300 instead of a number of tokens: its conversion to an integer is undefined.
+    const std::string real("\x93\xa1r\x01\x92\x01\xcb\x7e\x37\xe4\x3c\x88\x00\x75\x9c", 15);
+    CPPUNIT_ASSERT(!DecodePeerLoad(real));
+  }
+
   // With one message to every peer for each change, the traffic of an instance grows with the fleet
   // until it fills the link, and callers' requests and disconnects wait behind it.
   void TestTrafficOfLargeFleet()
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -24,8 +24,10 @@
   CPPUNIT_TEST_SUITE(WireCodecTest);
   CPPUNIT_TEST(TestDecode);
   CPPUNIT_TEST(TestMalformedHeaders);
+  CPPUNIT_TEST(TestLargestTokenCounts);
   CPPUNIT_TEST(TestForgedHeadersAreRemoved);
   CPPUNIT_TEST(TestResponses);
+  CPPUNIT_TEST(TestNumbersOfResponses);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,10 +63,21 @@
       std::string mName;
       std::string mValue;
     };
-    const Row rows[] = { { "X-Token-Usage", "1" },       { "X-Token-Usage", "1,-2" },
-                         { "X-Token-Usage", "a,b" },     { "X-Prompt-Prefix", "zz:1" },
-                         { "X-Prompt-Prefix", "1" },     { "X-Prompt-Prefix", "1:-4" },
-                         { "X-Deadline-Ms", "soon" },    { "X-Deadline-Ms", "-1" },
+    const Row rows[] = { { "X-Token-Usage", "1" },
+                         { "X-Token-Usage", "1,-2" },
+                         { "X-Token-Usage", "a,b" },
+                         { "X-Prompt-Prefix", "zz:1" },
+                         { "X-Prompt-Prefix", "1" },
+                         { "X-Prompt-Prefix", "1:-4" },
+                         { "X-Deadline-Ms", "soon" },
+                         { "X-Deadline-Ms", "-1" },
+                         { "X-Token-Usage", "-1,2" },
+                         { "X-Token-Usage", "1099511627777,1" },
+                         { "X-Token-Usage", "1,1099511627777" },
+                         { "X-Token-Usage", "9223372036854775807,9" },
+                         { "X-Token-Usage", "9,9223372036854775807" },
+                         { "X-Token-Usage", "9223372036854775808,9" },
+                         { "X-Prompt-Prefix", "1:1099511627777" },
                          { "X-Attempt-Id", "duplicate" } };
     for (const auto& row : rows) {
       const auto head = Head({ { "X-Attempt-Id", "1" }, { row.mName, row.mValue } });
@@ -73,6 +86,19 @@
     CPPUNIT_ASSERT_MESSAGE("no attempt ID", !mCodec.Decode(Head({ { "Host", "h" } })));
   }
 
+  // A bound on token counts must not reject the largest counts that it allows.
+  void TestLargestTokenCounts()
+  {
+    const auto request = mCodec
+                           .Decode(Head({ { "X-Attempt-Id", "1" },
+                                          { "X-Token-Usage", "1099511627776,1099511627776" },
+                                          { "X-Prompt-Prefix", "1:1099511627776" } }))
+                           .value();
+    CPPUNIT_ASSERT(request.mPromptTokens == kMaxTokenCount);
+    CPPUNIT_ASSERT(request.mMaxOutputTokens == kMaxTokenCount);
+    CPPUNIT_ASSERT_EQUAL(kMaxTokenCount, request.mPromptParts[0].mTokens);
+  }
+
   // A caller must not be able to forge a header that only a gateway may set, for example by writing
   // its name in another case.
   void TestForgedHeadersAreRemoved()
@@ -151,6 +177,33 @@
     CPPUNIT_ASSERT(mCodec.DecodeResponse(misdirected, request).mIsMisdirected);
   }
 
+  // A number of a faulty endpoint must not overflow in the sums and products that use it.
+  void TestNumbersOfResponses()
+  {
+    struct Row
+    {
+      std::string mLoad;
+      bool mHasLoad;
+      std::string mKeepAlive;
+      std::optional<Millis> mIdleTimeout;
+    };
+    const Row rows[] = {
+      { "0,0,0", true, "timeout=0", Millis(0) },
+      { "3,1", false, "max=5", std::nullopt },
+      { "-1,1,8", false, "timeout=-5", Millis(0) },
+      { "9223372036854775807,9,8", false, "timeout=9223372036854775807", Millis(86'400'000) },
+      { "1,1099511627777,8", false, "timeout=9223372036854775", Millis(86'400'000) },
+    };
+    for (const auto& row : rows) {
+      net::ResponseHead head{ 200, "OK", {}, true };
+      head.mHeaders.Add("X-Instance-Load", row.mLoad);
+      head.mHeaders.Add("Keep-Alive", row.mKeepAlive);
+      const auto response = mCodec.DecodeResponse(head, {});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mLoad, row.mHasLoad, response.mLoad.has_value());
+      CPPUNIT_ASSERT_MESSAGE(row.mKeepAlive, row.mIdleTimeout == response.mIdleTimeout);
+    }
+  }
+
 private:
   WireCodec mCodec;
 };
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -43,6 +43,18 @@
                 self.assertEqual(status, response.status)
         self.assertEqual([], self.env.executed_requests())
 
+    def test_token_counts_that_cannot_be_real(self):
+        # The sum of both counts overflowed to a negative number: a budget was charged with it, and
+        # all later requests of its organisation got 402 or 503.
+        self.assertEqual(200, self.env.call("/chat/x", "before").status)
+        for n, usage in enumerate(("9223372036854775807,9", "9,9223372036854775807",
+                                   "1099511627777,1", "1,1099511627777", "-5,9")):
+            with self.subTest(usage):
+                response = self.env.call("/chat/x", f"t{n}", {"X-Token-Usage": usage})
+                later = [self.env.call("/chat/x", f"later{n}-{k}").status for k in range(3)]
+                self.assertEqual((400, [200] * 3), (response.status, later))
+        self.assertEqual(16, len(self.env.executed_requests()))
+
     def test_non_idempotent_requests_are_not_retried(self):
         for mode, status in [("reset", 502), ("unsigned", 502), ("other-attempt", 502),
                              ("unresponsive", 504)]:
