A 421 that belongs to another request is no proof that a request did not run

What callers saw: an at-most-once request ran at a second endpoint after the first one, which had run it, answered with a late 421 of another request. Cause: OnResponseHead looked at the status 421 before the id. Change: a 421 counts as proof, and marks the address as reassigned, only with the request's own id, or without an id to the first request of a connection: the platform's printed example of a 421 has no id, and there no earlier request exists that it could belong to. Else the attempt counts as interrupted. EndpointResponse says which of the three cases applies.

--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -97,6 +97,8 @@
   ///         there is nothing to do until the next notification
   bool ProcessReceived();
   void OnResponseHead();
+  /// Whether a response with a misdirection certainly answers the request of this attempt.
+  bool IsMisdirectionOfThisRequest() const;
   void OnResponseBody();
   void OnResponseComplete();
   /// Whether a stream ended where its endpoint cannot have ended it on purpose.
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -52,13 +52,21 @@
   std::optional<std::int64_t> mResumeAfter; ///< last event that the caller has received
 };
 
+/// Which request a response states that it belongs to.
+enum class ResponseRequestId
+{
+  Missing, ///< it states no id
+  Same,    ///< that of the request that was sent
+  Other    ///< that of another request, for example of an earlier one
+};
+
 /// Metadata from the head of an endpoint's response.
 struct EndpointResponse
 {
-  bool mMatchesRequest = false; ///< has the id of the request that was sent, not of an earlier one
-  bool mHasSignature = false;   ///< has the endpoint's signature
-  bool mDidNotRun = false;      ///< the endpoint states that it did not run the request
-  bool mIsMisdirected = false;  ///< the address now belongs to another endpoint
+  ResponseRequestId mRequestId = ResponseRequestId::Missing;
+  bool mHasSignature = false;  ///< has the endpoint's signature
+  bool mDidNotRun = false;     ///< the endpoint states that it did not run the request
+  bool mIsMisdirected = false; ///< the address now belongs to another endpoint
   std::optional<ReportedLoad> mLoad;
   std::optional<Millis> mIdleTimeout; ///< after which the endpoint closes an idle connection
 };
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -259,12 +259,12 @@
   if (mResponse.mLoad) {
     mEndpoint->mLoad.OnReportedLoad(*mResponse.mLoad, now);
   }
-  if (mResponse.mIsMisdirected) {
+  if (mResponse.mIsMisdirected && IsMisdirectionOfThisRequest()) {
     mContext.mEndpoints.OnAddressReassigned(mEndpoint->mEntry.mId, now);
     Finish(AttemptOutcome::Refused, true, "the address now belongs to another endpoint");
     return;
   }
-  if (!mResponse.mMatchesRequest) {
+  if (mResponse.mRequestId != ResponseRequestId::Same) {
     Finish(AttemptOutcome::Interrupted, false, "the response belongs to another request");
     return;
   }
@@ -280,6 +280,15 @@
   }
 }
 
+bool EndpointAttempt::IsMisdirectionOfThisRequest() const
+{
+  // The platform's example of such a response has no id. It belongs to this request if the
+  // connection has carried no other; otherwise it may be a late response to an earlier one.
+  const bool isFirstRequest = mBytesSentBefore == 0;
+  return mResponse.mRequestId == ResponseRequestId::Same ||
+         (mResponse.mRequestId == ResponseRequestId::Missing && isFirstRequest);
+}
+
 net::ResponseHead EndpointAttempt::MakeForwardedResponseHead() const
 {
   auto out = mParser.Head();
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -162,19 +162,20 @@
     head.mHeaders.Add("X-Instance-Load", "3,1,8");
     head.mHeaders.Add("Keep-Alive", "max=5, timeout=4");
     const auto good = mCodec.DecodeResponse(head, request);
-    CPPUNIT_ASSERT(good.mMatchesRequest && good.mHasSignature && !good.mDidNotRun &&
-                   !good.mIsMisdirected);
+    CPPUNIT_ASSERT(good.mRequestId == ResponseRequestId::Same && good.mHasSignature &&
+                   !good.mDidNotRun && !good.mIsMisdirected);
     CPPUNIT_ASSERT(good.mLoad && good.mLoad->mRunning == 3 && good.mLoad->mSlots == 8);
     CPPUNIT_ASSERT(good.mIdleTimeout == Millis(4'000));
     request.mId = "other";
-    CPPUNIT_ASSERT(!mCodec.DecodeResponse(head, request).mMatchesRequest);
+    CPPUNIT_ASSERT(mCodec.DecodeResponse(head, request).mRequestId == ResponseRequestId::Other);
     net::ResponseHead refused{ 503, "Full", {}, true };
     refused.mHeaders.Add("X-Not-Executed", "1");
     CPPUNIT_ASSERT(mCodec.DecodeResponse(refused, request).mDidNotRun);
     const net::ResponseHead withoutNotExecuted{ 503, "Full", {}, true };
     CPPUNIT_ASSERT(!mCodec.DecodeResponse(withoutNotExecuted, request).mDidNotRun);
     const net::ResponseHead misdirected{ 421, "Misdirected", {}, true };
-    CPPUNIT_ASSERT(mCodec.DecodeResponse(misdirected, request).mIsMisdirected);
+    const auto decoded = mCodec.DecodeResponse(misdirected, request);
+    CPPUNIT_ASSERT(decoded.mIsMisdirected && decoded.mRequestId == ResponseRequestId::Missing);
   }
 
   // A number of a faulty endpoint must not overflow in the sums and products that use it.
--- /dev/null
+++ b/tests/platform/misdirected_response_test.py
@@ -0,0 +1,64 @@
+#!/usr/bin/env python3
+"""Responses with status 421 of a raw endpoint, some of them to another request."""
+import unittest
+
+from gateway_environment import Environment
+
+MISDIRECTED = "HTTP/1.1 421 Misdirected Request\r\n"
+END = "Content-Length: 0\r\n\r\n"
+OTHER_REQUEST = MISDIRECTED + "X-Attempt-Id: other\r\nX-Instance-Id: w9\r\n" + END
+SAME_REQUEST = MISDIRECTED + "X-Attempt-Id: {attempt}\r\nX-Instance-Id: w9\r\n" + END
+NO_REQUEST = MISDIRECTED + "X-Instance-Id: w9\r\n" + END
+
+
+class MisdirectedResponseTest(unittest.TestCase):
+    def setUp(self):
+        self.env = Environment()
+        self.addCleanup(self.env.close)
+
+    def call_raw(self, path, name, raw):
+        self.env.configure_workers(mode="raw", raw=raw, executed=[])
+        return self.env.call(path, name)
+
+    def failed_attempts(self, name):
+        return [it for it in self.env.log_lines()
+                if it["change"] == "attempt failed" and it["request"] == name]
+
+    def test_response_to_another_request_proves_nothing(self):
+        # A late 421 of another request was taken as proof that this one did not run, and an
+        # at-most-once request reached a second endpoint.
+        for n, more in enumerate(("", "X-Not-Executed: 1\r\n")):
+            with self.subTest(more):
+                raw = OTHER_REQUEST.replace(END, more + END)
+                response = self.call_raw("/send/x", f"other{n}", raw)
+                self.assertEqual((502, 1), (response.status, len(self.env.executed_requests())))
+                self.assertNotIn("Retry-After", response.headers)
+
+    def test_response_without_id_on_a_reused_connection_proves_nothing(self):
+        # Nothing shows whether it is a late response to the request before.
+        executed = {}
+        for n in range(20):
+            self.assertEqual(200, self.env.call("/read/x", f"before{n}").status)
+            executed = self.env.send_command()["executed"]
+            if all(executed.values()):
+                break
+        self.assertTrue(all(executed.values()))
+        self.call_raw("/read/x", "reused", NO_REQUEST)
+        attempts = self.failed_attempts("reused")
+        self.assertEqual("no", attempts[0]["proved_not_run"])
+
+    def test_response_to_this_request_proves_that_it_did_not_run(self):
+        # The other endpoint must still be tried, also with a response without id to the first
+        # request of a connection, which can be meant for no other.
+        for raw in (SAME_REQUEST, NO_REQUEST):
+            with self.subTest(raw):
+                env, self.env = self.env, Environment()
+                self.addCleanup(self.env.close)
+                response = self.call_raw("/send/x", "same", raw)
+                self.assertEqual((503, 2), (response.status, len(self.env.executed_requests())))
+                self.assertIn("Retry-After", response.headers)
+                self.env = env
+
+
+if __name__ == "__main__":
+    unittest.main()
