Instances that did not come back after an outage are erased from the directory

What was seen, by reading: an instance that ended while the key-value service was down stayed in PeerAddresses() and Size() for good. Load reports were sent to its address, and the retry budget and the interval of writes were divided by too many instances. Cause: entries kept for kReregistrationGrace were only left out of some answers, never erased. Change: the gateway's housekeeping calls RemoveExpired(). InstanceDirectoryTest was seen to fail without the erasure; the call itself has no test.

--- a/include/gentianloom/membership/InstanceDirectory.h
+++ b/include/gentianloom/membership/InstanceDirectory.h
@@ -60,6 +60,9 @@
   /// @brief Replaces the contents by a complete list; missing instances are removed as by Remove().
   void Replace(std::vector<InstanceRecord> aRecords, bool aAfterOutage, TimePoint aNow);
 
+  /// @brief Removes the instances whose kReregistrationGrace has ended. O(number of instances).
+  void RemoveExpired(TimePoint aNow);
+
   /**
    * @brief Returns the caller addresses of instances that are not leaving.
    *
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -477,6 +477,7 @@
   while (true) {
     ObserveSoftwareVersions();
     mRelay.mEndpoints.RemoveExpired(mClock.Now());
+    mInstances.RemoveExpired(mClock.Now());
     mRelay.mConnections.Prune();
     mRelay.mRetryBudget.SetBurst(
       ComputeRetryBurst(mSettings.mRetrySlack, mInstances.Size(mSelf.mName)));
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -80,6 +80,11 @@
   }
 }
 
+void InstanceDirectory::RemoveExpired(TimePoint aNow)
+{
+  std::erase_if(mEntries, [aNow](const auto& it) { return it.second.mExpiresAt <= aNow; });
+}
+
 std::vector<std::string> InstanceDirectory::SelectAddresses(const InstanceRecord& aSelf,
                                                             std::string_view aZone,
                                                             TimePoint aNow) const
--- a/tests/membership/InstanceDirectoryTest.cpp
+++ b/tests/membership/InstanceDirectoryTest.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST_SUITE(InstanceDirectoryTest);
   CPPUNIT_TEST(TestSelectAddresses);
   CPPUNIT_TEST(TestLeasesExpireInOutage);
+  CPPUNIT_TEST(TestExpiredInstancesAreErased);
   CPPUNIT_TEST(TestRecordRoundTrip);
   CPPUNIT_TEST_SUITE_END();
 
@@ -68,6 +69,23 @@
                          JoinNames(directory.SelectAddresses(self, "z1", later)));
   }
 
+  // An instance that ended in an outage never writes its key again. If its entry stayed, it would
+  // be sent load reports and be counted in the fleet's size for good.
+  void TestExpiredInstancesAreErased()
+  {
+    InstanceDirectory directory;
+    directory.Replace({ Record("a", "z1"), Record("b", "z1"), Record("c", "z1") }, false, mNow);
+    directory.Replace({ Record("a", "z1") }, true, mNow);
+    const auto end = mNow + InstanceDirectory::kReregistrationGrace;
+    directory.RemoveExpired(end - Micros(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("bc"), JoinNames(directory.PeerAddresses("a")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, directory.Size("a"));
+    directory.Put(Record("c", "z1"));
+    directory.RemoveExpired(end);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), JoinNames(directory.PeerAddresses("a")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, directory.Size("a"));
+  }
+
   void TestRecordRoundTrip()
   {
     const auto record = Record("a", "z1", true);
