Requests are rejected for as long as a process that shuts down waits for the store

What callers saw: a process that got SIGTERM during an outage of the key-value service admitted requests after the time for accepting and cut them when it ended. Cause: the flag that rejects new requests was set only in the loop that waits for open requests, which ended at once if there were none; returning the rights and the lease then took up to 3 s.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -518,9 +518,12 @@
     std::chrono::duration_cast<Micros>(mSettings.mTerminationGracePeriod * kAcceptingShare);
   const auto acceptUntil =
     shutdownStart + std::min<Micros>(mSettings.mAddressTtl * kAddressTtlMultiple, maxAcceptingTime);
-  while (mClock.Now() < serveUntil && (mClock.Now() < acceptUntil || mRelay.mOpenRequests > 0 ||
-                                       mBudgetExchange.OpenRemoteReservations() > 0)) {
-    mRelay.mRejectsNewRequests = mClock.Now() >= acceptUntil;
+  while (mClock.Now() < std::min(acceptUntil, serveUntil)) {
+    co_await net::Signal::Sleep(mLoop, kShutdownPollInterval);
+  }
+  mRelay.mRejectsNewRequests = true;
+  while (mClock.Now() < serveUntil &&
+         (mRelay.mOpenRequests > 0 || mBudgetExchange.OpenRemoteReservations() > 0)) {
     co_await net::Signal::Sleep(mLoop, kShutdownPollInterval);
   }
   mBudgetExchange.SettleRemoteReservations();
--- a/tests/platform/gateway_environment.py
+++ b/tests/platform/gateway_environment.py
@@ -17,6 +17,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 BUILD = pathlib.Path(os.environ.get("GENTIANLOOM_BUILD", HERE.parent.parent / "build"))
 WAIT_S = 8
+ADDRESS_LIFE_S = 0.2
 PORTS = (12_000, 32_000)  # below the range that Linux gives to outgoing connections
 given_ports = set()
 
@@ -136,7 +137,7 @@
                 "directory_address": f"127.0.0.1:{self.directory}",
                 "metrics_address": f"127.0.0.1:{self.metrics}",
                 "peer_address": f"127.0.0.1:{self.peer}",
-                "address_life_s": 0.2, "retry_slack": 400,
+                "address_life_s": ADDRESS_LIFE_S, "retry_slack": 400,
                 "store_address": self.platform.addresses["store"], **more}
         self.settings.write_text(json.dumps(text))
 
--- a/tests/platform/gateway_test.py
+++ b/tests/platform/gateway_test.py
@@ -7,10 +7,14 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import unittest
 
-from gateway_environment import BUILD, WAIT_S, Environment, Response, configuration
+from gateway_environment import (ADDRESS_LIFE_S, BUILD, WAIT_S, Environment, Response,
+                                 configuration)
+
+MAX_LATE_REQUESTS = 160  # at 50 ms each, more than a process takes to end
 
 
 class GatewayTest(unittest.TestCase):
@@ -249,6 +253,37 @@
         self.assertIn("shutting down", changes)
         self.assertEqual("stopped", changes[-1])
 
+    def test_shutdown_during_store_outage(self):
+        # A process that no request is open in gives back its budget and its lease last, which takes
+        # long while the store is silent. Requests admitted meanwhile would be cut by its exit.
+        self.env.configure_workers(mode="unresponsive")
+        results = {}
+
+        def send(path, attempt):
+            try:
+                response = self.env.call(path, attempt)
+                results[attempt] = response.status if response.is_complete else None
+            except (OSError, http.client.HTTPException):
+                results[attempt] = None
+
+        self.env.wait_for_log_line(lambda it: it["change"] == "rights were written"
+                                   and "granted=0" not in it["budgets"])
+        self.env.send_command(store_mode="silent")
+        self.env.gateway.send_signal(signal.SIGTERM)
+        time.sleep(3 * ADDRESS_LIFE_S + 0.1)
+        threads = []
+        while self.env.gateway.poll() is None and len(threads) < MAX_LATE_REQUESTS:
+            path = "/read/x" if len(threads) % 2 else "/send/x"
+            threads.append(threading.Thread(target=send, args=(path, f"o{len(threads)}")))
+            threads[-1].start()
+            time.sleep(0.05)
+        for it in threads:
+            it.join()
+        self.assertEqual(0, self.env.gateway.wait(timeout=WAIT_S))
+        executed = {it["headers"]["X-Attempt-Id"] for it in self.env.executed_requests()}
+        self.assertEqual([], sorted(it for it in executed if results[it] is None))
+        self.assertIn(503, results.values())
+
     def test_directory_metrics_and_reload(self):
         response = self.env.get(self.env.directory, "/resolve?name=h.example&region=r&zone=a")
         self.assertEqual([f"127.0.0.1:{self.env.caller}"], json.loads(response.body)["addresses"])
