The limit on retries holds for each service

What a service saw: 30 repeats of 60 requests, where the rule allows 22 (share 0.2, slack 10), while its endpoints reset connections. Cause: one bucket for all services, which the 540 requests for another one filled as well. Change: a bucket for each service; only admitted requests count. process-retry-budget fails before (10 repeats of 20, 7 allowed with a slack of 3) and passes with the change; the unit test fails if the services share a bucket.

--- a/include/gentianloom/outcome/RetryPolicy.h
+++ b/include/gentianloom/outcome/RetryPolicy.h
@@ -3,7 +3,11 @@
 
 #include "gentianloom/base/Clock.h"
 
+#include <functional>
+#include <map>
 #include <mutex>
+#include <string>
+#include <string_view>
 
 namespace gentianloom {
 
@@ -38,6 +42,30 @@
   double mAvailable;
 };
 
+/**
+ * @brief One RetryBudget for each service, all with the same ratio and burst. Not thread-safe.
+ *
+ * The limit on retries holds for each service, so requests for one service must not pay for retries
+ * at another one.
+ */
+class RetryBudgets
+{
+public:
+  /// The parameters are those of each RetryBudget.
+  RetryBudgets(double aRatio, double aBurst);
+
+  /// @brief The budget of a service; creates it, full, when the service is first named.
+  RetryBudget& Of(std::string_view aService);
+
+  /// @brief Changes the capacity of all budgets, also of those that are created later.
+  void SetBurst(double aBurst);
+
+private:
+  double mRatio;
+  double mBurst;
+  std::map<std::string, RetryBudget, std::less<>> mBudgets; ///< by service
+};
+
 /**
  * @brief Computes the capacity of one instance's RetryBudget from that of the whole fleet.
  *
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -33,7 +33,7 @@
   std::map<std::string, FirstTokenModel> mFirstTokenModels{}; ///< by service
   ConnectionPool mConnections;
   TokenReservations& mReservations;
-  RetryBudget mRetryBudget;
+  RetryBudgets mRetryBudgets;
   SoftwareVersionHistory mVersionHistory{};
   StreamOrigins* mStreamOrigins = nullptr; ///< null: no origin is known
   RequestGuard* mGuard = nullptr;          ///< null: no request is blocked
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -105,8 +105,8 @@
             {},
             ConnectionPool(aLoop, aClock),
             mBudgetExchange,
-            RetryBudget(mSettings.mRetryShare * kRetrySafetyFactor,
-                        ComputeRetryBurst(mSettings.mRetrySlack, 1)) }
+            RetryBudgets(mSettings.mRetryShare * kRetrySafetyFactor,
+                         ComputeRetryBurst(mSettings.mRetrySlack, 1)) }
   , mPeerLoadExchange(
       aLoop,
       mPeerSocket,
@@ -479,7 +479,7 @@
     mRelay.mEndpoints.RemoveExpired(mClock.Now());
     mInstances.RemoveExpired(mClock.Now());
     mRelay.mConnections.Prune();
-    mRelay.mRetryBudget.SetBurst(
+    mRelay.mRetryBudgets.SetBurst(
       ComputeRetryBurst(mSettings.mRetrySlack, mInstances.Size(mSelf.mName)));
     mMetrics.GaugeOf("gentianloom_open_requests").Set(mRelay.mOpenRequests);
     co_await net::Signal::Sleep(mLoop, kHousekeepingInterval);
--- a/src/outcome/RetryPolicy.cpp
+++ b/src/outcome/RetryPolicy.cpp
@@ -45,6 +45,28 @@
   return true;
 }
 
+RetryBudgets::RetryBudgets(double aRatio, double aBurst)
+  : mRatio(aRatio)
+  , mBurst(aBurst)
+{
+}
+
+RetryBudget& RetryBudgets::Of(std::string_view aService)
+{
+  const auto it = mBudgets.find(aService);
+  return it != mBudgets.end()
+           ? it->second
+           : mBudgets.try_emplace(std::string(aService), mRatio, mBurst).first->second;
+}
+
+void RetryBudgets::SetBurst(double aBurst)
+{
+  mBurst = aBurst;
+  for (auto& [service, it] : mBudgets) {
+    it.SetBurst(aBurst);
+  }
+}
+
 double ComputeRetryBurst(double aFleetBurst, std::size_t aInstances)
 {
   const auto instances = std::max(kMinInstances, aInstances);
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -95,12 +95,12 @@
 
 net::Task<bool> RequestExchange::Run()
 {
-  mContext.mRetryBudget.OnRequest();
   bool isAdmitted = Admit();
   if (isAdmitted) {
     isAdmitted = co_await FindStreamOrigin();
   }
   if (isAdmitted) {
+    mContext.mRetryBudgets.Of(mService).OnRequest();
     const bool isReserved = co_await ReserveTokens();
     if (isReserved) {
       co_await RunAttempts();
@@ -322,7 +322,7 @@
   if (aResult.mOutcome == AttemptOutcome::NotReached) {
     return attempts < kMaxAttempts;
   }
-  return attempts < mRoute->mMaxAttempts && mContext.mRetryBudget.TryTake();
+  return attempts < mRoute->mMaxAttempts && mContext.mRetryBudgets.Of(mService).TryTake();
 }
 
 net::Task<void> RequestExchange::RunAttempts()
--- a/tests/outcome/RetryPolicyTest.cpp
+++ b/tests/outcome/RetryPolicyTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(RetryPolicyTest);
   CPPUNIT_TEST(TestDecision);
   CPPUNIT_TEST(TestRetryRatio);
+  CPPUNIT_TEST(TestBudgetsOfServices);
   CPPUNIT_TEST(TestFleetBurst);
   CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +86,34 @@
     CPPUNIT_ASSERT(grantedRetries >= 100 && grantedRetries <= 106);
   }
 
+  // Requests for one service must not pay for retries at another one.
+  void TestBudgetsOfServices()
+  {
+    constexpr double kRatio = 0.1;
+    constexpr double kBurst = 5;
+    constexpr int kReads = 100;
+    constexpr int kSendsPerRead = 9;
+    RetryBudgets budgets(kRatio, 1);
+    CPPUNIT_ASSERT(budgets.Of("send").TryTake());
+    CPPUNIT_ASSERT(!budgets.Of("send").TryTake());
+    budgets.SetBurst(kBurst);
+    int grantedRetries = 0;
+    for (int n = 0; n < kReads; ++n) {
+      for (int k = 0; k < kSendsPerRead; ++k) {
+        budgets.Of("send").OnRequest();
+      }
+      budgets.Of("read").OnRequest();
+      grantedRetries += budgets.Of("read").TryTake() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(grantedRetries >= kRatio * kReads);
+    CPPUNIT_ASSERT(grantedRetries <= kRatio * kReads + kBurst + 1);
+    int remainingRetries = 0;
+    while (budgets.Of("send").TryTake()) {
+      ++remainingRetries;
+    }
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(kBurst), remainingRetries);
+  }
+
   // Load pattern: all instances use up their burst at once. In total they must stay within half of
   // the fleet's burst, or one retry per instance if that is more.
   void TestFleetBurst()
--- a/tests/platform/tests.cmake
+++ b/tests/platform/tests.cmake
@@ -11,6 +11,7 @@
 endfunction()
 
 gentianloom_gateway_test(process-gateway gateway_test.py)
+gentianloom_gateway_test(process-retry-budget retry_budget_test.py)
 gentianloom_gateway_test(process-endless-response endless_response_test.py)
 gentianloom_gateway_test(process-interrupted-response interrupted_response_test.py)
 gentianloom_gateway_test(process-misdirected-response misdirected_response_test.py)
