--- a/tests/gateway/BudgetExchangeTest.cpp
+++ b/tests/gateway/BudgetExchangeTest.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianloom/gateway/DatagramNumber.h"
 
+#include "support/LoopbackPort.h"
 #include "support/MemoryAsyncStore.h"
 #include "support/RunLoop.h"
 
@@ -41,7 +42,7 @@
 {
   Instance(Fleet& aFleet, const std::string& aName)
     : mSocket(aFleet.mLoop, mMetrics)
-    , mAddress("127.0.0.1:" + std::to_string(FreePort(aFleet.mLoop)))
+    , mAddress(testing::FreeLoopbackAddress(aFleet.mLoop))
     , mKeepers(
         mAddress,
         [this, &aFleet] {
@@ -84,12 +85,6 @@
     }
   }
 
-  static std::uint16_t FreePort(net::Loop& aLoop)
-  {
-    boost::asio::ip::udp::socket it(aLoop, { boost::asio::ip::address_v4::loopback(), 0 });
-    return it.local_endpoint().port();
-  }
-
   Metrics mMetrics;
   PeerSocket mSocket;
   std::string mAddress;
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -3,6 +3,7 @@
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/gateway/Keepers.h"
 
+#include "support/LoopbackPort.h"
 #include "support/MemoryAsyncStore.h"
 #include "support/RunLoop.h"
 
@@ -32,7 +33,7 @@
   {
     explicit Instance(CrashReportExchangeTest& aTest)
       : mSocket(aTest.mLoop, mMetrics)
-      , mAddress("127.0.0.1:" + std::to_string(FreePort(aTest.mLoop)))
+      , mAddress(testing::FreeLoopbackAddress(aTest.mLoop))
       , mExchange(
           aTest.mLoop,
           mSocket,
@@ -52,12 +53,6 @@
       aTest.mAddresses.push_back(mAddress);
     }
 
-    static std::uint16_t FreePort(net::Loop& aLoop)
-    {
-      boost::asio::ip::udp::socket it(aLoop, { boost::asio::ip::address_v4::loopback(), 0 });
-      return it.local_endpoint().port();
-    }
-
     Metrics mMetrics;
     PeerSocket mSocket;
     std::string mAddress;
--- a/tests/gateway/StreamOriginTest.cpp
+++ b/tests/gateway/StreamOriginTest.cpp
@@ -1,5 +1,6 @@
 #include "gentianloom/gateway/StreamOriginExchange.h"
 
+#include "support/LoopbackPort.h"
 #include "support/RunLoop.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -26,7 +27,7 @@
   {
     Instance(net::Loop& aLoop, const Clock& aClock, std::vector<std::string>& aPeers)
       : mSocket(aLoop, mMetrics)
-      , mAddress("127.0.0.1:" + std::to_string(FreePort(aLoop)))
+      , mAddress(testing::FreeLoopbackAddress(aLoop))
       , mExchange(
           aLoop,
           mSocket,
@@ -43,12 +44,6 @@
       aPeers.push_back(mAddress);
     }
 
-    static std::uint16_t FreePort(net::Loop& aLoop)
-    {
-      boost::asio::ip::udp::socket it(aLoop, { boost::asio::ip::address_v4::loopback(), 0 });
-      return it.local_endpoint().port();
-    }
-
     Metrics mMetrics;
     PeerSocket mSocket;
     std::string mAddress;
@@ -169,7 +164,7 @@
     auto start = clock.Now();
     CPPUNIT_ASSERT(!Find(loop, third, 2));
     CPPUNIT_ASSERT(clock.Now() - start < StreamOriginExchange::kQueryTimeout);
-    peers.push_back("127.0.0.1:" + std::to_string(Instance::FreePort(loop))); // does not respond
+    peers.push_back(testing::FreeLoopbackAddress(loop)); // does not respond
     start = clock.Now();
     CPPUNIT_ASSERT(!Find(loop, third, 2));
     CPPUNIT_ASSERT(clock.Now() - start >= StreamOriginExchange::kQueryTimeout);
