--- a/include/gentianloom/gateway/CrashReportExchange.h
+++ b/include/gentianloom/gateway/CrashReportExchange.h
@@ -2,6 +2,7 @@
 #define GENTIANLOOM_GATEWAY_CRASH_REPORT_EXCHANGE_H
 
 #include "gentianloom/external/AsyncStore.h"
+#include "gentianloom/gateway/EndpointEndExchange.h"
 #include "gentianloom/gateway/PeerSocket.h"
 #include "gentianloom/net/Signal.h"
 #include "gentianloom/relay/RequestGuard.h"
@@ -54,11 +55,13 @@
  * @brief Blocks requests that crash the endpoints which run them, at all instances.
  *
  * Callers repeat such a request at any instance, and no instance sees more than its own runs. Each
- * reports the interruptions that it sees, unless the endpoint still accepts connections, to the
- * keepers of the request's fingerprint, by datagram. A keeper that finds the evidence sufficient
- * blocks the request and writes that to the key-value service, from which all instances learn it,
- * also those that start later. An instance that has seen a run complete since the first
- * interruption takes the block back.
+ * reports the interruptions under which an endpoint has ended to the keepers of the request's
+ * fingerprint, by datagram. An endpoint has ended if its address does not keep a connection open
+ * right after the interruption, or belongs to another process within kReplacementTime. A request
+ * that was sent there after any instance saw the process end is not the cause. A keeper that finds
+ * the evidence sufficient blocks the request and writes that to the key-value service, from which
+ * all instances learn it, also those that start later. An instance that has seen a run complete
+ * since the first interruption takes the block back.
  */
 class CrashReportExchange final : public RequestGuard
 {
@@ -68,7 +71,10 @@
   /// How long a request is blocked. After that one more interruption blocks it again.
   static constexpr Millis kBlockTime{ 600'000 };
 
-  /// Returns whether an endpoint accepts connections, after a bounded time.
+  /// Time within which a new process at an endpoint's address shows that the old one has ended.
+  static constexpr Millis kReplacementTime{ 10'000 };
+
+  /// Returns whether an endpoint keeps a connection open, after a bounded time.
   using Probe = std::function<net::Task<bool>(std::string aAddress)>;
 
   /**
@@ -80,6 +86,7 @@
                       std::string aSelf,
                       std::function<std::vector<std::string>()> aPeers,
                       Probe aProbe,
+                      EndpointEndExchange& aEnds,
                       AsyncStore& aStore,
                       const Clock& aClock,
                       Metrics& aMetrics);
@@ -94,6 +101,9 @@
                      const std::string& aAddress) override;
   void OnCompleted(const std::string& aFingerprint, TimePoint aSentAt) override;
 
+  /// @brief Notes that another process runs at an address than before.
+  void OnNewProcess(const std::string& aAddress);
+
   /// @brief Takes over the stored record of a request.
   void OnRecord(const KeyValue& aEntry);
   /// @brief Notes that a stored record was deleted or has expired.
@@ -122,6 +132,8 @@
   };
 
   net::Task<void> ProbeEndpoint(std::string aAddress);
+  /// Reports interruptions whose endpoint has ended.
+  void ReportInterruptions(std::span<const UnprovedInterruption> aInterruptions);
   std::vector<std::string> KeepersOf(const std::string& aFingerprint) const;
   void SendToKeepers(const CrashMessage& aMessage);
   void OnDatagram(std::string_view aBytes);
@@ -139,13 +151,17 @@
   std::string mSelf;
   std::function<std::vector<std::string>()> mPeers;
   Probe mProbe;
+  EndpointEndExchange& mEnds;
   AsyncStore& mStore;
   const Clock& mClock;
   Metrics& mMetrics;
   CrashEvidence mEvidence;
-  std::map<std::string, std::vector<UnprovedInterruption>> mUnproved; ///< by endpoint address
-  std::map<std::string, Block> mBlocks;                               ///< by fingerprint
-  TimePoint mReportWindowAt{}; ///< start of the current second of reports
+  /// Those whose endpoint is being probed, by its address.
+  std::map<std::string, std::vector<UnprovedInterruption>> mUnproved;
+  /// Those whose endpoint kept a connection open, by its address, for kReplacementTime.
+  std::map<std::string, std::vector<UnprovedInterruption>> mSurvived;
+  std::map<std::string, Block> mBlocks; ///< by fingerprint
+  TimePoint mReportWindowAt{};          ///< start of the current second of reports
   int mReportsInWindow = 0;
 };
 
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -68,6 +68,8 @@
   void UpdateInstance(const KeyValue& aEntry);
   /// Adds the software versions of the listed endpoints to the history.
   void ObserveSoftwareVersions();
+  /// Whether the process at an endpoint's address still runs.
+  net::Task<bool> ProbeEndpoint(std::string aAddress);
   bool IsReady() const;
   net::ServiceReply HandleReadinessCheck() const;
   net::ServiceReply HandleAddressQuery(const net::RequestHead& aHead) const;
@@ -90,6 +92,7 @@
   RelayContext mRelay;
   PeerLoadExchange mPeerLoadExchange;
   StreamOriginExchange mStreamOrigins;
+  EndpointEndExchange mEndpointEnds;
   CrashReportExchange mCrashReports;
   CallerServer mCallerServer;
   PrefixWatcher mConfigurationWatcher;
--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -27,11 +27,13 @@
   ReservationSettlement = 6,
   ReservationSettled = 7,
   CrashReport = 8,
-  CrashCleared = 9
+  CrashCleared = 9,
+  EndpointEnded = 10,
+  EndpointFirstEnd = 11
 };
 
 /// Number of kinds of datagrams.
-inline constexpr std::size_t kPeerMessageKinds = 10;
+inline constexpr std::size_t kPeerMessageKinds = 12;
 
 /// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none.
 PeerMessageKind PeerMessageKindOf(std::string_view aBytes);
--- a/include/gentianloom/net/ConnectionProbe.h
+++ b/include/gentianloom/net/ConnectionProbe.h
@@ -9,11 +9,17 @@
 namespace gentianloom::net {
 
 /**
- * @brief Opens a connection and closes it again.
+ * @brief Opens a connection, sends nothing, and closes it after some time.
+ *
+ * The address of a process that has ended may still accept connections: a supervisor that holds the
+ * port closes them, and so does a listener that ends a moment later.
+ *
  * @param aAddress IP:PORT
- * @return whether it was accepted within aTimeout
+ * @param aTimeout time within which the connection has to be accepted, and for which it then has to
+ *        stay open
+ * @return whether it was accepted and stayed open
  */
-Task<bool> AcceptsConnections(Loop& aLoop, std::string aAddress, Millis aTimeout);
+Task<bool> KeepsConnectionOpen(Loop& aLoop, std::string aAddress, Millis aTimeout);
 
 } // namespace gentianloom::net
 
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -97,8 +97,13 @@
   ///         there is nothing to do until the next notification
   bool ProcessReceived();
   void OnResponseHead();
-  /// Whether a response with a misdirection certainly answers the request of this attempt.
-  bool IsMisdirectionOfThisRequest() const;
+  /// Whether a response that need not state a request's id certainly answers this request.
+  bool IsResponseToThisRequest() const;
+  /// Remembers what the endpoint wants: that it is leaving, or no requests for some time.
+  void ObserveEndpointState();
+  /// Whether the status promises the caller that the request did not run, which the endpoint did
+  /// not state.
+  bool IsUnprovedRefusal() const;
   void OnResponseBody();
   void OnResponseComplete();
   /// Whether a stream ended where its endpoint cannot have ended it on purpose.
@@ -125,6 +130,7 @@
   double mTokensToPrefill; ///< uncached prompt tokens of this request and those pending at the
                            ///< endpoint before it
   EndpointLoad::RequestHandle mLoadHandle;
+  bool mIsTrial; ///< the first request after a pause that the endpoint asked for
   net::Channel::Ptr mChannel;
   std::size_t mBytesSentBefore = 0; ///< bytes that earlier requests sent on the connection
   bool mIsRequestSent = false;
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -64,9 +64,11 @@
 struct EndpointResponse
 {
   ResponseRequestId mRequestId = ResponseRequestId::Missing;
-  bool mHasSignature = false;  ///< has the endpoint's signature
-  bool mDidNotRun = false;     ///< the endpoint states that it did not run the request
-  bool mIsMisdirected = false; ///< the address now belongs to another endpoint
+  bool mHasSignature = false;        ///< has the endpoint's signature
+  bool mDidNotRun = false;           ///< the endpoint states that it did not run the request
+  bool mIsMisdirected = false;       ///< the address now belongs to another endpoint
+  bool mIsLeaving = false;           ///< the endpoint states that it is leaving
+  std::optional<Millis> mRetryAfter; ///< of a refusal: time for which the endpoint wants nothing
   std::optional<ReportedLoad> mLoad;
   std::optional<Millis> mIdleTimeout; ///< after which the endpoint closes an idle connection
 };
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -46,6 +46,8 @@
   net::Task<void> RunAttempts();
   PlacementChoice ChooseEndpoint();
   bool MayRetry(const AttemptResult& aResult);
+  /// When an endpoint may accept a request that none accepted now.
+  Millis RetryAfterRefusal() const;
   void ReportFailedAttempts(); ///< aborts a started stream, otherwise sends an error response
   void SendError(int aStatus, const Error& aError);
   void SettleTokens();
--- a/include/gentianloom/routing/EndpointLoad.h
+++ b/include/gentianloom/routing/EndpointLoad.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -100,6 +101,15 @@
   /// @param aFailed whether the endpoint failed
   void OnOutcome(bool aFailed, TimePoint aNow);
 
+  /// Time for which an endpoint that could not be reached is suspended.
+  static constexpr Millis kUnreachableSuspension{ 1'000 };
+
+  /// @brief Suspends the endpoint because its address cannot be reached.
+  void OnUnreachable(TimePoint aNow)
+  {
+    mSuspendedUntil = std::max(mSuspendedUntil, aNow + kUnreachableSuspension);
+  }
+
   /// @brief Records the latency of one answer.
   /// @param aRatio observed time divided by the predicted time
   void OnLatency(double aRatio, TimePoint aNow);
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -3,8 +3,10 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/routing/EndpointLoad.h"
+#include "gentianloom/routing/RequestHold.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -47,10 +49,17 @@
   EntryState mState = EntryState::Listed;
   TimePoint mLastSeenAt{};   ///< time of the last read or watch event that contained the entry
   TimePoint mMissingSince{}; ///< set with EntryState::Missing
+  /// The process has stated in a response that it is leaving. Unlike the entry's state, this holds
+  /// until the process ends.
+  bool mHasAnnouncedLeaving = false;
   EndpointLoad mLoad;
+  RequestHold mHold;
 
-  /// @brief Whether new requests may be sent to the endpoint.
-  bool AcceptsRequests() const { return mState != EntryState::Removed && !mEntry.mIsLeaving; }
+  /// @brief Whether the endpoint is registered and does not leave.
+  bool AcceptsRequests() const
+  {
+    return mState != EntryState::Removed && !mEntry.mIsLeaving && !mHasAnnouncedLeaving;
+  }
 };
 
 /**
@@ -74,6 +83,13 @@
   /// old when the service comes back from it.
   static constexpr Millis kRemovedEntryRetention{ 60'000 };
 
+  /// @brief Sets a function that is called with the address of a process when it is known to be
+  /// another one than ran there before.
+  void OnNewProcess(std::function<void(const std::string& aAddress)> aHandler)
+  {
+    mOnNewProcess = std::move(aHandler);
+  }
+
   /// @brief Adds or updates an entry. A different start time, address, service or software version
   /// means a new process, which gets a new record.
   void Put(EndpointEntry aEntry, TimePoint aNow);
@@ -98,16 +114,26 @@
   /// @brief Removes an endpoint whose address now belongs to another one.
   void OnAddressReassigned(std::string_view aId, TimePoint aNow);
 
+  /// @brief Makes the endpoints at an address whose process has ended the last resort for
+  /// EndpointLoad::kUnreachableSuspension.
+  void SuspendAddress(std::string_view aAddress, TimePoint aNow);
+
   /// @brief Removes endpoints that have been missing for kRenewalGracePeriod. Must be called
   /// periodically.
   void RemoveExpired(TimePoint aNow);
 
-  /// @brief Endpoints of a service that accept requests; missing ones only if none is listed.
+  /// @brief Endpoints of a service that accept requests and have not asked for a pause; missing
+  /// ones only if none is listed.
   /// @param aSoftwareVersion only endpoints with this version of their software, if it is set
   std::vector<Ptr> UsableEndpoints(
     std::string_view aService,
+    TimePoint aNow,
     std::optional<std::string_view> aSoftwareVersion = std::nullopt) const;
 
+  /// @brief Time until the first of the service's endpoints may get a request again, if all of
+  /// those that accept requests have asked for a pause; otherwise nothing.
+  std::optional<Micros> TimeUntilPauseEnds(std::string_view aService, TimePoint aNow) const;
+
   /// @brief All endpoints by id.
   const std::map<std::string, Ptr, std::less<>>& All() const { return mEndpoints; }
 
@@ -120,11 +146,16 @@
   struct RemovedEntry
   {
     EndpointEntry mEntry;
+    bool mHasAnnouncedLeaving = false;
     TimePoint mRemovedAt{};
   };
 
+  /// Creates the record of a process that was not known, or continues one that was removed.
+  Ptr AddRecord(const EndpointEntry& aEntry);
+
   std::map<std::string, Ptr, std::less<>> mEndpoints;
   std::map<std::string, RemovedEntry, std::less<>> mRemoved;
+  std::function<void(const std::string&)> mOnNewProcess;
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/routing/RouteTable.h
+++ b/include/gentianloom/routing/RouteTable.h
@@ -43,6 +43,9 @@
   bool mAllowsAnonymous = false;
   bool mIsResumable = false;
   std::vector<WeightedService> mServices;
+
+  /// @brief Whether a request may run more than once, or go on where an earlier run ended.
+  bool IsRepeatable() const { return mKind == RouteKind::Idempotent || mIsResumable; }
 };
 
 /// Properties of the model engines of a service.
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -27,6 +27,8 @@
 constexpr int kInterruptionsWithoutRetry = 2;
 /// Reports to keepers in one second; a lost rack interrupts many requests at once.
 constexpr int kMaxReportsPerSecond = 100;
+/// Interruptions of one endpoint that are remembered in case that it turns out to have ended.
+constexpr std::ptrdiff_t kMaxSurvivedPerEndpoint = 64;
 /// Longest age that a message may state.
 constexpr Millis kMaxAge{ 300'000 };
 
@@ -97,6 +99,7 @@
                                          std::string aSelf,
                                          std::function<std::vector<std::string>()> aPeers,
                                          Probe aProbe,
+                                         EndpointEndExchange& aEnds,
                                          AsyncStore& aStore,
                                          const Clock& aClock,
                                          Metrics& aMetrics)
@@ -105,6 +108,7 @@
   , mSelf(std::move(aSelf))
   , mPeers(std::move(aPeers))
   , mProbe(std::move(aProbe))
+  , mEnds(aEnds)
   , mStore(aStore)
   , mClock(aClock)
   , mMetrics(aMetrics)
@@ -141,10 +145,9 @@
                                         TimePoint aSentAt,
                                         const std::string& aAddress)
 {
-  auto& unproved = mUnproved[aAddress];
-  unproved.push_back({ aFingerprint, aSentAt, mClock.Now() });
-  const bool isFirst = unproved.size() == 1;
-  if (isFirst) {
+  const auto [unproved, isProbeNeeded] = mUnproved.try_emplace(aAddress);
+  unproved->second.push_back({ aFingerprint, aSentAt, mClock.Now() });
+  if (isProbeNeeded) {
     net::Start(mLoop, "endpoint probe", ProbeEndpoint(aAddress));
   }
 }
@@ -152,13 +155,45 @@
 net::Task<void> CrashReportExchange::ProbeEndpoint(std::string aAddress)
 {
   const bool isAlive = co_await mProbe(aAddress);
-  const auto unproved = std::exchange(mUnproved[aAddress], {});
+  auto unproved = std::exchange(mUnproved[aAddress], {});
   mUnproved.erase(aAddress);
-  if (isAlive) {
-    co_return; // it reset the connections of these requests, but did not end under them
+  if (!isAlive && !unproved.empty()) {
+    const auto first =
+      std::min_element(unproved.begin(), unproved.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.mEndedAt < aRight.mEndedAt;
+      });
+    const auto firstEnd = co_await mEnds.FindFirstEnd(aAddress, first->mEndedAt);
+    std::erase_if(unproved, [&](const auto& it) { return it.mSentAt > firstEnd; });
+    ReportInterruptions(unproved);
   }
+  if (!isAlive) {
+    co_return;
+  }
+  // It seems to have reset the connections of these requests only, unless a new process is seen at
+  // its address later: a supervisor may have accepted the connection.
+  auto& survived = mSurvived[aAddress];
+  survived.insert(survived.end(), unproved.begin(), unproved.end());
+  if (std::ssize(survived) > kMaxSurvivedPerEndpoint) {
+    survived.erase(survived.begin(), survived.end() - kMaxSurvivedPerEndpoint);
+  }
+}
+
+void CrashReportExchange::OnNewProcess(const std::string& aAddress)
+{
+  mEnds.OnNewProcess(aAddress);
+  for (auto* it : { &mSurvived, &mUnproved }) {
+    const auto known = it->find(aAddress);
+    if (known != it->end()) {
+      // A probe that is still running keeps its entry, which is empty now.
+      ReportInterruptions(std::exchange(known->second, {}));
+    }
+  }
+}
+
+void CrashReportExchange::ReportInterruptions(std::span<const UnprovedInterruption> aInterruptions)
+{
   const auto now = mClock.Now();
-  for (const auto& it : unproved) {
+  for (const auto& it : aInterruptions) {
     SendToKeepers({ PeerMessageKind::CrashReport,
                     it.mFingerprint,
                     Age(it.mSentAt, now),
@@ -346,6 +381,11 @@
 {
   const auto now = mClock.Now();
   mEvidence.RemoveExpired(now);
+  for (auto& [address, interruptions] : mSurvived) {
+    std::erase_if(interruptions,
+                  [&](const auto& it) { return now - it.mEndedAt > kReplacementTime; });
+  }
+  std::erase_if(mSurvived, [](const auto& it) { return it.second.empty(); });
   std::erase_if(mBlocks, [&](const auto& it) { return now >= it.second.mUntil + kBlockTime; });
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -29,7 +29,8 @@
 constexpr PrefixWatchTiming kInstanceWatch{ Millis(8'000), Millis(500) };
 /// Time after the start of a process until which the instances that started together are listed.
 constexpr Millis kInstancesListedAfter{ 1'500 };
-/// An endpoint that does not accept a connection within this time counts as ended.
+/// An endpoint that does not accept a connection within this time, or closes it within this time,
+/// counts as ended.
 constexpr Millis kProbeTimeout{ 300 };
 /// Interval at which idle connections and expired endpoint entries are removed.
 constexpr Millis kHousekeepingInterval{ 250 };
@@ -121,14 +122,20 @@
       [this] { return mInstances.PeerAddresses(mSelf.mName); },
       aClock,
       mMetrics)
+  , mEndpointEnds(
+      aLoop,
+      mPeerSocket,
+      mSettings.mPeerAddress,
+      [this] { return mInstances.PeerAddresses(mSelf.mName); },
+      aClock,
+      mMetrics)
   , mCrashReports(
       aLoop,
       mPeerSocket,
       mSettings.mPeerAddress,
       [this] { return mInstances.PeerAddresses(mSelf.mName); },
-      [this](std::string aAddress) {
-        return net::AcceptsConnections(mLoop, std::move(aAddress), kProbeTimeout);
-      },
+      [this](std::string aAddress) { return ProbeEndpoint(std::move(aAddress)); },
+      mEndpointEnds,
       aStore,
       aClock,
       mMetrics)
@@ -167,6 +174,8 @@
 {
   mRelay.mStreamOrigins = &mStreamOrigins;
   mRelay.mGuard = &mCrashReports;
+  mRelay.mEndpoints.OnNewProcess(
+    [this](const std::string& aAddress) { mCrashReports.OnNewProcess(aAddress); });
 }
 
 GrantDependencies Gateway::MakeRightsLinks()
@@ -313,6 +322,7 @@
     mPeerLoadExchange.Start();
     mStreamOrigins.Start();
     mBudgetExchange.Start();
+    mEndpointEnds.Start();
     mCrashReports.Start();
     mRelay.mOnPendingTokensChanged = [this] { mPeerLoadExchange.NotifyChange(); };
   }
@@ -413,6 +423,7 @@
             { { "endpoint", id },
               { "service", entry.value().mService },
               { "software_version", entry.value().mSoftwareVersion },
+              { "started_at", std::to_string(entry.value().mStartedAt) },
               { "leaving", entry.value().mIsLeaving ? "yes" : "no" } });
   mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now());
   ObserveSoftwareVersions();
@@ -445,6 +456,15 @@
   mInstances.Put(std::move(record.value()));
 }
 
+net::Task<bool> Gateway::ProbeEndpoint(std::string aAddress)
+{
+  const bool isAlive = co_await net::KeepsConnectionOpen(mLoop, aAddress, kProbeTimeout);
+  if (!isAlive) {
+    mRelay.mEndpoints.SuspendAddress(aAddress, mClock.Now());
+  }
+  co_return isAlive;
+}
+
 bool Gateway::IsReady() const
 {
   // The records of the instances hold the blocked requests as well.
--- a/src/net/ConnectionProbe.cpp
+++ b/src/net/ConnectionProbe.cpp
@@ -6,7 +6,27 @@
 
 namespace gentianloom::net {
 
-Task<bool> AcceptsConnections(Loop& aLoop, std::string aAddress, Millis aTimeout)
+namespace {
+
+/// Waits while the channel is in a state, for at most a time.
+Task<void> WaitWhile(const Channel& aChannel,
+                     Signal& aSignal,
+                     ChannelState aState,
+                     std::chrono::steady_clock::time_point aDeadline)
+{
+  while (aChannel.State() == aState) {
+    const auto left =
+      std::chrono::duration_cast<Micros>(aDeadline - std::chrono::steady_clock::now());
+    if (left <= Micros(0)) {
+      break;
+    }
+    co_await aSignal.WaitFor(left);
+  }
+}
+
+} // namespace
+
+Task<bool> KeepsConnectionOpen(Loop& aLoop, std::string aAddress, Millis aTimeout)
 {
   const auto address = ParseSocketAddress(aAddress);
   if (!address) {
@@ -15,15 +35,10 @@
   const auto signal = std::make_shared<Signal>(aLoop);
   const auto channel = Channel::Connect(aLoop, address.value());
   channel->SetListener(signal);
-  const auto deadline = std::chrono::steady_clock::now() + aTimeout;
-  while (channel->State() == ChannelState::Connecting) {
-    const auto left =
-      std::chrono::duration_cast<Micros>(deadline - std::chrono::steady_clock::now());
-    if (left <= Micros(0)) {
-      break;
-    }
-    co_await signal->WaitFor(left);
-  }
+  const auto start = std::chrono::steady_clock::now();
+  co_await WaitWhile(*channel, *signal, ChannelState::Connecting, start + aTimeout);
+  co_await WaitWhile(
+    *channel, *signal, ChannelState::Open, std::chrono::steady_clock::now() + aTimeout);
   const bool isOpen = channel->IsUsable();
   channel->SetListener(nullptr);
   channel->Close();
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -1,8 +1,11 @@
 #include "gentianloom/relay/EndpointAttempt.h"
 
+#include "gentianloom/base/Jitter.h"
+#include "gentianloom/base/Log.h"
 #include "gentianloom/net/HttpClient.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace gentianloom {
@@ -34,6 +37,8 @@
 /// Extra time after the deadline, so that a response that the endpoint completes at its own time
 /// limit still reaches the caller.
 constexpr Millis kDeadlineGrace{ 60 };
+/// Statuses that promise the caller that the request did not run and never will.
+constexpr std::array kNotRunStatuses = { 408, 421, 429, 503 };
 
 bool IsSuccess(int aStatus)
 {
@@ -56,6 +61,7 @@
   , mSignal(std::move(aSignal))
   , mTokensToPrefill(static_cast<double>(aPlacement.mPendingTokens + aPlacement.mPrefillTokens))
   , mLoadHandle(mEndpoint->mLoad.OnSent(aPlacement.mPrefillTokens))
+  , mIsTrial(mEndpoint->mHold.OnSent())
   , mParser(aRequest.mHead.mMethod == "HEAD")
 {
 }
@@ -63,6 +69,9 @@
 EndpointAttempt::~EndpointAttempt()
 {
   mEndpoint->mLoad.OnEnded(mLoadHandle);
+  if (mIsTrial) {
+    mEndpoint->mHold.OnTrialEnded();
+  }
   NotifyPendingTokensChanged();
   mContext.mBufferedBytes -= mCountedBytes;
   ReleaseConnection();
@@ -154,9 +163,11 @@
     Finish(AttemptOutcome::NotReached, true, "the endpoint refused the connection");
     co_return false;
   }
-  if (mWriter.IsCallerDisconnected() || !mEndpoint->AcceptsRequests()) {
-    // The configuration or the list of endpoints may have changed while the connection was being
-    // opened, so that the endpoint no longer accepts work.
+  const bool acceptsWork =
+    mEndpoint->AcceptsRequests() && !mEndpoint->mHold.IsPaused(mContext.mClock.Now());
+  if (mWriter.IsCallerDisconnected() || !acceptsWork) {
+    // The list of endpoints or what the endpoint wants may have changed while the connection was
+    // being opened.
     const auto outcome = mWriter.IsCallerDisconnected() ? AttemptOutcome::CallerDisconnected
                                                         : AttemptOutcome::NotReached;
     Finish(outcome, true, "the caller disconnected or the endpoint no longer accepts work");
@@ -259,11 +270,12 @@
   if (mResponse.mLoad) {
     mEndpoint->mLoad.OnReportedLoad(*mResponse.mLoad, now);
   }
-  if (mResponse.mIsMisdirected && IsMisdirectionOfThisRequest()) {
+  if (mResponse.mIsMisdirected && IsResponseToThisRequest()) {
     mContext.mEndpoints.OnAddressReassigned(mEndpoint->mEntry.mId, now);
     Finish(AttemptOutcome::Refused, true, "the address now belongs to another endpoint");
     return;
   }
+  ObserveEndpointState();
   if (mResponse.mRequestId != ResponseRequestId::Same) {
     Finish(AttemptOutcome::Interrupted, false, "the response belongs to another request");
     return;
@@ -275,14 +287,57 @@
            "the endpoint refused the request with status " + std::to_string(status));
     return;
   }
+  if (IsUnprovedRefusal()) {
+    Finish(AttemptOutcome::Interrupted,
+           false,
+           "the endpoint did not state that the request with status " + std::to_string(status) +
+             " did not run");
+    return;
+  }
   if (IsSuccess(status) && !mResponse.mHasSignature) {
     Finish(AttemptOutcome::Interrupted, false, "success status without the endpoint's signature");
   }
 }
 
-bool EndpointAttempt::IsMisdirectionOfThisRequest() const
+void EndpointAttempt::ObserveEndpointState()
+{
+  if (!IsResponseToThisRequest()) {
+    return;
+  }
+  const auto now = mContext.mClock.Now();
+  if (mResponse.mIsLeaving && !mEndpoint->mHasAnnouncedLeaving) {
+    mEndpoint->mHasAnnouncedLeaving = true;
+    LogChange(
+      LogLevel::Info,
+      "endpoints",
+      "an endpoint stated in a response that it is leaving",
+      { { "endpoint", mEndpoint->mEntry.mId }, { "request", mRequest.mCallerRequest.mId } });
+  }
+  if (mResponse.mRetryAfter) {
+    mEndpoint->mHold.Begin(*mResponse.mRetryAfter, now, Jitter());
+    mContext.mMetrics.CounterOf("gentianloom_endpoint_pauses_total").Add();
+    LogChange(LogLevel::Info,
+              "endpoints",
+              "an endpoint asked for a pause",
+              { { "endpoint", mEndpoint->mEntry.mId },
+                { "request", mRequest.mCallerRequest.mId },
+                { "pause_ms", std::to_string(mResponse.mRetryAfter->count()) } });
+  } else if (mIsTrial) {
+    mEndpoint->mHold.OnTrialAnswered();
+  }
+}
+
+bool EndpointAttempt::IsUnprovedRefusal() const
+{
+  const auto& statuses = kNotRunStatuses;
+  const bool isRefusal =
+    std::find(statuses.begin(), statuses.end(), mParser.Head().mStatus) != statuses.end();
+  return isRefusal && !mResponse.mDidNotRun && !mRequest.mRoute.IsRepeatable();
+}
+
+bool EndpointAttempt::IsResponseToThisRequest() const
 {
-  // The platform's example of such a response has no id. It belongs to this request if the
+  // The platform's example of a misdirection has no id. It belongs to this request if the
   // connection has carried no other; otherwise it may be a late response to an earlier one.
   const bool isFirstRequest = mBytesSentBefore == 0;
   return mResponse.mRequestId == ResponseRequestId::Same ||
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -15,6 +15,9 @@
 
 /// Retry-After when no endpoint accepts work or no configuration has been read yet.
 constexpr Millis kRetryAfter{ 400 };
+/// Bounds of the Retry-After when all endpoints have asked for a pause.
+constexpr Millis kMinPauseRetryAfter{ 50 };
+constexpr Millis kMaxPauseRetryAfter{ 4'000 };
 /// Time limit of a request for which the caller states none; the timeout of the route applies as
 /// well.
 constexpr Millis kDefaultTimeout{ 30'000 };
@@ -285,7 +288,7 @@
   if (mProgress.mOrigin) {
     softwareVersion = mProgress.mOrigin->mSoftwareVersion;
   }
-  const auto usable = mContext.mEndpoints.UsableEndpoints(mService, softwareVersion);
+  const auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion);
   PlacementRequest request;
   request.mTieBreakHash = StableHash(mRequest.mId);
   request.mZone = mContext.mZone;
@@ -307,12 +310,11 @@
 bool RequestExchange::MayRetry(const AttemptResult& aResult)
 {
   const auto attempts = static_cast<std::int64_t>(mTriedEndpoints.size());
-  const bool isRepeatable = mRoute->mKind == RouteKind::Idempotent || mRoute->mIsResumable;
   const bool isResponseStarted = mWriter.State() != ResponseState::NotStarted;
   // Without the position of the last event, an endpoint would begin the stream anew.
   const bool isResumable = mRoute->mIsResumable && mProgress.mLastEventId;
   const bool isRetrySafe =
-    aResult.mRequestDidNotRun || (isRepeatable && (!isResponseStarted || isResumable));
+    aResult.mRequestDidNotRun || (mRoute->IsRepeatable() && (!isResponseStarted || isResumable));
   const bool isSuspect = mContext.mGuard != nullptr && !mContext.mGuard->MayRetry(mFingerprint);
   if (!isRetrySafe || isSuspect || mWriter.IsCallerDisconnected() ||
       aResult.mOutcome == AttemptOutcome::TimedOut ||
@@ -384,6 +386,15 @@
   ReportFailedAttempts();
 }
 
+Millis RequestExchange::RetryAfterRefusal() const
+{
+  const auto pause = mContext.mEndpoints.TimeUntilPauseEnds(mService, mContext.mClock.Now());
+  if (!pause) {
+    return kRetryAfter;
+  }
+  return std::clamp(std::chrono::ceil<Millis>(*pause), kMinPauseRetryAfter, kMaxPauseRetryAfter);
+}
+
 void RequestExchange::ReportFailedAttempts()
 {
   if (mWriter.State() == ResponseState::Streaming) {
@@ -395,7 +406,7 @@
                            Step::RequestDispatch,
                            mService,
                            "no endpoint accepted the request; it did not run");
-    error.mRetryAfter = kRetryAfter;
+    error.mRetryAfter = RetryAfterRefusal();
     SendError(kUnavailable, error);
     return;
   }
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -7,29 +7,48 @@
 
 namespace gentianloom {
 
+namespace {
+
+/// Whether two entries with the same id were written by the same process.
+bool IsSameProcess(const EndpointEntry& aLeft, const EndpointEntry& aRight)
+{
+  return aLeft.mStartedAt == aRight.mStartedAt && aLeft.mAddress == aRight.mAddress &&
+         aLeft.mService == aRight.mService && aLeft.mSoftwareVersion == aRight.mSoftwareVersion;
+}
+
+} // namespace
+
 void EndpointRegistry::Put(EndpointEntry aEntry, TimePoint aNow)
 {
   const auto known = mEndpoints.find(aEntry.mId);
-  if (known != mEndpoints.end()) {
-    const auto& old = known->second->mEntry;
-    const bool isSameRun = old.mStartedAt == aEntry.mStartedAt && old.mAddress == aEntry.mAddress &&
-                           old.mService == aEntry.mService &&
-                           old.mSoftwareVersion == aEntry.mSoftwareVersion;
-    if (!isSameRun) {
-      RemoveRecord(known, aNow);
-    }
+  if (known != mEndpoints.end() && !IsSameProcess(known->second->mEntry, aEntry)) {
+    RemoveRecord(known, aNow);
   }
-  mRemoved.erase(aEntry.mId);
   auto& it = mEndpoints[aEntry.mId];
   if (!it) {
-    it = std::make_shared<Endpoint>();
-    it->mHash = StableHash(aEntry.mId);
+    it = AddRecord(aEntry);
   }
   it->mEntry = std::move(aEntry);
   it->mState = EntryState::Listed;
   it->mLastSeenAt = aNow;
 }
 
+EndpointRegistry::Ptr EndpointRegistry::AddRecord(const EndpointEntry& aEntry)
+{
+  auto out = std::make_shared<Endpoint>();
+  out->mHash = StableHash(aEntry.mId);
+  const auto removed = mRemoved.find(aEntry.mId);
+  const bool isContinued =
+    removed != mRemoved.end() && IsSameProcess(removed->second.mEntry, aEntry);
+  if (isContinued) {
+    out->mHasAnnouncedLeaving = removed->second.mHasAnnouncedLeaving;
+  } else if (mOnNewProcess) {
+    mOnNewProcess(aEntry.mAddress);
+  }
+  mRemoved.erase(aEntry.mId);
+  return out;
+}
+
 void EndpointRegistry::Remove(std::string_view aId, bool aAfterOutage, TimePoint aNow)
 {
   const auto it = mEndpoints.find(aId);
@@ -84,8 +103,22 @@
 void EndpointRegistry::OnAddressReassigned(std::string_view aId, TimePoint aNow)
 {
   const auto it = mEndpoints.find(aId);
-  if (it != mEndpoints.end()) {
-    RemoveRecord(it, aNow);
+  if (it == mEndpoints.end()) {
+    return;
+  }
+  const auto address = it->second->mEntry.mAddress;
+  RemoveRecord(it, aNow);
+  if (mOnNewProcess) {
+    mOnNewProcess(address);
+  }
+}
+
+void EndpointRegistry::SuspendAddress(std::string_view aAddress, TimePoint aNow)
+{
+  for (const auto& [id, it] : mEndpoints) {
+    if (it->mEntry.mAddress == aAddress) {
+      it->mLoad.OnUnreachable(aNow);
+    }
   }
 }
 
@@ -106,12 +139,14 @@
 
 std::vector<EndpointRegistry::Ptr> EndpointRegistry::UsableEndpoints(
   std::string_view aService,
+  TimePoint aNow,
   std::optional<std::string_view> aSoftwareVersion) const
 {
   std::vector<Ptr> listed;
   std::vector<Ptr> missing;
   for (const auto& [id, it] : mEndpoints) {
-    if (it->mEntry.mService != aService || !it->AcceptsRequests()) {
+    if (it->mEntry.mService != aService || !it->AcceptsRequests() ||
+        !it->mHold.AllowsRequest(aNow)) {
       continue;
     }
     if (aSoftwareVersion && it->mEntry.mSoftwareVersion != *aSoftwareVersion) {
@@ -122,12 +157,30 @@
   return listed.empty() ? missing : listed;
 }
 
+std::optional<Micros> EndpointRegistry::TimeUntilPauseEnds(std::string_view aService,
+                                                           TimePoint aNow) const
+{
+  std::optional<Micros> out;
+  for (const auto& [id, it] : mEndpoints) {
+    if (it->mEntry.mService != aService || !it->AcceptsRequests()) {
+      continue;
+    }
+    if (it->mHold.AllowsRequest(aNow)) {
+      return std::nullopt;
+    }
+    const auto left = it->mHold.TimeLeft(aNow);
+    out = out ? std::min(*out, left) : left;
+  }
+  return out;
+}
+
 void EndpointRegistry::RemoveRecord(std::map<std::string, Ptr, std::less<>>::iterator aEndpoint,
                                     TimePoint aNow)
 {
   // Requests in flight still refer to the record and must see that it was removed.
   aEndpoint->second->mState = EntryState::Removed;
-  mRemoved[aEndpoint->first] = { aEndpoint->second->mEntry, aNow };
+  const auto& endpoint = *aEndpoint->second;
+  mRemoved[aEndpoint->first] = { endpoint.mEntry, endpoint.mHasAnnouncedLeaving, aNow };
   mEndpoints.erase(aEndpoint);
 }
 
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -19,6 +19,8 @@
   CPPUNIT_TEST_SUITE(CrashReportExchangeTest);
   CPPUNIT_TEST(TestInterruptionsAtManyInstances);
   CPPUNIT_TEST(TestEndpointsThatOnlyReset);
+  CPPUNIT_TEST(TestEndpointsThatWereReplaced);
+  CPPUNIT_TEST(TestRequestsSentToEndedEndpoints);
   CPPUNIT_TEST(TestCompletionTakesBlockBack);
   CPPUNIT_TEST(TestRecordIsWrittenAgain);
   CPPUNIT_TEST(TestBlockEnds);
@@ -34,21 +36,26 @@
     explicit Instance(CrashReportExchangeTest& aTest)
       : mSocket(aTest.mLoop, mMetrics)
       , mAddress(testing::FreeLoopbackAddress(aTest.mLoop))
+      , mEnds(
+          aTest.mLoop,
+          mSocket,
+          mAddress,
+          [this, &aTest] { return aTest.PeersOf(mAddress); },
+          aTest.mClock,
+          mMetrics)
       , mExchange(
           aTest.mLoop,
           mSocket,
           mAddress,
-          [this, &aTest] {
-            auto out = aTest.mAddresses;
-            std::erase(out, mAddress);
-            return out;
-          },
+          [this, &aTest] { return aTest.PeersOf(mAddress); },
           [&aTest](const std::string&) { return aTest.Probe(); },
+          mEnds,
           aTest.mStore,
           aTest.mClock,
           mMetrics)
     {
       CPPUNIT_ASSERT(mSocket.Start(mAddress));
+      mEnds.Start();
       mExchange.Start();
       aTest.mAddresses.push_back(mAddress);
     }
@@ -56,9 +63,17 @@
     Metrics mMetrics;
     PeerSocket mSocket;
     std::string mAddress;
+    EndpointEndExchange mEnds;
     CrashReportExchange mExchange;
   };
 
+  std::vector<std::string> PeersOf(const std::string& aAddress) const
+  {
+    auto out = mAddresses;
+    std::erase(out, aAddress);
+    return out;
+  }
+
   net::Task<bool> Probe() { co_return mEndpointsAcceptConnections; }
 
   bool mEndpointsAcceptConnections = false;
@@ -100,8 +115,9 @@
       }
       const auto sentAt = mClock.Now();
       mClock.Advance(Millis(80));
-      it->mExchange.OnInterrupted(mFingerprint, sentAt, "127.0.0.1:1");
       ++interruptions;
+      it->mExchange.OnInterrupted(
+        mFingerprint, sentAt, "127.0.0.1:" + std::to_string(interruptions));
       RunBriefly();
       mClock.Advance(Millis(100));
     }
@@ -162,6 +178,48 @@
     CPPUNIT_ASSERT(Record() == nullptr);
   }
 
+  // A supervisor that held the port of a crashed endpoint accepted the probe, and the request that
+  // crashed it was sent on and on.
+  void TestEndpointsThatWereReplaced()
+  {
+    mEndpointsAcceptConnections = true;
+    InterruptThreeRuns();
+    for (const auto* address : { "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3" }) {
+      for (const auto& it : mInstances) {
+        it->mExchange.OnNewProcess(address);
+      }
+      RunBriefly();
+    }
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return Record() != nullptr;
+    });
+  }
+
+  // The address of a crashed endpoint closes connections at once. Other requests that instances
+  // send there before they notice were taken for its cause.
+  void TestRequestsSentToEndedEndpoints()
+  {
+    constexpr int kEndpoints = 5;
+    for (int n = 1; n <= kEndpoints; ++n) {
+      const auto address = "127.0.0.1:" + std::to_string(n);
+      const auto sentAt = mClock.Now();
+      mClock.Advance(Millis(80));
+      const auto crashing = std::to_string(n);
+      mInstances[0]->mExchange.OnInterrupted(crashing, sentAt, address);
+      RunBriefly();
+      mClock.Advance(Millis(20));
+      const auto sentLaterAt = mClock.Now();
+      mClock.Advance(Millis(1));
+      mInstances[static_cast<std::size_t>(n)]->mExchange.OnInterrupted(
+        mFingerprint, sentLaterAt, address);
+      RunBriefly();
+      mClock.Advance(Millis(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
+    CPPUNIT_ASSERT(mInstances[1]->mExchange.MayRetry(mFingerprint));
+  }
+
   // A request that completes must not stay blocked, whatever ended beside it.
   void TestCompletionTakesBlockBack()
   {
@@ -235,6 +293,17 @@
       CPPUNIT_ASSERT(!DecodeCrashMessage(std::string_view(bytes).substr(0, n)));
     }
     CPPUNIT_ASSERT(!ParseBlockedRequestRecord("{}"));
+
+    const auto end =
+      EncodeEndpointEnd({ PeerMessageKind::EndpointEnded, 7, "127.0.0.1:1", Micros(1'234) });
+    CPPUNIT_ASSERT(DecodeEndpointEnd(end).value().mEndedAgo == Micros(1'234));
+    for (std::size_t n = 0; n < end.size(); ++n) {
+      CPPUNIT_ASSERT(!DecodeEndpointEnd(std::string_view(end).substr(0, n)));
+    }
+    for (const auto ago : { Micros(-1), Micros(EndpointEndExchange::kMemory) + Micros(1) }) {
+      CPPUNIT_ASSERT(!DecodeEndpointEnd(
+        EncodeEndpointEnd({ PeerMessageKind::EndpointEnded, 7, "127.0.0.1:1", ago })));
+    }
   }
 };
 
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(TestForgedHeadersAreRemoved);
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestNumbersOfResponses);
+  CPPUNIT_TEST(TestWishesOfEndpoints);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -205,6 +206,43 @@
     }
   }
 
+  // A pause that cannot be read, or that no endpoint can mean, must not be taken for one.
+  void TestWishesOfEndpoints()
+  {
+    struct Row
+    {
+      int mStatus;
+      std::string mRetryAfter;
+      std::string mLeaving;
+      std::optional<Millis> mPause;
+      bool mIsLeaving;
+    };
+    const Row rows[] = {
+      { 503, "2", "1", Millis(2'000), true },
+      { 200, "2", "1", std::nullopt, true },
+      { 429, "2", "", std::nullopt, false },
+      { 503, "0.75", "0", Millis(750), false },
+      { 503, "0", "true", std::nullopt, false },
+      { 503, "-1", "11", std::nullopt, false },
+      { 503, "nan", "", std::nullopt, false },
+      { 503, "inf", "", std::nullopt, false },
+      { 503, "1e3", "", std::nullopt, false },
+      { 503, "2 s", "", std::nullopt, false },
+      { 503, "", "", std::nullopt, false },
+      { 503, "Wed, 21 Oct 2026 07:28:00 GMT", "", std::nullopt, false },
+      { 503, "99999999999999999999", "", Millis(86'400'000), false },
+      { 503, std::string(400, '9'), "", std::nullopt, false },
+    };
+    for (const auto& row : rows) {
+      net::ResponseHead head{ row.mStatus, "", {}, true };
+      head.mHeaders.Add("Retry-After", row.mRetryAfter);
+      head.mHeaders.Add("Server-Leaving", row.mLeaving);
+      const auto response = mCodec.DecodeResponse(head, {});
+      CPPUNIT_ASSERT_MESSAGE(row.mRetryAfter, row.mPause == response.mRetryAfter);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mLeaving, row.mIsLeaving, response.mIsLeaving);
+    }
+  }
+
 private:
   WireCodec mCodec;
 };
--- a/tests/platform/crashing_request_test.py
+++ b/tests/platform/crashing_request_test.py
@@ -35,6 +35,7 @@
     events: int  # that a stream sends before its endpoint ends
     late_start: str  # "new": another gateway starts; "again": one is killed and started again
     new_id: bool  # of endpoints that come back
+    listener: str = "refuse"  # what an address does while its endpoint is gone, see standin.py
 
 
 ROWS = [
@@ -46,6 +47,12 @@
     Row("resumable stream, no body", "/resume/crash", None, 0, "again", False),
     Row("other stream, body", "/chat/crash", b"crash", 1, "again", True),
     Row("other stream, no body", "/chat/crash", None, 0, "new", False),
+    Row("idempotent, connections are closed", "/read/crash", b"crash", 0, "again", True, "close"),
+    Row("at most once, connections are closed", "/send/crash", None, 0, "new", False, "close"),
+    Row("resumable stream, connections are closed", "/resume/crash", None, 1, "new", False, "close"),
+    Row("other stream, connections are closed", "/chat/crash", b"crash", 0, "again", True, "close"),
+    Row("at most once, connections are queued", "/send/crash", b"crash", 0, "again", True, "queue"),
+    Row("other stream, connections are queued", "/chat/crash", None, 1, "new", False, "queue"),
 ]
 
 
@@ -166,7 +173,7 @@
     for name in ENDPOINTS:
         fleet.platform.send_command(worker=name, set={
             "crashing": [[row.path, "org", body]], "events_before_crash": row.events,
-            "new_id_after_crash": row.new_id, "run_s": 0.02})
+            "new_id_after_crash": row.new_id, "crashed_listener": row.listener, "run_s": 0.02})
     fleet.keep_sending("crash", row.path, "k1", row.body)
     fleet.keep_sending("other-path", row.path.replace("crash", "calm"), "k1", row.body)
     fleet.keep_sending("other-body", row.path, "k1", b"calm")
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -214,6 +214,8 @@
     and again).
 
     A run whose path, organisation and body are in `crashing` ends the endpoint, see `crash`.
+    Mode "full" refuses each request, with the headers `refusal` and the statement that it did not run
+    if `states_not_run`. `arrived` lists the requests that were run or refused.
     """
 
     def __init__(self, name, changed):
@@ -223,6 +225,9 @@
         self.store = None
         self.crashing = []  # lists of path, organisation and body
         self.events_before_crash = 0  # that a stream sends first
+        # What its address does between a crash and the next lifetime: "refuse" connections, "close"
+        # them without a byte, or "queue" them for the next lifetime.
+        self.crashed_listener = "refuse"
         self.new_id_after_crash = False
         self.lifetime = 1
         self.crashes = []  # of all lifetimes
@@ -235,10 +240,15 @@
         self.endless_bytes = 0  # sent in endless responses
         self.endless_closed = 0  # endless responses whose connection the caller closed
         self.events = 5
+        self.is_leaving = False  # says so in each response
+        self.refusal = {}
+        self.states_not_run = True
+        self.arrived = []
         self.executed = []
 
     def crash(self, server, request=None):
-        """Resets the listening socket and all connections; listens again after CRASH_DURATION_S.
+        """Resets all connections and, by `crashed_listener`, the listening socket; serves again after
+        CRASH_DURATION_S.
 
         The entry in the store stays until then; a new lifetime with another id replaces it.
         """
@@ -247,16 +257,24 @@
                 return  # under another request at the same time
             server.has_crashed.set()
             self.crashes.append({"at": time.monotonic(), "id": self.name, **(request or {})})
+        if self.crashed_listener == "refuse":
+            server.refuse_connections()
+        server.queues_connections = self.crashed_listener == "queue"
         server.close_connections()
         threading.Thread(target=self.start_again, args=(server,), daemon=True).start()
 
     def start_again(self, server):
-        server.shutdown()
-        server.server_close()
-        # Bound at once, so that no other process is given the port; connections are refused.
         out = Server(server.server_address, WorkerHandler, bind_and_activate=False)
-        out.server_bind()
+        if self.crashed_listener == "refuse":
+            server.shutdown()
+            server.server_close()
+            # Bound at once, so that no other process is given the port; connections are refused.
+            out.server_bind()
         time.sleep(CRASH_DURATION_S)
+        if self.crashed_listener != "refuse":
+            server.shutdown()
+            out.socket.close()
+            out.socket = server.socket
         with self.changed:
             old_name = self.name
             self.lifetime += 1
@@ -282,8 +300,12 @@
         common = [("X-Attempt-Id", attempt), ("X-Instance-Load", "1,0,8")]
         if self.headers.get("X-Expect-Instance") != worker.name:
             return self.respond(421, b"", common + [("X-Instance-Id", worker.name)])
+        worker.arrived.append({"path": self.path, "attempt": attempt, "at": time.monotonic()})
+        if worker.is_leaving:
+            common.append(("Server-Leaving", "1"))
         if worker.mode == "full":
-            return self.respond(503, b"", common + [("X-Not-Executed", "1")])
+            statement = [("X-Not-Executed", "1")] if worker.states_not_run else []
+            return self.respond(503, b"", common + statement + list(worker.refusal.items()))
         if self.server.has_crashed.is_set():
             self.close_connection = True
             return None
@@ -304,7 +326,8 @@
         if worker.mode == "unsigned":
             return self.respond(200, b"x", common)
         if worker.mode == "other-attempt":
-            return self.respond(200, b"x", [("X-Attempt-Id", "other"), ("X-Server-Signature", "s")])
+            return self.respond(200, b"x", [("X-Attempt-Id", "other"), ("X-Server-Signature", "s"),
+                                            *common[2:]])
         if worker.mode == "unresponsive":
             self.close_connection = True
             self.wait_for_close()
@@ -414,6 +437,7 @@
                 worker.crash(worker.server)
             store.changed.notify_all()
             out = {"executed": {k: it.executed for k, it in platform["workers"].items()},
+                   "arrived": {k: it.arrived for k, it in platform["workers"].items()},
                    "endless": {k: [it.endless_bytes, it.endless_closed]
                                for k, it in platform["workers"].items()},
                    "crashes": [it for w in platform["workers"].values() for it in w.crashes],
@@ -429,6 +453,7 @@
 
     def __init__(self, *arguments, **named):
         self.has_crashed = threading.Event()
+        self.queues_connections = False  # after a crash; otherwise it closes them
         self.connections = set()
         super().__init__(*arguments, **named)
 
@@ -446,9 +471,18 @@
         request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         return self.close_request(request)  # a reset, without an orderly close before it
 
-    def close_connections(self):
-        """Refuses new connections at once; ends the reads of all others, which are reset then."""
+    def _handle_request_noblock(self):
+        if self.has_crashed.is_set() and self.queues_connections:
+            time.sleep(POLL_S)
+            return
+        super()._handle_request_noblock()
+
+    def refuse_connections(self):
+        """Refuses new connections at once."""
         self.socket.shutdown(socket.SHUT_RDWR)
+
+    def close_connections(self):
+        """Ends the reads of all connections, which are reset then."""
         for it in list(self.connections):
             try:
                 it.shutdown(socket.SHUT_RD)
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -24,7 +24,7 @@
 std::string UsableIds(const EndpointRegistry& aRegistry)
 {
   std::string out;
-  for (const auto& it : aRegistry.UsableEndpoints("pool")) {
+  for (const auto& it : aRegistry.UsableEndpoints("pool", TimePoint{})) {
     out += it->mEntry.mId;
   }
   return out;
@@ -41,6 +41,9 @@
   CPPUNIT_TEST(TestSoftwareVersions);
   CPPUNIT_TEST(TestOutdatedEntries);
   CPPUNIT_TEST(TestEntryThatReturned);
+  CPPUNIT_TEST(TestAnnouncedLeaving);
+  CPPUNIT_TEST(TestPauses);
+  CPPUNIT_TEST(TestNewProcessesAreReported);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,14 +55,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("abc"), UsableIds(registry));
     registry.Put(MakeEntry("b", 1, /*aIsLeaving=*/true), mNow);
     CPPUNIT_ASSERT_EQUAL(std::string("ac"), UsableIds(registry));
-    const auto heldEndpoint = registry.UsableEndpoints("pool").front();
+    const auto heldEndpoint = registry.UsableEndpoints("pool", mNow).front();
     registry.Remove("a", /*aAfterOutage=*/false, mNow);
     CPPUNIT_ASSERT_EQUAL(std::string("c"), UsableIds(registry));
     // Requests in flight still refer to the removed endpoint.
     CPPUNIT_ASSERT(!heldEndpoint->AcceptsRequests());
     registry.OnAddressReassigned("c", mNow);
     CPPUNIT_ASSERT_EQUAL(std::string(), UsableIds(registry));
-    CPPUNIT_ASSERT(registry.UsableEndpoints("other").empty());
+    CPPUNIT_ASSERT(registry.UsableEndpoints("other", mNow).empty());
   }
 
   // Entries expire during an outage of the key-value service. An endpoint that is still running
@@ -87,11 +90,11 @@
   {
     EndpointRegistry registry;
     registry.Put(MakeEntry("a", 1), mNow);
-    const auto before = registry.UsableEndpoints("pool").front();
+    const auto before = registry.UsableEndpoints("pool", mNow).front();
     registry.Put(MakeEntry("a", 1), mNow);
-    CPPUNIT_ASSERT(before == registry.UsableEndpoints("pool").front());
+    CPPUNIT_ASSERT(before == registry.UsableEndpoints("pool", mNow).front());
     registry.Put(MakeEntry("a", 2), mNow);
-    CPPUNIT_ASSERT(before != registry.UsableEndpoints("pool").front());
+    CPPUNIT_ASSERT(before != registry.UsableEndpoints("pool", mNow).front());
     CPPUNIT_ASSERT(!before->AcceptsRequests());
   }
 
@@ -107,7 +110,7 @@
     }
     const auto ids = [&](const std::string& aVersion) {
       std::string out;
-      for (const auto& it : registry.UsableEndpoints("pool", aVersion)) {
+      for (const auto& it : registry.UsableEndpoints("pool", mNow, aVersion)) {
         out += it->mEntry.mId;
       }
       return out;
@@ -119,7 +122,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), ids("v1"));
     CPPUNIT_ASSERT_EQUAL(std::string(), ids("v3"));
     // An update in place is a new process.
-    const auto before = registry.UsableEndpoints("pool", "v2").front();
+    const auto before = registry.UsableEndpoints("pool", mNow, "v2").front();
     auto updated = before->mEntry;
     updated.mSoftwareVersion = "v3";
     registry.Put(updated, mNow);
@@ -180,6 +183,72 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ab"), UsableIds(registry));
   }
 
+  // An entry that the process writes as before, or that lapsed and came back, unsaid that it
+  // leaves.
+  void TestAnnouncedLeaving()
+  {
+    EndpointRegistry registry;
+    registry.Put(MakeEntry("a"), mNow);
+    registry.UsableEndpoints("pool", mNow).front()->mHasAnnouncedLeaving = true;
+    CPPUNIT_ASSERT_EQUAL(std::string(), UsableIds(registry));
+    registry.Put(MakeEntry("a"), mNow);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("written again", std::string(), UsableIds(registry));
+    registry.Remove("a", /*aAfterOutage=*/false, mNow);
+    registry.Put(MakeEntry("a"), mNow);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("lapsed and came back", std::string(), UsableIds(registry));
+    registry.Put(MakeEntry("a", 2), mNow);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("a later process", std::string("a"), UsableIds(registry));
+  }
+
+  // The pause of one endpoint must not be taken for that of its service.
+  void TestPauses()
+  {
+    EndpointRegistry registry;
+    registry.Replace({ MakeEntry("a"), MakeEntry("b") }, /*aAfterOutage=*/false, mNow);
+    const auto all = registry.UsableEndpoints("pool", mNow);
+    all[0]->mHold.Begin(Millis(900), mNow, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, registry.UsableEndpoints("pool", mNow).size());
+    CPPUNIT_ASSERT(!registry.TimeUntilPauseEnds("pool", mNow));
+    all[1]->mHold.Begin(Millis(400), mNow, 0);
+    CPPUNIT_ASSERT(registry.UsableEndpoints("pool", mNow).empty());
+    CPPUNIT_ASSERT(registry.TimeUntilPauseEnds("pool", mNow) == Micros(Millis(400)));
+    CPPUNIT_ASSERT(!registry.TimeUntilPauseEnds("other", mNow));
+    all[1]->mHasAnnouncedLeaving = true;
+    CPPUNIT_ASSERT(registry.TimeUntilPauseEnds("pool", mNow) == Micros(Millis(900)));
+    const auto later = mNow + Millis(900);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, registry.UsableEndpoints("pool", later).size());
+  }
+
+  // An endpoint that crashed and came back at once looked like one that had never ended.
+  void TestNewProcessesAreReported()
+  {
+    struct Row
+    {
+      std::string mName;
+      EndpointEntry mEntry;
+      bool mIsNew;
+    };
+    const Row rows[] = { { "first entry", MakeEntry("a"), true },
+                         { "written again", MakeEntry("a"), false },
+                         { "a later start", MakeEntry("a", 2), true },
+                         { "another id at the address", MakeEntry("b"), true } };
+    EndpointRegistry registry;
+    std::vector<std::string> reported;
+    registry.OnNewProcess([&](const std::string& it) { reported.push_back(it); });
+    for (const auto& row : rows) {
+      reported.clear();
+      registry.Put(row.mEntry, mNow);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mIsNew ? 1UL : 0UL, reported.size());
+    }
+    reported.clear();
+    registry.Remove("a", /*aAfterOutage=*/true, mNow);
+    registry.RemoveExpired(mNow + EndpointRegistry::kRenewalGracePeriod);
+    registry.Put(MakeEntry("a", 2), mNow);
+    CPPUNIT_ASSERT_MESSAGE("lapsed and came back", reported.empty());
+    registry.OnAddressReassigned("a", mNow);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("reassigned", std::size_t{ 1 }, reported.size());
+  }
+
 private:
   TimePoint mNow{ std::chrono::hours(1) };
 };
