Caps leave room for the demand until the reserve opens; watchers wait as long as a lost update allows

Cause: the reserve opens up to 4 s after the last report, but caps left room for 2.5 s of demand, and half of it may be used before a new report is due.

Change: room for twice the time until the reserve opens, so that the half that is left lasts so long. Watchers wait for 0.6 of a watch's timeout, and followers watch themselves after a whole one.

--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -38,7 +38,9 @@
 /// Timing of a PrefixWatcher.
 struct PrefixWatchTiming
 {
-  Millis mTimeout{ 0 };   ///< maximum time that one watch waits for changes
+  /// Maximum time that one watch waits for changes, and that an instance which follows others goes
+  /// without their updates.
+  Millis mTimeout{ 0 };
   Millis mBatchTime{ 0 }; ///< pause after changes, so that those of many keys come with one call
 };
 
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -171,7 +171,7 @@
 {
   const auto input = aHolding.MakeGrantInput();
   const auto free = std::max<Tokens>(0, aHolding.Free() + aHolding.mDrawing);
-  const double demandRoom = input.mDemand * SecondsOf(mSettings.mHeadroom);
+  const double demandRoom = input.mDemand * SecondsOf(ReserveDelay() * mSettings.mHeadroomFactor);
   const double initialRoom =
     static_cast<double>(free) * kInitialShare * (1 - input.mObservedFraction);
   // The first requests after an outage begins should not have to wait for the reserve to open.
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -14,6 +14,9 @@
 constexpr Millis kOutageGracePeriod{ 1'500 };
 /// Interval at which an instance that follows others checks that their updates still arrive.
 constexpr Millis kFollowCheckInterval{ 100 };
+/// Share of the timeout that the watches of instances with followers wait, so that one lost update
+/// is no silence.
+constexpr double kWatcherTimeoutShare = 0.6;
 /// Backoff after the first failed call; it doubles up to kMaxBackoffDoublings times.
 constexpr Millis kInitialBackoff{ 40 };
 constexpr int kMaxBackoffDoublings = 3;
@@ -136,7 +139,8 @@
   }
   const bool hasFollowers = mRelay != nullptr && mRelay->HasFollowers();
   const auto timeout =
-    hasFollowers ? std::min(mTiming.mTimeout, WatchRelay::kWatchTimeout) : mTiming.mTimeout;
+    hasFollowers ? std::chrono::duration_cast<Millis>(mTiming.mTimeout * kWatcherTimeoutShare)
+                 : mTiming.mTimeout;
   const auto after = mRevision;
   const auto answer = co_await mStore.Watch(mPrefix, after, timeout);
   if (!IsCurrent(answer)) {
@@ -212,8 +216,7 @@
 
 bool PrefixWatcher::IsFollowing() const
 {
-  const bool isRecent =
-    mUpdatedAt != TimePoint{} && mClock.Now() - mUpdatedAt < WatchRelay::kMaxSilence;
+  const bool isRecent = mUpdatedAt != TimePoint{} && mClock.Now() - mUpdatedAt < mTiming.mTimeout;
   return isRecent && !mHasMissedChange && !mNeedsSnapshot && mStore.Era() == mEra &&
          !mRelay->IsWatcher();
 }
