Watchers that the store turns away follow the others; caps near a budget's end; addresses beyond 64

After all instances lost power, 402 for what caps had left free.

Change: three watchers a zone; an instance that is refused but hears updates tries again every second instead of every 0.3 s. Endpoint changes are batched for 250 ms. A cap leaves room for 1.25 times the time until the reserve opens, and for at most 0.15 of what is unspent. Which 64 addresses a caller gets depends on its IP address, so that all instances are offered and a caller always gets the same. ChooseKeepers moved to membership/, next to the list of instances that it ranks.

Tests: UsageCapsTest TestRoomOfCaps, InstanceDirectoryTest TestMoreInstancesThanAddresses (both fail without the change: the room was not bounded, the answer was the first 64).

--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -79,9 +79,9 @@
 {
   Millis mReportInterval{ 1'000 }; ///< longest time between reports
   Millis mGracePeriod{ 2'000 };    ///< time from the first missed report until the reserve opens
-  /// A cap leaves room for the demand of this multiple of the time until the reserve opens. A
-  /// report is due once half of the room is used, and the other half has to last that long.
-  int mHeadroomFactor = 2;
+  /// A cap leaves room for the demand of this multiple of the time until the reserve opens. What
+  /// it leaves free counts as used if the process ends, so the margin is small.
+  double mHeadroomFactor = 1.25;
 };
 
 /**
--- a/include/gentianloom/gateway/BudgetKeepers.h
+++ b/include/gentianloom/gateway/BudgetKeepers.h
@@ -1,7 +1,7 @@
 #ifndef GENTIANLOOM_GATEWAY_BUDGET_KEEPERS_H
 #define GENTIANLOOM_GATEWAY_BUDGET_KEEPERS_H
 
-#include "gentianloom/gateway/Keepers.h"
+#include "gentianloom/membership/Keepers.h"
 
 #include "gentianloom/base/Clock.h"
 
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -72,7 +72,7 @@
   net::Task<bool> ProbeEndpoint(std::string aAddress);
   bool IsReady() const;
   net::ServiceReply HandleReadinessCheck() const;
-  net::ServiceReply HandleAddressQuery(const net::RequestHead& aHead) const;
+  net::ServiceReply HandleAddressQuery(const net::ServiceRequest& aRequest) const;
   net::Task<void> RunHousekeeping();
   net::Task<void> RunShutdown();
 
--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -83,8 +83,12 @@
   net::Task<bool> Watch();
   /// Waits as long as the updates of other instances are complete and recent.
   net::Task<void> Follow();
+  /// Whether the updates of other instances are complete and recent.
+  bool IsUpdated() const;
   /// Whether the updates of other instances make a call needless.
   bool IsFollowing() const;
+  /// Time until a failed call is repeated.
+  Micros Backoff() const;
   void OnUpdate(const PrefixUpdate& aUpdate);
   void Publish(Revision aAfter, std::vector<WatchEvent> aEvents);
   /// Hands events to their handler, but for those that were handled before.
--- a/include/gentianloom/gateway/StreamOriginExchange.h
+++ b/include/gentianloom/gateway/StreamOriginExchange.h
@@ -1,7 +1,7 @@
 #ifndef GENTIANLOOM_GATEWAY_STREAM_ORIGIN_EXCHANGE_H
 #define GENTIANLOOM_GATEWAY_STREAM_ORIGIN_EXCHANGE_H
 
-#include "gentianloom/gateway/Keepers.h"
+#include "gentianloom/membership/Keepers.h"
 #include "gentianloom/gateway/PeerSocket.h"
 #include "gentianloom/gateway/StreamOriginTable.h"
 #include "gentianloom/net/Signal.h"
--- a/include/gentianloom/gateway/WatchRelay.h
+++ b/include/gentianloom/gateway/WatchRelay.h
@@ -48,13 +48,14 @@
  * the watches are most of the load of the service, and a change wakes all of them at once. The
  * kWatchers that come first in a rendezvous order of the zone's instances watch and send what they
  * learn to the others, which ask the service themselves only if they missed a change or have heard
- * nothing for the time that their own watch would wait. The traffic stays within the zone and grows with the zone's instances.
+ * nothing for the time that their own watch would wait. The traffic stays within the zone and
+ * grows with the zone's instances.
  */
 class WatchRelay
 {
 public:
   /// Instances of an availability zone that watch the service.
-  static constexpr std::size_t kWatchers = 2;
+  static constexpr std::size_t kWatchers = 3;
   /// Most datagrams for the changes of one watch.
   static constexpr std::size_t kMaxDatagrams = 16;
 
--- a/include/gentianloom/net/Channel.h
+++ b/include/gentianloom/net/Channel.h
@@ -69,6 +69,9 @@
   /// @brief Number of bytes written to the socket so far.
   std::size_t Sent() const { return mSent; }
 
+  /// @brief Returns the IP address of the peer; empty if the connection is not open.
+  std::string PeerHost() const;
+
   /// @brief Closes the socket at once. The peer sees a reset if bytes are unread or unsent.
   void Close();
 
--- a/include/gentianloom/net/HttpService.h
+++ b/include/gentianloom/net/HttpService.h
@@ -18,7 +18,14 @@
   std::string mBody{};
 };
 
-using ServiceHandler = std::function<ServiceReply(const RequestHead&)>;
+/// Request to a ServiceHandler.
+struct ServiceRequest
+{
+  const RequestHead& mHead;
+  std::string mPeerHost; ///< IP address of the sender; empty if it is not known any more
+};
+
+using ServiceHandler = std::function<ServiceReply(const ServiceRequest&)>;
 using ChannelHandler = std::function<void(Channel::Ptr)>;
 
 /**
--- a/src/budget/UsageCaps.cpp
+++ b/src/budget/UsageCaps.cpp
@@ -15,6 +15,9 @@
 constexpr Tokens kCapRequestsDivisor = 3;
 /// Fraction of the free tokens for which a cap leaves room before demand is known.
 constexpr double kInitialShare = 0.25;
+/// A cap leaves room for demand of at most this share of what is unspent in the whole fleet: the
+/// room is lost if the process ends.
+constexpr double kMaxUnspentShare = 0.15;
 
 /// Largest difference between the time elapsed by the monotonic clock and by the wall clock within
 /// one boot. A larger one means that the monotonic clock restarted, after a power loss.
@@ -171,13 +174,16 @@
 {
   const auto input = aHolding.MakeGrantInput();
   const auto free = std::max<Tokens>(0, aHolding.Free() + aHolding.mDrawing);
-  const double demandRoom = input.mDemand * SecondsOf(ReserveDelay() * mSettings.mHeadroomFactor);
+  const double demandRoom = input.mDemand * SecondsOf(ReserveDelay()) * mSettings.mHeadroomFactor;
   const double initialRoom =
     static_cast<double>(free) * kInitialShare * (1 - input.mObservedFraction);
+  const auto unspent =
+    static_cast<double>(std::max<Tokens>(0, input.mUnallocated) + free + input.mOthersUnspent);
+  const double boundedRoom = std::min(demandRoom, unspent * kMaxUnspentShare);
   // The first requests after an outage begins should not have to wait for the reserve to open.
   const auto requestRoom = static_cast<double>(
     std::min(kCapRequests * aHolding.mLargestRequest, free / kCapRequestsDivisor));
-  const auto room = static_cast<Tokens>(std::max({ demandRoom, initialRoom, requestRoom })) +
+  const auto room = static_cast<Tokens>(std::max({ boundedRoom, initialRoom, requestRoom })) +
                     aHolding.mWaitingTokens;
   return aHolding.Used() + std::min(room, free);
 }
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -2,7 +2,7 @@
 
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/Log.h"
-#include "gentianloom/gateway/Keepers.h"
+#include "gentianloom/membership/Keepers.h"
 #include "gentianloom/membership/InstanceDirectory.h"
 
 #include <nlohmann/json.hpp>
--- a/src/gateway/EndpointEndExchange.cpp
+++ b/src/gateway/EndpointEndExchange.cpp
@@ -2,7 +2,7 @@
 
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/gateway/DatagramNumber.h"
-#include "gentianloom/gateway/Keepers.h"
+#include "gentianloom/membership/Keepers.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -23,7 +23,7 @@
 /// call (600 ms), which must be well below the 3 s after which a version has to be in force.
 constexpr PrefixWatchTiming kConfigurationWatch{ Millis(1'700) };
 /// Many endpoints change at once when a service is replaced or a rack is lost.
-constexpr PrefixWatchTiming kEndpointWatch{ Millis(1'700), Millis(100) };
+constexpr PrefixWatchTiming kEndpointWatch{ Millis(1'700), Millis(250) };
 /// For the list of instances, whose changes are less urgent. All of them write their records when
 /// the key-value service comes back, and each write would end a watch of every instance.
 constexpr PrefixWatchTiming kInstanceWatch{ Millis(8'000), Millis(500) };
@@ -488,14 +488,14 @@
                    : net::ServiceReply{ kUnavailable, "text/plain", "not ready\n" };
 }
 
-net::ServiceReply Gateway::HandleAddressQuery(const net::RequestHead& aHead) const
+net::ServiceReply Gateway::HandleAddressQuery(const net::ServiceRequest& aRequest) const
 {
   // SelectAddresses() omits an instance that is leaving, so an instance that is not ready is marked
   // as leaving.
   auto self = mSelf;
   self.mIsLeaving = !IsReady();
-  const auto zone = mProtocol.DecodeRequestedZone(aHead.mTarget);
-  const auto addresses = mInstances.SelectAddresses(self, zone, mClock.Now());
+  const auto zone = mProtocol.DecodeRequestedZone(aRequest.mHead.mTarget);
+  const auto addresses = mInstances.SelectAddresses(self, zone, aRequest.mPeerHost, mClock.Now());
   if (addresses.empty()) {
     return { kUnavailable, "text/plain", "no instance is ready\n" };
   }
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -20,6 +20,8 @@
 /// Backoff after the first failed call; it doubles up to kMaxBackoffDoublings times.
 constexpr Millis kInitialBackoff{ 40 };
 constexpr int kMaxBackoffDoublings = 3;
+/// Backoff of an instance that the service turns away while others tell it of changes.
+constexpr Millis kBackoffWhileUpdated{ 1'000 };
 /// The backoff is multiplied by a random factor between this one and this one plus 1.
 constexpr double kMinJitterFactor = 0.5;
 
@@ -73,13 +75,17 @@
     if (hasSucceeded) {
       continue;
     }
-    const auto backoff =
-      kInitialBackoff * (1 << std::min(mConsecutiveFailures - 1, kMaxBackoffDoublings));
-    co_await net::Signal::Sleep(
-      mLoop, std::chrono::duration_cast<Micros>(backoff * (kMinJitterFactor + Jitter())));
+    co_await net::Signal::Sleep(mLoop, Backoff());
   }
 }
 
+Micros PrefixWatcher::Backoff() const
+{
+  const auto doublings = std::clamp(mConsecutiveFailures - 1, 0, kMaxBackoffDoublings);
+  const auto backoff = IsUpdated() ? kBackoffWhileUpdated : kInitialBackoff * (1 << doublings);
+  return std::chrono::duration_cast<Micros>(backoff * (kMinJitterFactor + Jitter()));
+}
+
 template<typename T>
 bool PrefixWatcher::IsCurrent(const Result<T>& aAnswer)
 {
@@ -214,11 +220,15 @@
   mConfirmedUntil = std::max(mConfirmedUntil, trueAt);
 }
 
-bool PrefixWatcher::IsFollowing() const
+bool PrefixWatcher::IsUpdated() const
 {
   const bool isRecent = mUpdatedAt != TimePoint{} && mClock.Now() - mUpdatedAt < mTiming.mTimeout;
-  return isRecent && !mHasMissedChange && !mNeedsSnapshot && mStore.Era() == mEra &&
-         !mRelay->IsWatcher();
+  return isRecent && !mHasMissedChange && !mNeedsSnapshot && mStore.Era() == mEra;
+}
+
+bool PrefixWatcher::IsFollowing() const
+{
+  return IsUpdated() && !mRelay->IsWatcher();
 }
 
 net::Task<void> PrefixWatcher::Follow()
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -1,5 +1,8 @@
 #include "gentianloom/membership/InstanceDirectory.h"
 
+#include "gentianloom/base/Ids.h"
+#include "gentianloom/membership/Keepers.h"
+
 #include <nlohmann/json.hpp>
 
 #include <set>
@@ -87,6 +90,7 @@
 
 std::vector<std::string> InstanceDirectory::SelectAddresses(const InstanceRecord& aSelf,
                                                             std::string_view aZone,
+                                                            std::string_view aCaller,
                                                             TimePoint aNow) const
 {
   std::vector<std::string> all;
@@ -108,7 +112,7 @@
   }
   auto& out = sameZone.size() >= kMinSameZone ? sameZone : all;
   if (out.size() > kMaxAddresses) {
-    out.resize(kMaxAddresses);
+    return ChooseKeepers(StableHash(aCaller), std::move(out), kMaxAddresses);
   }
   return out;
 }
--- a/src/gateway/Keepers.cpp
+++ b/src/membership/Keepers.cpp
@@ -1,4 +1,4 @@
-#include "gentianloom/gateway/Keepers.h"
+#include "gentianloom/membership/Keepers.h"
 
 #include "gentianloom/base/Ids.h"
 
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -210,6 +210,13 @@
   NotifyListener();
 }
 
+std::string Channel::PeerHost() const
+{
+  boost::system::error_code ec;
+  const auto peer = mSocket.remote_endpoint(ec);
+  return ec ? std::string() : peer.address().to_string();
+}
+
 void Channel::Close()
 {
   if (mState != ChannelState::Closed) {
--- a/src/net/HttpService.cpp
+++ b/src/net/HttpService.cpp
@@ -66,7 +66,7 @@
     ServiceReply reply{ 400, "text/plain", "not an HTTP request\n" };
     keepAlive = parser.State() == ParseState::Done && parser.Head().mKeepAlive;
     if (parser.State() == ParseState::Done) {
-      reply = aHandler(parser.Head());
+      reply = aHandler({ parser.Head(), aChannel->PeerHost() });
     }
     ResponseHead head{ reply.mStatus, "", {}, keepAlive };
     head.mHeaders.Add("Content-Type", reply.mContentType);
--- a/tests/budget/UsageCapsTest.cpp
+++ b/tests/budget/UsageCapsTest.cpp
@@ -44,6 +44,7 @@
 {
   CPPUNIT_TEST_SUITE(UsageCapsTest);
   CPPUNIT_TEST(TestUsableTokens);
+  CPPUNIT_TEST(TestRoomOfCaps);
   CPPUNIT_TEST(TestReportWithUnknownOutcome);
   CPPUNIT_TEST(TestEndedWithinCaps);
   CPPUNIT_TEST(TestWallClock);
@@ -81,6 +82,30 @@
 
   // A report whose answer was lost may have been stored. A successor would rely on that report, so
   // the reserve must not open before the delay after it has passed.
+  // Caps for less than the time until the reserve opens refused requests in between; caps for more
+  // than a part of what is unspent lost nearly all of it when all instances lost power together.
+  void TestRoomOfCaps()
+  {
+    struct Row
+    {
+      std::string mName;
+      Tokens mUnallocated;
+      Tokens mRoom;
+    };
+    // 100 tokens a second, and 3 s from a report until the reserve opens.
+    const Row rows[] = { { "most is unspent", 100'000, 375 }, { "little is unspent", 1'000, 270 } };
+    for (const auto& row : rows) {
+      UsageCaps caps("run-1", "boot", {});
+      std::map<std::string, Holding> holdings = { { "b", MakeHolding(800, 0) } };
+      auto& it = holdings["b"];
+      it.mDemand = 100;
+      it.mEstimateWeight = 1;
+      it.mLastUnallocated = row.mUnallocated;
+      caps.OnCommitted(caps.Plan(holdings, mNow, kWall));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mRoom, caps.UsableTokens("b", it, mNow));
+    }
+  }
+
   void TestReportWithUnknownOutcome()
   {
     UsageCaps caps("run-1", "boot", {});
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -1,7 +1,7 @@
 #include "gentianloom/gateway/CrashReportExchange.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/gateway/Keepers.h"
+#include "gentianloom/membership/Keepers.h"
 
 #include "support/LoopbackPort.h"
 #include "support/MemoryAsyncStore.h"
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -139,7 +139,7 @@
 
 public:
   // With hundreds of instances, the calls of their watches were most of the store's load: 202 calls
-  // of 20 instances here, where the watchers alone make at most 26.
+  // of 20 instances here.
   void TestFewInstancesCallTheStore()
   {
     mStore.EnableWaiting(mLoop);
--- a/tests/membership/InstanceDirectoryTest.cpp
+++ b/tests/membership/InstanceDirectoryTest.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
 #include <string>
 
 namespace gentianloom {
@@ -28,6 +29,7 @@
 {
   CPPUNIT_TEST_SUITE(InstanceDirectoryTest);
   CPPUNIT_TEST(TestSelectAddresses);
+  CPPUNIT_TEST(TestMoreInstancesThanAddresses);
   CPPUNIT_TEST(TestLeasesExpireInOutage);
   CPPUNIT_TEST(TestExpiredInstancesAreErased);
   CPPUNIT_TEST(TestRecordRoundTrip);
@@ -39,21 +41,47 @@
     InstanceDirectory directory;
     directory.Replace({ Record("a", "z1"), Record("b", "z1"), Record("c", "z2") }, false, mNow);
     const auto self = Record("a", "z1");
-    CPPUNIT_ASSERT_EQUAL(std::string("ab"), JoinNames(directory.SelectAddresses(self, "z1", mNow)));
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"),
+                         JoinNames(directory.SelectAddresses(self, "z1", "caller", mNow)));
     CPPUNIT_ASSERT_EQUAL_MESSAGE("a single instance of the zone is not enough",
                                  std::string("abc"),
-                                 JoinNames(directory.SelectAddresses(self, "z2", mNow)));
-    CPPUNIT_ASSERT_EQUAL(std::string("abc"), JoinNames(directory.SelectAddresses(self, "", mNow)));
+                                 JoinNames(directory.SelectAddresses(self, "z2", "caller", mNow)));
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"),
+                         JoinNames(directory.SelectAddresses(self, "", "caller", mNow)));
     directory.Put(Record("b", "z1", true));
-    CPPUNIT_ASSERT_EQUAL(std::string("ac"), JoinNames(directory.SelectAddresses(self, "z1", mNow)));
-    CPPUNIT_ASSERT_EQUAL(std::string("c"),
-                         JoinNames(directory.SelectAddresses(Record("a", "z1", true), "z1", mNow)));
+    CPPUNIT_ASSERT_EQUAL(std::string("ac"),
+                         JoinNames(directory.SelectAddresses(self, "z1", "caller", mNow)));
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("c"),
+      JoinNames(directory.SelectAddresses(Record("a", "z1", true), "z1", "caller", mNow)));
     directory.Remove("c", false, mNow);
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), JoinNames(directory.SelectAddresses(self, "z1", mNow)));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         JoinNames(directory.SelectAddresses(self, "z1", "caller", mNow)));
     CPPUNIT_ASSERT_EQUAL(std::string("b"), JoinNames(directory.PeerAddresses("a")));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, directory.Size("a"));
   }
 
+  // Of a zone with more instances than an answer holds, those behind the first 64 names got no
+  // callers.
+  void TestMoreInstancesThanAddresses()
+  {
+    constexpr int kInstances = 120;
+    InstanceDirectory directory;
+    for (int n = 0; n < kInstances; ++n) {
+      directory.Put(Record("i" + std::to_string(n), "z1"));
+    }
+    std::set<std::string> offered;
+    for (int n = 0; n < 50; ++n) {
+      const auto caller = "10.0.0." + std::to_string(n);
+      const auto first = directory.SelectAddresses(Record("i0", "z1"), "z1", caller, mNow);
+      const auto second = directory.SelectAddresses(Record("i7", "z1"), "z1", caller, mNow);
+      CPPUNIT_ASSERT_EQUAL(InstanceDirectory::kMaxAddresses, first.size());
+      CPPUNIT_ASSERT_MESSAGE("callers leave instances that an answer omits", first == second);
+      offered.insert(first.begin(), first.end());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ kInstances }, offered.size());
+  }
+
   // All leases expire in an outage of the key-value service although the instances still run.
   void TestLeasesExpireInOutage()
   {
@@ -61,12 +89,14 @@
     directory.Replace({ Record("a", "z1"), Record("b", "z1") }, false, mNow);
     directory.Replace({}, true, mNow);
     const auto self = Record("a", "z1");
-    CPPUNIT_ASSERT_EQUAL(std::string("ab"), JoinNames(directory.SelectAddresses(self, "z1", mNow)));
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"),
+                         JoinNames(directory.SelectAddresses(self, "z1", "caller", mNow)));
     const auto later = mNow + InstanceDirectory::kReregistrationGrace;
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), JoinNames(directory.SelectAddresses(self, "z1", later)));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         JoinNames(directory.SelectAddresses(self, "z1", "caller", later)));
     directory.Put(Record("b", "z1"));
     CPPUNIT_ASSERT_EQUAL(std::string("ab"),
-                         JoinNames(directory.SelectAddresses(self, "z1", later)));
+                         JoinNames(directory.SelectAddresses(self, "z1", "caller", later)));
   }
 
   // An instance that ended in an outage never writes its key again. If its entry stayed, it would
