--- a/include/gentianloom/gateway/StreamOriginExchange.h
+++ b/include/gentianloom/gateway/StreamOriginExchange.h
@@ -1,9 +1,9 @@
 #ifndef GENTIANLOOM_GATEWAY_STREAM_ORIGIN_EXCHANGE_H
 #define GENTIANLOOM_GATEWAY_STREAM_ORIGIN_EXCHANGE_H
 
-#include "gentianloom/membership/Keepers.h"
 #include "gentianloom/gateway/PeerSocket.h"
 #include "gentianloom/gateway/StreamOriginTable.h"
+#include "gentianloom/membership/Keepers.h"
 #include "gentianloom/net/Signal.h"
 
 #include <functional>
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -2,8 +2,8 @@
 
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/Log.h"
-#include "gentianloom/membership/Keepers.h"
 #include "gentianloom/membership/InstanceDirectory.h"
+#include "gentianloom/membership/Keepers.h"
 
 #include <nlohmann/json.hpp>
 
