One codec for datagrams between instances; ages in crash reports are integers

What stood six times: MessagePack to and from bytes, with its error. What could happen: a floating-point number in place of an age was converted to an integer without a check, which is undefined; a test of CrashReportExchangeTest shows that it is refused now (it was taken before). DatagramNumber is Datagram, with EncodeDatagram and DecodeDatagram; no message changes.

--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -2,12 +2,14 @@
 
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/base/Log.h"
+#include "gentianloom/gateway/Datagram.h"
 #include "gentianloom/membership/InstanceDirectory.h"
 #include "gentianloom/membership/Keepers.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace gentianloom {
 
@@ -34,7 +36,8 @@
 
 Millis AgeAt(const nlohmann::json& aArray, std::size_t aIndex)
 {
-  return std::clamp(Millis(aArray.at(aIndex).get<std::int64_t>()), Millis(0), kMaxAge);
+  constexpr auto kAnyAge = std::numeric_limits<std::int64_t>::max();
+  return std::min(Millis(ReadDatagramNumber(aArray, aIndex, kAnyAge)), kMaxAge);
 }
 
 Millis Age(TimePoint aTime, TimePoint aNow)
@@ -55,20 +58,16 @@
                                             aMessage.mFingerprint,
                                             aMessage.mSentAgo.count(),
                                             aMessage.mEndedAgo.count() });
-  const auto bytes = nlohmann::json::to_msgpack(json);
-  return { bytes.begin(), bytes.end() };
+  return EncodeDatagram(json);
 }
 
 Result<CrashMessage> DecodeCrashMessage(std::string_view aBytes)
 {
-  try {
-    const auto json = nlohmann::json::from_msgpack(aBytes.begin(), aBytes.end());
+  return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     return CrashMessage{
-      PeerMessageKindOf(aBytes), json.at(1).get<std::string>(), AgeAt(json, 2), AgeAt(json, 3)
+      PeerMessageKindOf(aBytes), aArray.at(1).get<std::string>(), AgeAt(aArray, 2), AgeAt(aArray, 3)
     };
-  } catch (const nlohmann::json::exception& ex) {
-    return MakeError(ErrorCode::MalformedRequest, Step::RequestPlace, "peer", ex.what());
-  }
+  });
 }
 
 std::string ToText(const BlockedRequestRecord& aRecord)
--- a/src/gateway/DatagramNumber.cpp
+++ b/src/gateway/Datagram.cpp
@@ -1,9 +1,13 @@
-#include "gentianloom/gateway/DatagramNumber.h"
-
-#include <nlohmann/json.hpp>
+#include "gentianloom/gateway/Datagram.h"
 
 namespace gentianloom {
 
+std::string EncodeDatagram(const nlohmann::json& aArray)
+{
+  const auto bytes = nlohmann::json::to_msgpack(aArray);
+  return { bytes.begin(), bytes.end() };
+}
+
 std::int64_t ReadDatagramNumber(const nlohmann::json& aArray, std::size_t aIndex, std::int64_t aMax)
 {
   const auto& it = aArray.at(aIndex);
--- a/src/gateway/EndpointEndExchange.cpp
+++ b/src/gateway/EndpointEndExchange.cpp
@@ -1,7 +1,7 @@
 #include "gentianloom/gateway/EndpointEndExchange.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/gateway/DatagramNumber.h"
+#include "gentianloom/gateway/Datagram.h"
 #include "gentianloom/membership/Keepers.h"
 
 #include <nlohmann/json.hpp>
@@ -16,24 +16,20 @@
                                             aMessage.mId,
                                             aMessage.mAddress,
                                             aMessage.mEndedAgo.count() });
-  const auto bytes = nlohmann::json::to_msgpack(json);
-  return { bytes.begin(), bytes.end() };
+  return EncodeDatagram(json);
 }
 
 Result<EndpointEndMessage> DecodeEndpointEnd(std::string_view aBytes)
 {
-  try {
-    const auto json = nlohmann::json::from_msgpack(aBytes.begin(), aBytes.end());
+  return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     EndpointEndMessage out;
     out.mKind = PeerMessageKindOf(aBytes);
-    out.mId = json.at(1).get<std::uint64_t>();
-    out.mAddress = json.at(2).get<std::string>();
+    out.mId = aArray.at(1).get<std::uint64_t>();
+    out.mAddress = aArray.at(2).get<std::string>();
     out.mEndedAgo =
-      Micros(ReadDatagramNumber(json, 3, Micros(EndpointEndExchange::kMemory).count()));
+      Micros(ReadDatagramNumber(aArray, 3, Micros(EndpointEndExchange::kMemory).count()));
     return out;
-  } catch (const nlohmann::json::exception& ex) {
-    return MakeError(ErrorCode::MalformedRequest, Step::RequestPlace, "peer", ex.what());
-  }
+  });
 }
 
 EndpointEndExchange::EndpointEndExchange(net::Loop& aLoop,
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -1,7 +1,7 @@
 #include "gentianloom/gateway/PeerLoadExchange.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/gateway/DatagramNumber.h"
+#include "gentianloom/gateway/Datagram.h"
 
 #include <nlohmann/json.hpp>
 
@@ -44,27 +44,22 @@
     pending.push_back(it.mEndpointHash);
     pending.push_back(it.mTokens);
   }
-  const auto bytes =
-    nlohmann::json::to_msgpack({ aMessage.mIncarnation, aMessage.mSequence, pending });
-  return { bytes.begin(), bytes.end() };
+  return EncodeDatagram({ aMessage.mIncarnation, aMessage.mSequence, pending });
 }
 
 Result<PeerLoadMessage> DecodePeerLoad(std::string_view aBytes)
 {
-  try {
-    const auto json = nlohmann::json::from_msgpack(aBytes.begin(), aBytes.end());
+  return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     PeerLoadMessage out;
-    out.mIncarnation = json.at(0).get<std::string>();
-    out.mSequence = json.at(1).get<std::uint64_t>();
-    const auto& pending = json.at(2);
+    out.mIncarnation = aArray.at(0).get<std::string>();
+    out.mSequence = aArray.at(1).get<std::uint64_t>();
+    const auto& pending = aArray.at(2);
     for (std::size_t n = 0; n + 1 < pending.size(); n += 2) {
       out.mPending.push_back(
         { pending.at(n).get<std::uint64_t>(), ReadDatagramNumber(pending, n + 1) });
     }
     return out;
-  } catch (const nlohmann::json::exception& ex) {
-    return MakeError(ErrorCode::MalformedRequest, Step::RequestPlace, "peer", ex.what());
-  }
+  });
 }
 
 void ApplyPeerLoad(const PeerLoadMessage& aMessage,
--- a/src/gateway/ReservationMessage.cpp
+++ b/src/gateway/ReservationMessage.cpp
@@ -1,6 +1,6 @@
 #include "gentianloom/gateway/ReservationMessage.h"
 
-#include "gentianloom/gateway/DatagramNumber.h"
+#include "gentianloom/gateway/Datagram.h"
 
 #include <nlohmann/json.hpp>
 
@@ -33,37 +33,29 @@
     default:
       break;
   }
-  const auto bytes = nlohmann::json::to_msgpack(json);
-  return { bytes.begin(), bytes.end() };
+  return EncodeDatagram(json);
 }
 
 Result<ReservationMessage> DecodeReservation(std::string_view aBytes)
 {
-  try {
-    const auto json = nlohmann::json::from_msgpack(aBytes.begin(), aBytes.end());
+  return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     ReservationMessage out;
     out.mKind = PeerMessageKindOf(aBytes);
-    out.mId = json.at(1).get<std::uint64_t>();
+    out.mId = aArray.at(1).get<std::uint64_t>();
     if (out.mKind == PeerMessageKind::ReservationQuery) {
-      out.mBudget = json.at(2).get<std::string>();
-      out.mTokens = ReadDatagramNumber(json, 3);
-      out.mMaxWait = Millis(ReadDatagramNumber(json, 4, kMaxMillis));
-      out.mLifetime = Millis(ReadDatagramNumber(json, 5, kMaxMillis));
+      out.mBudget = aArray.at(2).get<std::string>();
+      out.mTokens = ReadDatagramNumber(aArray, 3);
+      out.mMaxWait = Millis(ReadDatagramNumber(aArray, 4, kMaxMillis));
+      out.mLifetime = Millis(ReadDatagramNumber(aArray, 5, kMaxMillis));
     } else if (out.mKind == PeerMessageKind::ReservationAnswer) {
-      const auto answer = ReadDatagramNumber(json, 2);
-      if (answer > static_cast<int>(KeeperAnswer::Waiting)) {
-        return MakeError(
-          ErrorCode::MalformedRequest, Step::RequestReserve, "peer", "unknown answer");
-      }
-      out.mAnswer = static_cast<KeeperAnswer>(answer);
-      out.mOutage = Millis(ReadDatagramNumber(json, 3));
+      constexpr auto kLastAnswer = static_cast<std::int64_t>(KeeperAnswer::Waiting);
+      out.mAnswer = static_cast<KeeperAnswer>(ReadDatagramNumber(aArray, 2, kLastAnswer));
+      out.mOutage = Millis(ReadDatagramNumber(aArray, 3));
     } else if (out.mKind == PeerMessageKind::ReservationSettlement) {
-      out.mUsed = ReadDatagramNumber(json, 2);
+      out.mUsed = ReadDatagramNumber(aArray, 2);
     }
     return out;
-  } catch (const nlohmann::json::exception& ex) {
-    return MakeError(ErrorCode::MalformedRequest, Step::RequestReserve, "peer", ex.what());
-  }
+  });
 }
 
 } // namespace gentianloom
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -1,5 +1,6 @@
 #include "gentianloom/gateway/StreamOriginExchange.h"
 
+#include "gentianloom/gateway/Datagram.h"
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -20,24 +21,20 @@
     json.push_back(aMessage.mOrigin.mService);
     json.push_back(aMessage.mOrigin.mSoftwareVersion);
   }
-  const auto bytes = nlohmann::json::to_msgpack(json);
-  return { bytes.begin(), bytes.end() };
+  return EncodeDatagram(json);
 }
 
 Result<StreamOriginMessage> DecodeStreamOrigin(std::string_view aBytes)
 {
-  try {
-    const auto json = nlohmann::json::from_msgpack(aBytes.begin(), aBytes.end());
+  return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     StreamOriginMessage out;
     out.mKind = PeerMessageKindOf(aBytes);
-    out.mStream = json.at(1).get<StreamKey>();
+    out.mStream = aArray.at(1).get<StreamKey>();
     if (out.mKind == PeerMessageKind::StreamOrigin) {
-      out.mOrigin = { json.at(2).get<std::string>(), json.at(3).get<std::string>() };
+      out.mOrigin = { aArray.at(2).get<std::string>(), aArray.at(3).get<std::string>() };
     }
     return out;
-  } catch (const nlohmann::json::exception& ex) {
-    return MakeError(ErrorCode::MalformedRequest, Step::RequestPlace, "peer", ex.what());
-  }
+  });
 }
 
 StreamOriginExchange::StreamOriginExchange(net::Loop& aLoop,
--- a/src/gateway/WatchRelay.cpp
+++ b/src/gateway/WatchRelay.cpp
@@ -1,7 +1,7 @@
 #include "gentianloom/gateway/WatchRelay.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/gateway/DatagramNumber.h"
+#include "gentianloom/gateway/Datagram.h"
 #include "gentianloom/membership/Keepers.h"
 
 #include <nlohmann/json.hpp>
@@ -49,23 +49,21 @@
                                             aUpdate.mAge.count(),
                                             aUpdate.mIsAfterOutage,
                                             std::move(events) });
-  const auto bytes = nlohmann::json::to_msgpack(json);
-  return { bytes.begin(), bytes.end() };
+  return EncodeDatagram(json);
 }
 
 Result<PrefixUpdate> DecodePrefixUpdate(std::string_view aBytes)
 {
   constexpr std::size_t kFieldsOfEvent = 4;
-  try {
-    const auto json = nlohmann::json::from_msgpack(aBytes.begin(), aBytes.end());
+  return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     PrefixUpdate out;
-    out.mPrefix = json.at(1).get<std::string>();
-    out.mEra = ReadDatagramNumber(json, 2, kMaxRevision);
-    out.mAfter = ReadDatagramNumber(json, 3, kMaxRevision);
-    out.mRevision = ReadDatagramNumber(json, 4, kMaxRevision);
-    out.mAge = Millis(ReadDatagramNumber(json, 5, kMaxAge.count()));
-    out.mIsAfterOutage = json.at(6).get<bool>();
-    const auto& events = json.at(7);
+    out.mPrefix = aArray.at(1).get<std::string>();
+    out.mEra = ReadDatagramNumber(aArray, 2, kMaxRevision);
+    out.mAfter = ReadDatagramNumber(aArray, 3, kMaxRevision);
+    out.mRevision = ReadDatagramNumber(aArray, 4, kMaxRevision);
+    out.mAge = Millis(ReadDatagramNumber(aArray, 5, kMaxAge.count()));
+    out.mIsAfterOutage = aArray.at(6).get<bool>();
+    const auto& events = aArray.at(7);
     for (std::size_t n = 0; n < events.size(); n += kFieldsOfEvent) {
       WatchEvent event;
       event.mEntry.mKey = events.at(n).get<std::string>();
@@ -76,9 +74,7 @@
       out.mEvents.push_back(std::move(event));
     }
     return out;
-  } catch (const nlohmann::json::exception& ex) {
-    return MakeError(ErrorCode::MalformedRequest, Step::RequestPlace, "peer", ex.what());
-  }
+  });
 }
 
 std::vector<PrefixUpdate> SplitPrefixUpdate(const PrefixUpdate& aUpdate)
--- a/tests/gateway/BudgetExchangeTest.cpp
+++ b/tests/gateway/BudgetExchangeTest.cpp
@@ -1,6 +1,6 @@
 #include "gentianloom/gateway/BudgetExchange.h"
 
-#include "gentianloom/gateway/DatagramNumber.h"
+#include "gentianloom/gateway/Datagram.h"
 
 #include "support/LoopbackPort.h"
 #include "support/MemoryAsyncStore.h"
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -293,6 +293,9 @@
       CPPUNIT_ASSERT(!DecodeCrashMessage(std::string_view(bytes).substr(0, n)));
     }
     CPPUNIT_ASSERT(!ParseBlockedRequestRecord("{}"));
+    // 1e300 instead of an age: its conversion to an integer is undefined.
+    const std::string real("\x94\x08\xa1r\xcb\x7e\x37\xe4\x3c\x88\x00\x75\x9c\x01", 14);
+    CPPUNIT_ASSERT(!DecodeCrashMessage(real));
 
     const auto end =
       EncodeEndpointEnd({ PeerMessageKind::EndpointEnded, 7, "127.0.0.1:1", Micros(1'234) });
