--- a/include/gentianloom/budget/UsageCaps.h
+++ b/include/gentianloom/budget/UsageCaps.h
@@ -81,7 +81,7 @@
   Millis mGracePeriod{ 2'000 };    ///< time from the first missed report until the reserve opens
   /// A cap leaves room for the demand of this multiple of the time until the reserve opens. What
   /// it leaves free counts as used if the process ends, so the margin is small.
-  double mHeadroomFactor = 1.25;
+  double mHeadroomFactor = 1.5;
 };
 
 /**
--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -4,6 +4,7 @@
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/external/AsyncStore.h"
 #include "gentianloom/gateway/WatchRelay.h"
+#include "gentianloom/net/Backoff.h"
 #include "gentianloom/net/Signal.h"
 
 #include <functional>
@@ -87,8 +88,8 @@
   bool IsUpdated() const;
   /// Whether the updates of other instances make a call needless.
   bool IsFollowing() const;
-  /// Time until a failed call is repeated.
-  Micros Backoff() const;
+  /// Waits until a failed call is repeated.
+  net::Task<void> AwaitRetry();
   void OnUpdate(const PrefixUpdate& aUpdate);
   void Publish(Revision aAfter, std::vector<WatchEvent> aEvents);
   /// Hands events to their handler, but for those that were handled before.
@@ -120,9 +121,9 @@
   TimePoint mUpdatedAt{};        ///< when the last update of another instance was true
   bool mHasMissedChange = false; ///< an update of another instance shows a gap
   net::Signal mUpdateSignal;
+  net::Backoff mBackoff;
   TimePoint mLastFailureAt{};
   TimePoint mConfirmedUntil{};
-  int mConsecutiveFailures = 0;
 };
 
 } // namespace gentianloom
--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -3,6 +3,7 @@
 #include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
 #include "gentianloom/budget/StoreResult.h"
+#include "gentianloom/net/Backoff.h"
 #include "gentianloom/net/HttpHead.h"
 
 #include <algorithm>
@@ -16,8 +17,10 @@
 constexpr std::size_t kMaxShards = 15;
 /// Maximum number of attempts of one write; a conflict leads to the next attempt.
 constexpr int kMaxWriteAttempts = 4;
-/// Pause before the take-over from a predecessor is retried.
+/// Pause before the take-over from a predecessor is retried, and the longest one while the
+/// key-value service is unavailable.
 constexpr Millis kTakeOverPause{ 60 };
+constexpr Millis kMaxTakeOverPause{ 960 };
 /// Limit for the whole fleet on the writes per second, and likewise on the reads per second, while
 /// no request waits.
 constexpr std::int64_t kFleetIdleCallsPerSecond = 25;
@@ -172,13 +175,18 @@
 
 net::Task<void> GrantManager::Run()
 {
+  net::Backoff backoff(kTakeOverPause, kMaxTakeOverPause);
   bool hasTakenOver = false;
   while (!mIsClosing && !hasTakenOver) {
     hasTakenOver = co_await TakeOver();
     mHasTakenOver = hasTakenOver;
-    if (!hasTakenOver) {
-      co_await net::Signal::Sleep(mLoop, std::chrono::duration_cast<Micros>(kTakeOverPause));
+    if (hasTakenOver) {
+      break;
     }
+    if (!mPacer.IsStoreUnavailable()) {
+      backoff.Reset();
+    }
+    co_await net::Signal::Sleep(mLoop, backoff.Next());
   }
   while (!mIsClosing && !mIsReplaced) {
     mPacer.SetInterval(FleetInterval(
--- a/src/gateway/InstanceRegistration.cpp
+++ b/src/gateway/InstanceRegistration.cpp
@@ -1,16 +1,20 @@
 #include "gentianloom/gateway/InstanceRegistration.h"
 
 #include "gentianloom/base/Log.h"
+#include "gentianloom/net/Backoff.h"
 #include "gentianloom/net/Signal.h"
 
 namespace gentianloom {
 
 namespace {
 
-/// TTL of the lease, and the intervals to renew it and to retry.
+/// TTL of the lease, and the interval to renew it.
 constexpr Millis kLeaseTtl{ 3'000 };
 constexpr Millis kRenewalInterval{ 1'000 };
-constexpr Millis kRetryInterval{ 200 };
+/// Interval at which it is checked whether the record has to be written.
+constexpr Millis kCheckInterval{ 200 };
+/// Longest pause after failed calls.
+constexpr Millis kMaxRetryPause{ 800 };
 
 } // namespace
 
@@ -67,6 +71,7 @@
 {
   bool isWritten = false;
   bool isLeavingPublished = false;
+  net::Backoff backoff(kCheckInterval, kMaxRetryPause);
   while (true) {
     // After the store came back from an older copy, the record may be gone and the lease's number
     // may be another instance's.
@@ -80,6 +85,11 @@
         const bool isLeaving = mSelf.mIsLeaving;
         isWritten = co_await WriteRecord();
         isLeavingPublished = isWritten ? isLeaving : isLeavingPublished;
+        if (!isWritten) {
+          co_await net::Signal::Sleep(mLoop, backoff.Next());
+          continue;
+        }
+        backoff.Reset();
       } else {
         isWritten = co_await RenewLease();
         if (!isWritten) {
@@ -88,7 +98,7 @@
       }
     }
     const bool isUpToDate = isWritten && isLeavingPublished == mSelf.mIsLeaving;
-    const auto pause = isUpToDate && !mSelf.mIsLeaving ? kRenewalInterval : kRetryInterval;
+    const auto pause = isUpToDate && !mSelf.mIsLeaving ? kRenewalInterval : kCheckInterval;
     co_await net::Signal::Sleep(mLoop, pause);
   }
 }
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -1,6 +1,5 @@
 #include "gentianloom/gateway/PrefixWatcher.h"
 
-#include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
 
 #include <algorithm>
@@ -17,13 +16,11 @@
 /// Share of the timeout that the watches of instances with followers wait, so that one lost update
 /// is no silence.
 constexpr double kWatcherTimeoutShare = 0.6;
-/// Backoff after the first failed call; it doubles up to kMaxBackoffDoublings times.
-constexpr Millis kInitialBackoff{ 40 };
-constexpr int kMaxBackoffDoublings = 3;
-/// Backoff of an instance that the service turns away while others tell it of changes.
-constexpr Millis kBackoffWhileUpdated{ 1'000 };
-/// The backoff is multiplied by a random factor between this one and this one plus 1.
-constexpr double kMinJitterFactor = 0.5;
+/// Shortest and longest pause after failed calls.
+constexpr Millis kFirstPause{ 40 };
+constexpr Millis kMaxPause{ 640 };
+/// Pause of an instance that the service turns away while others tell it of changes.
+constexpr Millis kRetryIntervalWhileUpdated{ 1'000 };
 
 } // namespace
 
@@ -44,6 +41,7 @@
   , mClock(aClock)
   , mMetrics(aMetrics)
   , mUpdateSignal(aLoop)
+  , mBackoff(kFirstPause, kMaxPause)
 {
 }
 
@@ -75,17 +73,10 @@
     if (hasSucceeded) {
       continue;
     }
-    co_await net::Signal::Sleep(mLoop, Backoff());
+    co_await AwaitRetry();
   }
 }
 
-Micros PrefixWatcher::Backoff() const
-{
-  const auto doublings = std::clamp(mConsecutiveFailures - 1, 0, kMaxBackoffDoublings);
-  const auto backoff = IsUpdated() ? kBackoffWhileUpdated : kInitialBackoff * (1 << doublings);
-  return std::chrono::duration_cast<Micros>(backoff * (kMinJitterFactor + Jitter()));
-}
-
 template<typename T>
 bool PrefixWatcher::IsCurrent(const Result<T>& aAnswer)
 {
@@ -218,6 +209,7 @@
   const auto trueAt = mClock.Now() - aUpdate.mAge;
   mUpdatedAt = std::max(mUpdatedAt, trueAt);
   mConfirmedUntil = std::max(mConfirmedUntil, trueAt);
+  mUpdateSignal.Notify();
 }
 
 bool PrefixWatcher::IsUpdated() const
@@ -231,6 +223,16 @@
   return IsUpdated() && !mRelay->IsWatcher();
 }
 
+net::Task<void> PrefixWatcher::AwaitRetry()
+{
+  if (IsUpdated()) {
+    co_await net::Signal::Sleep(mLoop, kRetryIntervalWhileUpdated);
+    co_return;
+  }
+  // Ends early when an update of another instance arrives.
+  co_await mUpdateSignal.WaitFor(mBackoff.Next());
+}
+
 net::Task<void> PrefixWatcher::Follow()
 {
   while (mRelay != nullptr && IsFollowing()) {
@@ -249,10 +251,9 @@
   }
   mIsUnavailable = !aHasSucceeded;
   if (aHasSucceeded) {
-    mConsecutiveFailures = 0;
+    mBackoff.Reset();
     return;
   }
-  ++mConsecutiveFailures;
   mLastFailureAt = mClock.Now();
   mMetrics.CounterOf("gentianloom_store_failures_total", "prefix=\"" + mPrefix + "\"").Add();
 }
