CONFIG, DRAIN: a watcher claims no more than its own watch has returned

What callers could see: a change of an endpoint or of the configuration that some followers never learned of. Cause: a watcher that had applied a later update of another watcher published its own watch's events as complete up to that later revision. Change: it states the revision of its own response. The test's discarded instances are kept, since their sockets are in use.

--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -91,7 +91,8 @@
   /// Waits until a failed call is repeated.
   net::Task<void> AwaitRetry();
   void OnUpdate(const PrefixUpdate& aUpdate);
-  void Publish(Revision aAfter, std::vector<WatchEvent> aEvents);
+  /// Tells other instances of all changes after one revision and up to another one.
+  void Publish(Revision aAfter, Revision aUpTo, std::vector<WatchEvent> aEvents);
   /// Hands events to their handler, but for those that were handled before.
   void HandleEvents(std::vector<WatchEvent> aEvents, StoreAvailability aAvailability);
   /// Makes the next call read a snapshot if the service has come back from an older copy, since
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -106,7 +106,7 @@
   const bool isRestored = std::exchange(mIsRestored, false);
   mHandlers.mOnSnapshot(answer.value().mEntries,
                         isRestored ? StoreAvailability::RestoredFromCopy : Availability());
-  Publish(mRevision, {});
+  Publish(mRevision, mRevision, {});
   co_return true;
 }
 
@@ -159,7 +159,8 @@
   mRevision = std::max(mRevision, it.mRevision);
   mConfirmedUntil = mClock.Now();
   mHasMissedChange = false;
-  Publish(it.mEvents.empty() ? mLastEventAt : after, it.mEvents);
+  // Not mRevision: an update of another instance may have told of changes that are not in here.
+  Publish(it.mEvents.empty() ? mLastEventAt : after, it.mRevision, it.mEvents);
   if (!it.mEvents.empty()) {
     co_await net::Signal::Sleep(mLoop, mTiming.mBatchTime);
   }
@@ -176,7 +177,7 @@
   mHandlers.mOnEvents(aEvents, aAvailability);
 }
 
-void PrefixWatcher::Publish(Revision aAfter, std::vector<WatchEvent> aEvents)
+void PrefixWatcher::Publish(Revision aAfter, Revision aUpTo, std::vector<WatchEvent> aEvents)
 {
   if (mRelay == nullptr || !mRelay->HasFollowers()) {
     return;
@@ -185,7 +186,7 @@
   update.mPrefix = mPrefix;
   update.mEra = mEra;
   update.mAfter = aAfter;
-  update.mRevision = mRevision;
+  update.mRevision = aUpTo;
   update.mAge = std::chrono::ceil<Millis>(mClock.Now() - mConfirmedUntil);
   update.mIsAfterOutage = Availability() != StoreAvailability::Available;
   update.mEvents = std::move(aEvents);
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
   CPPUNIT_TEST(TestFewInstancesCallTheStore);
   CPPUNIT_TEST(TestUpdates);
   CPPUNIT_TEST(TestSilence);
+  CPPUNIT_TEST(TestOwnWatchEndsAfterAnUpdate);
   CPPUNIT_TEST(TestParts);
   CPPUNIT_TEST(TestMalformedDatagrams);
   CPPUNIT_TEST_SUITE_END();
@@ -74,6 +76,45 @@
     PrefixWatcher mWatcher;
   };
 
+  /// A store whose watch returns what the test says.
+  class HeldStore final : public AsyncStore
+  {
+  public:
+    explicit HeldStore(net::Loop& aLoop)
+      : mReturn(aLoop)
+    {
+    }
+
+    net::Task<Result<RangeResponse>> Range(std::string) override
+    {
+      RangeResponse out;
+      out.mEra = 1;
+      out.mRevision = 10;
+      co_return out;
+    }
+    net::Task<Result<RangeResponse>> RangeStale(std::string aPrefix) override
+    {
+      return Range(std::move(aPrefix));
+    }
+    net::Task<AsyncCommitResult> Commit(Transaction) override
+    {
+      AsyncCommitResult out;
+      co_return out;
+    }
+    net::Task<Result<WatchResponse>> Watch(std::string, Revision, Millis) override
+    {
+      co_await mReturn.WaitFor(std::chrono::hours(1));
+      co_return mResponse;
+    }
+    net::Task<Result<LeaseId>> GrantLease(Millis) override { co_return LeaseId{ 1 }; }
+    net::Task<Result<bool>> RenewLease(LeaseId) override { co_return true; }
+    net::Task<Result<void>> RevokeLease(LeaseId) override { co_return success(); }
+    std::int64_t Era() const override { return 1; }
+
+    WatchResponse mResponse;
+    net::Signal mReturn;
+  };
+
   static WatchEvent MakeEvent(const std::string& aKey, Revision aRevision, std::string aValue = "v")
   {
     return { { aKey, std::move(aValue), 0, aRevision, 0 }, false };
@@ -98,17 +139,26 @@
     mLoop.run_for(aTime);
   }
 
-  /// Starts a follower with peers that do nothing, of which the test uses one to send updates.
-  void StartFollower()
+  /// Creates an instance with peers that do nothing, until it is a watcher of the zone or is not.
+  void CreateFollower(AsyncStore& aStore, bool aIsWatcher)
   {
-    while (mFollower == nullptr || mFollower->mRelay.IsWatcher()) {
+    while (mFollower == nullptr || mFollower->mRelay.IsWatcher() != aIsWatcher) {
+      // Their sockets are in use by the loop until the end of the test.
+      std::move(mPeers.begin(), mPeers.end(), std::back_inserter(mUnused));
+      mUnused.push_back(std::move(mFollower));
       mAddresses.clear();
       mPeers.clear();
       for (std::size_t n = 0; n < kInstances; ++n) {
         mPeers.push_back(std::make_unique<Instance>(*this, mStore));
       }
-      mFollower = std::make_unique<Instance>(*this, mStore);
+      mFollower = std::make_unique<Instance>(*this, aStore);
     }
+  }
+
+  /// Starts a follower with peers that do nothing, of which the test uses one to send updates.
+  void StartFollower()
+  {
+    CreateFollower(mStore, /*aIsWatcher=*/false);
     mStore.EnableWaiting(mLoop);
     mFollower->mWatcher.Start();
     RunBriefly();
@@ -133,8 +183,10 @@
   net::Loop mLoop{ 1 };
   SystemClock mClock;
   MemoryAsyncStore mStore;
+  HeldStore mHeldStore{ mLoop };
   std::vector<std::string> mAddresses;
   std::vector<std::unique_ptr<Instance>> mPeers;
+  std::vector<std::unique_ptr<Instance>> mUnused;
   std::unique_ptr<Instance> mFollower;
 
 public:
@@ -231,6 +283,29 @@
     CPPUNIT_ASSERT(mStore.mWatchCalls > calls);
   }
 
+  // A watcher that had learned more from another one than its own watch then returned told its
+  // followers that it had told them of all changes, and they missed one.
+  void TestOwnWatchEndsAfterAnUpdate()
+  {
+    auto& store = mHeldStore;
+    CreateFollower(store, /*aIsWatcher=*/true);
+    std::vector<PrefixUpdate> updates;
+    mPeers.front()->mRelay.Subscribe(std::string(kPrefix),
+                                     [&](const PrefixUpdate& it) { updates.push_back(it); });
+    mFollower->mWatcher.Start();
+    RunBriefly();
+    SendToFollower(MakeUpdate(10, 12, { MakeEvent("p/a", 11), MakeEvent("p/b", 12) }));
+    CPPUNIT_ASSERT_EQUAL(std::string("snapshot0 +p/a +p/b "), mFollower->mSeen);
+    store.mResponse = { 1, false, 11, { MakeEvent("p/a", 11) } };
+    store.mReturn.Notify();
+    RunBriefly();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "handled once", std::string("snapshot0 +p/a +p/b "), mFollower->mSeen);
+    CPPUNIT_ASSERT(!updates.empty());
+    CPPUNIT_ASSERT_EQUAL(Revision{ 10 }, updates.back().mAfter);
+    CPPUNIT_ASSERT_EQUAL(Revision{ 11 }, updates.back().mRevision);
+  }
+
   // Changes that did not fit into one datagram were lost.
   void TestParts()
   {
