--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -89,7 +89,7 @@
     many = run(pipeline, part="streams", streams=1600)
     stranded = goal(benches["budgets"], "stranded")
     lines = [
-        "# Capacity", "",
+        "# Capacity of the daemon, from its own benches", "",
         "Made by `scripts/make-pages` from `docs/measurements/`; every figure below is recomputed from",
         "there. It is the page for the target of the users' letter: 720 nodes, 10,000 endpoints,",
         "6,800 requests/s, 3.4 million tokens/s, 16,000 budgets, 50,000 organisations, 9,800 changes of",
