DRAIN: watchers of a zone go by their own watches; changes are told apart by key

Cause, as far as it is shown: watchers dropped changes of their own watches up to a revision that another's update had claimed. Which update claimed too much is not traced; a test makes one (TestWrongUpdate, nothing handled before).

--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -8,6 +8,7 @@
 #include "gentianloom/net/Signal.h"
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -116,11 +117,14 @@
   bool mNeedsSnapshot = true;
   bool mIsRestored = false; ///< the next snapshot is the first one of an era
   bool mIsUnavailable = false;
-  std::int64_t mEra = 0;         ///< of the service, when mRevision was read
-  Revision mRevision = 0;        ///< all changes up to this one have been handled
-  Revision mLastEventAt = 0;     ///< no change is known between this revision and mRevision
-  TimePoint mUpdatedAt{};        ///< when the last update of another instance was true
-  bool mHasMissedChange = false; ///< an update of another instance shows a gap
+  std::int64_t mEra = 0;          ///< of the service, when mRevision was read
+  Revision mRevision = 0;         ///< all changes up to this one were read here or told by others
+  Revision mOwnRevision = 0;      ///< all changes up to this one were read here
+  Revision mLastEventAt = 0;      ///< no change was read between this revision and mOwnRevision
+  Revision mSnapshotRevision = 0; ///< of the last snapshot
+  std::map<std::string, Revision> mHandled; ///< last handled change of each key since then
+  TimePoint mUpdatedAt{};                   ///< when the last update of another instance was true
+  bool mHasMissedChange = false;            ///< an update of another instance shows a gap
   net::Signal mUpdateSignal;
   net::Backoff mBackoff;
   TimePoint mLastFailureAt{};
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -16,6 +16,8 @@
 /// Share of the timeout that the watches of instances with followers wait, so that one lost update
 /// is no silence.
 constexpr double kWatcherTimeoutShare = 0.6;
+/// Keys whose last handled change is remembered, more than are ever stored under a prefix.
+constexpr std::size_t kMaxHandledKeys = 50'000;
 /// Shortest and longest pause after failed calls.
 constexpr Millis kFirstPause{ 40 };
 constexpr Millis kMaxPause{ 640 };
@@ -99,7 +101,10 @@
   CheckEra(answer.value().mEra);
   mConfirmedUntil = askedAt;
   mRevision = answer.value().mRevision;
+  mOwnRevision = mRevision;
+  mSnapshotRevision = mRevision;
   mLastEventAt = mRevision;
+  mHandled.clear();
   mNeedsSnapshot = false;
   mHasMissedChange = false;
   mHasSynced = true;
@@ -138,7 +143,8 @@
   const auto timeout =
     hasFollowers ? std::chrono::duration_cast<Millis>(mTiming.mTimeout * kWatcherTimeoutShare)
                  : mTiming.mTimeout;
-  const auto after = mRevision;
+  // A watcher goes by its own calls only, so that a wrong update of one does not spread.
+  const auto after = mRelay != nullptr && mRelay->IsWatcher() ? mOwnRevision : mRevision;
   const auto answer = co_await mStore.Watch(mPrefix, after, timeout);
   if (!IsCurrent(answer)) {
     co_return false;
@@ -155,7 +161,11 @@
     mNeedsSnapshot = true;
     co_return true;
   }
+  for (const auto& event : it.mEvents) {
+    mLastEventAt = std::max(mLastEventAt, event.mEntry.mModRevision);
+  }
   HandleEvents(it.mEvents, Availability());
+  mOwnRevision = std::max(after, it.mRevision);
   mRevision = std::max(mRevision, it.mRevision);
   mConfirmedUntil = mClock.Now();
   mHasMissedChange = false;
@@ -169,12 +179,22 @@
 
 void PrefixWatcher::HandleEvents(std::vector<WatchEvent> aEvents, StoreAvailability aAvailability)
 {
-  std::erase_if(aEvents, [this](const auto& it) { return it.mEntry.mModRevision <= mRevision; });
-  if (aEvents.empty()) {
-    return;
+  std::sort(aEvents.begin(), aEvents.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mEntry.mModRevision < aRight.mEntry.mModRevision;
+  });
+  std::erase_if(aEvents, [this](const WatchEvent& it) {
+    const auto revision = it.mEntry.mModRevision;
+    auto& handled = mHandled[it.mEntry.mKey];
+    const bool isKnown = revision <= std::max(handled, mSnapshotRevision);
+    handled = std::max(handled, revision);
+    return isKnown;
+  });
+  if (!aEvents.empty()) {
+    mHandlers.mOnEvents(aEvents, aAvailability);
+  }
+  if (mHandled.size() > kMaxHandledKeys) {
+    mNeedsSnapshot = true; // forgets keys that were deleted long ago
   }
-  mLastEventAt = aEvents.back().mEntry.mModRevision;
-  mHandlers.mOnEvents(aEvents, aAvailability);
 }
 
 void PrefixWatcher::Publish(Revision aAfter, Revision aUpTo, std::vector<WatchEvent> aEvents)
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(TestUpdates);
   CPPUNIT_TEST(TestSilence);
   CPPUNIT_TEST(TestOwnWatchEndsAfterAnUpdate);
+  CPPUNIT_TEST(TestWrongUpdate);
   CPPUNIT_TEST(TestParts);
   CPPUNIT_TEST(TestMalformedDatagrams);
   CPPUNIT_TEST_SUITE_END();
@@ -306,6 +307,20 @@
     CPPUNIT_ASSERT_EQUAL(Revision{ 11 }, updates.back().mRevision);
   }
 
+  // An update that claimed more than it held made all watchers of a zone drop a change that their
+  // own watches returned, and with it all instances of the zone missed that an endpoint leaves.
+  void TestWrongUpdate()
+  {
+    CreateFollower(mHeldStore, /*aIsWatcher=*/true);
+    mFollower->mWatcher.Start();
+    RunBriefly();
+    SendToFollower(MakeUpdate(10, 12));
+    mHeldStore.mResponse = { 1, false, 11, { MakeEvent("p/a", 11) } };
+    mHeldStore.mReturn.Notify();
+    RunBriefly();
+    CPPUNIT_ASSERT_EQUAL(std::string("snapshot0 +p/a "), mFollower->mSeen);
+  }
+
   // Changes that did not fit into one datagram were lost.
   void TestParts()
   {
