DRAIN, CONFIG: an instance that becomes a watcher does not vouch for what it knows from others only

What callers could see: a change that some instances of a zone never learn of. Cause: after a call from a revision that others had told it of, a follower counted all changes before it as read here; as a watcher it then said that nothing had changed since the last change that it had read itself. Found by reading the change once more. Test: WatchRelayTest TestFollowerBecomesWatcher, which failed before.

--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -92,6 +92,8 @@
   /// Waits until a failed call is repeated.
   net::Task<void> AwaitRetry();
   void OnUpdate(const PrefixUpdate& aUpdate);
+  /// Notes what this instance has read itself, unless a part before it is known from others only.
+  void RecordOwnWatch(Revision aAfter, const WatchResponse& aResponse);
   /// Tells other instances of all changes after one revision and up to another one.
   void Publish(Revision aAfter, Revision aUpTo, std::vector<WatchEvent> aEvents);
   /// Hands events to their handler, but for those that were handled before.
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -161,22 +161,31 @@
     mNeedsSnapshot = true;
     co_return true;
   }
-  for (const auto& event : it.mEvents) {
-    mLastEventAt = std::max(mLastEventAt, event.mEntry.mModRevision);
-  }
   HandleEvents(it.mEvents, Availability());
-  mOwnRevision = std::max(after, it.mRevision);
   mRevision = std::max(mRevision, it.mRevision);
   mConfirmedUntil = mClock.Now();
   mHasMissedChange = false;
+  RecordOwnWatch(after, it);
   // Not mRevision: an update of another instance may have told of changes that are not in here.
-  Publish(it.mEvents.empty() ? mLastEventAt : after, it.mRevision, it.mEvents);
+  const bool isUnchanged = it.mEvents.empty() && after <= mOwnRevision;
+  Publish(isUnchanged ? std::min(mLastEventAt, after) : after, it.mRevision, it.mEvents);
   if (!it.mEvents.empty()) {
     co_await net::Signal::Sleep(mLoop, mTiming.mBatchTime);
   }
   co_return true;
 }
 
+void PrefixWatcher::RecordOwnWatch(Revision aAfter, const WatchResponse& aResponse)
+{
+  if (aAfter > mOwnRevision) {
+    return; // changes between them are known from others only
+  }
+  mOwnRevision = std::max(mOwnRevision, aResponse.mRevision);
+  for (const auto& it : aResponse.mEvents) {
+    mLastEventAt = std::max(mLastEventAt, it.mEntry.mModRevision);
+  }
+}
+
 void PrefixWatcher::HandleEvents(std::vector<WatchEvent> aEvents, StoreAvailability aAvailability)
 {
   std::sort(aEvents.begin(), aEvents.end(), [](const auto& aLeft, const auto& aRight) {
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(TestSilence);
   CPPUNIT_TEST(TestOwnWatchEndsAfterAnUpdate);
   CPPUNIT_TEST(TestWrongUpdate);
+  CPPUNIT_TEST(TestFollowerBecomesWatcher);
   CPPUNIT_TEST(TestParts);
   CPPUNIT_TEST(TestMalformedDatagrams);
   CPPUNIT_TEST_SUITE_END();
@@ -102,10 +103,13 @@
       AsyncCommitResult out;
       co_return out;
     }
-    net::Task<Result<WatchResponse>> Watch(std::string, Revision, Millis) override
+    net::Task<Result<WatchResponse>> Watch(std::string, Revision aAfter, Millis) override
     {
       co_await mReturn.WaitFor(std::chrono::hours(1));
-      co_return mResponse;
+      auto out = mResponse;
+      std::erase_if(out.mEvents,
+                    [&](const WatchEvent& it) { return it.mEntry.mModRevision <= aAfter; });
+      co_return out;
     }
     net::Task<Result<LeaseId>> GrantLease(Millis) override { co_return LeaseId{ 1 }; }
     net::Task<Result<bool>> RenewLease(LeaseId) override { co_return true; }
@@ -321,6 +325,42 @@
     CPPUNIT_ASSERT_EQUAL(std::string("snapshot0 +p/a "), mFollower->mSeen);
   }
 
+  // A follower that became a watcher told the others that nothing had changed since the last change
+  // that it had read itself, although it knew of later ones from others only.
+  void TestFollowerBecomesWatcher()
+  {
+    CreateFollower(mHeldStore, /*aIsWatcher=*/false);
+    mFollower->mWatcher.Start();
+    RunBriefly();
+    SendToFollower(MakeUpdate(10, 20, { MakeEvent("p/a", 15) }));
+    mHeldStore.mResponse = { 1, false, 10, {} }; // ends the watch that began before the update
+    mHeldStore.mReturn.Notify();
+    RunBriefly();
+    SendToFollower(MakeUpdate(25, 25)); // a gap: it asks itself, from revision 20 on
+    mHeldStore.mResponse = { 1, false, 26, { MakeEvent("p/a", 15) } };
+    mHeldStore.mReturn.Notify();
+    RunBriefly();
+    std::vector<PrefixUpdate> updates;
+    mPeers.front()->mRelay.Subscribe(std::string(kPrefix),
+                                     [&](const PrefixUpdate& it) { updates.push_back(it); });
+    for (std::size_t n = 1; !mFollower->mRelay.IsWatcher(); ++n) {
+      mAddresses = {
+        mPeers[0]->mAddress, mPeers.at(n)->mAddress, mPeers.at(n + 1)->mAddress, mFollower->mAddress
+      };
+      RunBriefly(Millis(600)); // the list of peers is read again
+    }
+    mHeldStore.mResponse = { 1, false, 30, { MakeEvent("p/a", 15) } };
+    for (int n = 0; n < 3; ++n) {
+      mHeldStore.mReturn.Notify();
+      RunBriefly();
+    }
+    CPPUNIT_ASSERT(!updates.empty());
+    for (const auto& it : updates) {
+      CPPUNIT_ASSERT_MESSAGE("there was a change at revision 15",
+                             it.mAfter >= 15 || it.mRevision < 15 || !it.mEvents.empty());
+    }
+  }
+
   // Changes that did not fit into one datagram were lost.
   void TestParts()
   {
