BUDGET: an endpoint's pause outlives a lapse of its entry

What endpoints could see: requests within the pause that they had asked for. Cause: an entry that lapsed in an outage and came back began a new record; what the process had said of leaving was kept, its pause was not. Found by reading. Test: EndpointRegistryTest TestPauseOfEntryThatReturned, which failed before.

--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -147,6 +147,7 @@
   {
     EndpointEntry mEntry;
     bool mHasAnnouncedLeaving = false;
+    RequestHold mHold;
     TimePoint mRemovedAt{};
   };
 
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -42,6 +42,8 @@
     removed != mRemoved.end() && IsSameProcess(removed->second.mEntry, aEntry);
   if (isContinued) {
     out->mHasAnnouncedLeaving = removed->second.mHasAnnouncedLeaving;
+    out->mHold = removed->second.mHold;
+    out->mHold.OnTrialEnded(); // a trial request in flight ends with the old record
   } else if (mOnNewProcess) {
     mOnNewProcess(aEntry.mAddress);
   }
@@ -180,7 +182,9 @@
   // Requests in flight still refer to the record and must see that it was removed.
   aEndpoint->second->mState = EntryState::Removed;
   const auto& endpoint = *aEndpoint->second;
-  mRemoved[aEndpoint->first] = { endpoint.mEntry, endpoint.mHasAnnouncedLeaving, aNow };
+  mRemoved[aEndpoint->first] = {
+    endpoint.mEntry, endpoint.mHasAnnouncedLeaving, endpoint.mHold, aNow
+  };
   mEndpoints.erase(aEndpoint);
 }
 
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(TestEntryThatReturned);
   CPPUNIT_TEST(TestAnnouncedLeaving);
   CPPUNIT_TEST(TestPauses);
+  CPPUNIT_TEST(TestPauseOfEntryThatReturned);
   CPPUNIT_TEST(TestNewProcessesAreReported);
   CPPUNIT_TEST_SUITE_END();
 
@@ -219,6 +220,25 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, registry.UsableEndpoints("pool", later).size());
   }
 
+  // An entry that lapsed and came back within the pause of its process ended the pause.
+  void TestPauseOfEntryThatReturned()
+  {
+    EndpointRegistry registry;
+    registry.Put(MakeEntry("a"), mNow);
+    auto& hold = registry.UsableEndpoints("pool", mNow).front()->mHold;
+    hold.Begin(Millis(100), mNow, 0);
+    hold.OnSent(); // a trial request that ends with the old record
+    hold.Begin(Millis(900), mNow, 0);
+    registry.Remove("a", /*aAfterOutage=*/false, mNow);
+    registry.Put(MakeEntry("a"), mNow);
+    CPPUNIT_ASSERT(registry.UsableEndpoints("pool", mNow + Millis(899)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         registry.UsableEndpoints("pool", mNow + Millis(900)).size());
+    registry.Put(MakeEntry("a", 2), mNow);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      "a later process", std::size_t{ 1 }, registry.UsableEndpoints("pool", mNow).size());
+  }
+
   // An endpoint that crashed and came back at once looked like one that had never ended.
   void TestNewProcessesAreReported()
   {
