--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -101,6 +101,8 @@
   bool IsResponseToThisRequest() const;
   /// Remembers what the endpoint wants: that it is leaving, or no requests for some time.
   void ObserveEndpointState();
+  /// Counts a Retry-After: "asked" for a pause, or "invalid".
+  void CountPause(std::string_view aKind) const;
   /// Whether the status promises the caller that the request did not run, which the endpoint did
   /// not state.
   bool IsUnprovedRefusal() const;
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -69,6 +69,7 @@
   bool mIsMisdirected = false;       ///< the address now belongs to another endpoint
   bool mIsLeaving = false;           ///< the endpoint states that it is leaving
   std::optional<Millis> mRetryAfter; ///< of a refusal: time for which the endpoint wants nothing
+  bool mIsRetryAfterInvalid = false; ///< a refusal states no such time in its place
   std::optional<ReportedLoad> mLoad;
   std::optional<Millis> mIdleTimeout; ///< after which the endpoint closes an idle connection
 };
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -315,18 +315,30 @@
   }
   if (mResponse.mRetryAfter) {
     mEndpoint->mHold.Begin(*mResponse.mRetryAfter, now, Jitter());
-    mContext.mMetrics.CounterOf("gentianloom_endpoint_pauses_total").Add();
+    CountPause("asked");
     LogChange(LogLevel::Info,
               "endpoints",
               "an endpoint asked for a pause",
               { { "endpoint", mEndpoint->mEntry.mId },
                 { "request", mRequest.mCallerRequest.mId },
                 { "pause_ms", std::to_string(mResponse.mRetryAfter->count()) } });
-  } else if (mIsTrial) {
+    return;
+  }
+  if (mResponse.mIsRetryAfterInvalid) {
+    CountPause("invalid");
+  }
+  if (mIsTrial) {
     mEndpoint->mHold.OnTrialAnswered();
   }
 }
 
+void EndpointAttempt::CountPause(std::string_view aKind) const
+{
+  mContext.mMetrics
+    .CounterOf("gentianloom_endpoint_pauses_total", "kind=\"" + std::string(aKind) + "\"")
+    .Add();
+}
+
 bool EndpointAttempt::IsUnprovedRefusal() const
 {
   const auto& statuses = kNotRunStatuses;
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -239,6 +239,9 @@
       head.mHeaders.Add("Server-Leaving", row.mLeaving);
       const auto response = mCodec.DecodeResponse(head, {});
       CPPUNIT_ASSERT_MESSAGE(row.mRetryAfter, row.mPause == response.mRetryAfter);
+      const bool isRefusal = row.mStatus == 503;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mRetryAfter, isRefusal && !row.mPause, response.mIsRetryAfterInvalid);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mLeaving, row.mIsLeaving, response.mIsLeaving);
     }
   }
