Log: parts of a prompt and time since the first event of a failed attempt

Hypotheses of the incident differ in which parts of a prompt the interrupted runs share and in how long each had been writing; neither stood in the lines.

--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -45,6 +45,7 @@
   std::size_t mPartialEventBytes = 0;  ///< bytes received after the last complete event
   std::optional<Micros> mAfterSending; ///< since the request was given to the connection; unset if
                                        ///< it was not
+  std::optional<Micros> mSinceFirstEvent; ///< of this attempt; unset without an event
   bool mIsHeadReceived = false;
   std::size_t mInFlight = 0; ///< requests of this instance at the endpoint, with this one
 };
@@ -144,7 +145,8 @@
   EventSplitter mSplitter;
   bool mHasForwardedEvent = false;
   std::int64_t mReceivedEvents = 0;
-  std::size_t mCountedBytes = 0; ///< this attempt's part of RelayContext::mBufferedBytes
+  std::optional<TimePoint> mFirstEventAt; ///< when this attempt received its first event
+  std::size_t mCountedBytes = 0;          ///< this attempt's part of RelayContext::mBufferedBytes
   std::optional<AttemptResult> mResult;
 };
 
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -393,6 +393,9 @@
 {
   const auto events = mSplitter.Append(mUnforwardedBody);
   mUnforwardedBody.clear();
+  if (!events.empty() && !mFirstEventAt) {
+    mFirstEventAt = mContext.mClock.Now();
+  }
   std::string chunk;
   for (const auto& event : events) {
     ++mReceivedEvents;
@@ -460,6 +463,9 @@
   if (mIsRequestSent) {
     end.mAfterSending = std::chrono::duration_cast<Micros>(now - mRequestSentAt);
   }
+  if (mFirstEventAt) {
+    end.mSinceFirstEvent = std::chrono::duration_cast<Micros>(now - *mFirstEventAt);
+  }
   end.mIsHeadReceived = mIsHeadReceived;
   end.mInFlight = static_cast<std::size_t>(mEndpoint->mLoad.InFlight());
   mResult = AttemptResult{ aOutcome, aRequestDidNotRun, std::move(aReason), end };
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <span>
 
 namespace gentianloom {
 
@@ -52,6 +53,22 @@
   return { buf.data(), static_cast<std::size_t>(n) };
 }
 
+/// Most parts of a prompt that are written into a log line.
+constexpr std::size_t kMaxLoggedParts = 16;
+
+/// Lists the identifiers of a prompt's parts in hexadecimal digits.
+std::string ToText(std::span<const PromptPart> aParts)
+{
+  std::string out;
+  for (const auto& it : aParts.first(std::min(aParts.size(), kMaxLoggedParts))) {
+    std::array<char, 17> buf{};
+    std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(it.mId));
+    out += out.empty() ? "" : ",";
+    out += buf.data();
+  }
+  return out;
+}
+
 std::string_view ToString(AttemptOutcome aOutcome)
 {
   switch (aOutcome) {
@@ -378,6 +395,8 @@
         { "connection", std::string(net::ToString(end.mConnection)) },
         { "after_sending_ms", end.mAfterSending ? ToMillisText(*end.mAfterSending) : "" },
         { "head_received", end.mIsHeadReceived ? "yes" : "no" },
+        { "since_first_event_ms", end.mSinceFirstEvent ? ToMillisText(*end.mSinceFirstEvent) : "" },
+        { "parts", ToText(mRequest.mPromptParts) },
         { "in_flight", ToText(static_cast<std::int64_t>(end.mInFlight)) },
         { "partial_event_bytes", ToText(static_cast<std::int64_t>(end.mPartialEventBytes)) },
         { "proved_not_run", mLastAttempt.mRequestDidNotRun ? "yes" : "no" },
