--- a/tests/platform/crashing_request_test.py
+++ b/tests/platform/crashing_request_test.py
@@ -104,12 +104,14 @@
         self.killed.append(gateway)
         gateway.close()
 
-    def send(self, kind, path, key, body):
+    def send(self, kind, path, key, body, make_headers=dict):
+        """`body`: bytes, none, or a function that returns those of the next request."""
+        body = body() if callable(body) else body
         name, gateway = random.choice(list(self.gateways.items()))
         call = Call(kind, f"{kind}-{next(self.numbers)}", name, time.monotonic())
         method = "GET" if body is None and path.startswith("/read") else "POST"
         try:
-            out = gateway.call(path, call.attempt, {"X-Credential": key}, method, body)
+            out = gateway.call(path, call.attempt, {"X-Credential": key} | make_headers(), method, body)
             call.status, call.is_complete = out.status, out.is_complete
             call.retry_after = out.headers.get("Retry-After", "")
         except (OSError, http.client.HTTPException):
@@ -118,10 +120,10 @@
         if gateway not in self.killed or call.status != 0 and call.is_complete:
             self.calls.append(call)
 
-    def keep_sending(self, kind, path, key, body, interval=INTERVAL_S):
+    def keep_sending(self, kind, path, key, body, interval=INTERVAL_S, make_headers=dict):
         def run():
             while not self.stop.wait(interval):
-                self.sent.append(self.pool.submit(self.send, kind, path, key, body))
+                self.sent.append(self.pool.submit(self.send, kind, path, key, body, make_headers))
 
         self.senders.append(threading.Thread(target=run))
         self.senders[-1].start()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -213,7 +213,8 @@
     follows: "close" (an orderly close), "reset", "hold" (nothing), or "endless" (`raw_repeat` again
     and again).
 
-    A run whose path, organisation and body are in `crashing` ends the endpoint, see `crash`.
+    A run whose path, organisation and body are in `crashing` ends the endpoint, see `crash`; so does one
+    with a part of its prompt, but the last, in `crashing_parts`, as it begins to write its response.
     Mode "full" refuses each request, with the headers `refusal` and the statement that it did not run
     if `states_not_run`. `arrived` lists the requests that were run or refused.
     """
@@ -224,6 +225,7 @@
         self.server = None  # that serves this lifetime of the endpoint
         self.store = None
         self.crashing = []  # lists of path, organisation and body
+        self.crashing_parts = []  # identifiers
         self.events_before_crash = 0  # that a stream sends first
         # What its address does between a crash and the next lifetime: "refuse" connections, "close"
         # them without a byte, or "queue" them for the next lifetime.
@@ -240,6 +242,7 @@
         self.endless_bytes = 0  # sent in endless responses
         self.endless_closed = 0  # endless responses whose connection the caller closed
         self.events = 5
+        self.event_s = 0  # pause after each event of a stream
         self.is_leaving = False  # says so in each response
         self.refusal = {}
         self.states_not_run = True
@@ -318,6 +321,8 @@
         if self.server.has_crashed.wait(worker.run_s):
             self.close_connection = True
             return None
+        if set(self.parts()[:-1]) & set(worker.crashing_parts):
+            return self.crash(worker, request, common, sends_head=True)
         if worker.mode == "reset":
             self.close_connection = True
             return None
@@ -337,9 +342,13 @@
             return self.respond(200, b"whole response", common)
         return self.stream(worker, common)
 
-    def crash(self, worker, request, headers):
+    def parts(self):
+        """Identifiers of the parts of the prompt."""
+        return [it.split(":")[0] for it in self.headers.get("X-Prompt-Prefix", "").split(",") if it]
+
+    def crash(self, worker, request, headers, sends_head=False):
         self.close_connection = True
-        if worker.events_before_crash and "X-Token-Usage" in self.headers:
+        if (sends_head or worker.events_before_crash) and "X-Token-Usage" in self.headers:
             self.start_stream(headers + [("X-Server-Signature", "sig")])
             first = int(self.headers.get("Last-Event-Id", 0)) + 1
             for n in range(first, first + worker.events_before_crash):
@@ -395,6 +404,9 @@
                 self.close_connection = True
                 return
             self.send_event(n)
+            if self.server.has_crashed.wait(worker.event_s):
+                self.close_connection = True
+                return
             if n == worker.hold_after:
                 with worker.changed:
                     worker.changed.wait_for(lambda: worker.hold_after == 0, timeout=MAX_WAIT_S)
