--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -30,11 +30,12 @@
   CrashCleared = 9,
   EndpointEnded = 10,
   EndpointFirstEnd = 11,
-  PrefixUpdate = 12
+  PrefixUpdate = 12,
+  CrashQuery = 13
 };
 
 /// Number of kinds of datagrams.
-inline constexpr std::size_t kPeerMessageKinds = 13;
+inline constexpr std::size_t kPeerMessageKinds = 14;
 
 /// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none.
 PeerMessageKind PeerMessageKindOf(std::string_view aBytes);
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -10,6 +10,7 @@
 #include "gentianloom/routing/EndpointChooser.h"
 
 #include <optional>
+#include <span>
 #include <string>
 
 namespace gentianloom {
@@ -32,9 +33,10 @@
   bool mHasBody = false; ///< true also if the caller sent an empty body
   const CallerRequest& mCallerRequest;
   const Route& mRoute;
-  std::string mOrganisation; ///< name; empty for an anonymous caller
-  StreamKey mStream = 0;     ///< of the stream that the request begins or resumes
-  TimePoint mDeadline{};     ///< the earlier of the caller's and the route's deadlines
+  std::string mOrganisation;              ///< name; empty for an anonymous caller
+  StreamKey mStream = 0;                  ///< of the stream that the request begins or resumes
+  std::span<const std::string> mPartKeys; ///< of the shared parts of its prompt, for the guard
+  TimePoint mDeadline{};                  ///< the earlier of the caller's and the route's deadlines
 };
 
 /// How an endpoint's response was framed and where and when it ended, for the log.
@@ -118,6 +120,8 @@
   void OnFirstEvent();
   /// Notes the origin of a stream, before its first event of this attempt is forwarded.
   void RecordOrigin();
+  /// Tells the guard that the endpoint survived the begin of the response.
+  void ReportSurvivedBegin();
   void NotifyPendingTokensChanged() const;
   bool IsStream() const { return mRequest.mRoute.mKind == RouteKind::Streaming; }
   bool IsAtMostOnce() const { return mRequest.mRoute.mKind == RouteKind::AtMostOnce; }
@@ -146,7 +150,8 @@
   bool mHasForwardedEvent = false;
   std::int64_t mReceivedEvents = 0;
   std::optional<TimePoint> mFirstEventAt; ///< when this attempt received its first event
-  std::size_t mCountedBytes = 0;          ///< this attempt's part of RelayContext::mBufferedBytes
+  bool mHasReportedSurvival = false;
+  std::size_t mCountedBytes = 0; ///< this attempt's part of RelayContext::mBufferedBytes
   std::optional<AttemptResult> mResult;
 };
 
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -3,6 +3,8 @@
 
 #include "gentianloom/relay/EndpointAttempt.h"
 
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -51,8 +53,15 @@
   void ReportFailedAttempts(); ///< aborts a started stream, otherwise sends an error response
   void SendError(int aStatus, const Error& aError);
   void SettleTokens();
-  /// Responds to a request that crashes endpoints. @return whether it is blocked
-  bool RejectIfBlocked();
+  /// The same for all repetitions of the request; empty if it was not admitted.
+  std::string Fingerprint() const;
+  /// Keys of the shared parts of the prompt.
+  std::span<const std::string> PartKeys() const;
+  /// For how long no endpoint may get the request, because of what it does to them.
+  std::optional<Millis> BlockedFor() const;
+  void RejectBlocked(Millis aTime);
+  /// Responds if the request is blocked and no trial can be taken. @return whether it may be sent
+  net::Task<bool> PassGuard();
   /// Tells the guard how the last attempt ended.
   void ReportToGuard();
   void Log() const;
@@ -70,7 +79,8 @@
   RouteTable::Ptr mRoutes; ///< configuration at admission, used until the request ends
   const Route* mRoute = nullptr;
   const OrganisationAccount* mAccount = nullptr; ///< null for an anonymous request
-  std::string mFingerprint;                      ///< the same for all repetitions of the request
+  std::vector<std::string> mCrashKeys;           ///< see MakeCrashKeys()
+  bool mIsTrial = false;                         ///< sent although it is blocked, see RequestGuard
   std::string mService;
   TokenReservation mReservation;
   bool mRequestMayHaveRun = false; ///< at least one attempt may have run the request
--- a/include/gentianloom/relay/RequestFingerprint.h
+++ b/include/gentianloom/relay/RequestFingerprint.h
@@ -1,8 +1,13 @@
 #ifndef GENTIANLOOM_RELAY_REQUEST_FINGERPRINT_H
 #define GENTIANLOOM_RELAY_REQUEST_FINGERPRINT_H
 
+#include "gentianloom/routing/EndpointLoad.h"
+
+#include <cstddef>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gentianloom {
 
@@ -20,6 +25,20 @@
                                    std::string_view aPath,
                                    std::string_view aBody);
 
+/// Most parts of one prompt that may be found to crash endpoints.
+inline constexpr std::size_t kMaxCrashParts = 64;
+
+/**
+ * @brief Returns the keys under which the crashes of a request's runs are counted.
+ *
+ * The first one is that of the request itself. The others are those of its prompt's first
+ * kMaxCrashParts parts, without the last part, which no other request has.
+ * @param aFingerprint see MakeRequestFingerprint()
+ * @par Complexity n log n in the parts
+ */
+std::vector<std::string> MakeCrashKeys(std::string aFingerprint,
+                                       std::span<const PromptPart> aParts);
+
 } // namespace gentianloom
 
 #endif
--- a/include/gentianloom/routing/CrashEvidence.h
+++ b/include/gentianloom/routing/CrashEvidence.h
@@ -13,27 +13,27 @@
 namespace gentianloom {
 
 /**
- * @brief Tells requests that crash the endpoints which run them from those that only ran beside
- *        them, by their fingerprints. No I/O.
+ * @brief Tells what crashes endpoints from what only ran beside it. No I/O.
  *
- * A connection that ends under a request says little: the endpoint may have crashed under another
- * request, been lost with its rack, or been cut off. Two facts tell them apart. A request at fault
- * never completes, so any completed run clears it. And it ends endpoints one after the other: a run
- * counts only if it was sent after the interruption before it, so that the loss of many endpoints
- * at the same time counts once.
+ * Crashes are counted by keys: that of a request, and those of the shared parts of its prompt. A
+ * connection that ends under a request says little: the endpoint may have crashed under another
+ * request, been lost with its rack, or been cut off. Two facts tell the cause apart. No endpoint
+ * survives it, so any run with the key that an endpoint survived clears the key. And it ends
+ * endpoints one after the other: a run counts only if it was sent after the interruption before it,
+ * so that the loss of many endpoints at the same time counts once.
  */
 class CrashEvidence
 {
 public:
-  /// Interruptions in a row after which a request is to be blocked.
+  /// Interruptions in a row after which requests with a key are to be blocked.
   static constexpr int kInterruptionsToBlock = 3;
-  /// How long interruptions and completions are remembered.
+  /// How long interruptions and survived runs are remembered.
   static constexpr Millis kMemory{ 300'000 };
   /// Bounds of the memory; beyond them the oldest entries are dropped.
   static constexpr std::size_t kMaxSuspects = 10'000;
-  static constexpr std::size_t kMaxCompletions = 20'000;
+  static constexpr std::size_t kMaxSurvived = 20'000;
 
-  /// Interruptions in a row of the runs of one request.
+  /// Interruptions in a row of runs with one key.
   struct Suspect
   {
     int mInterruptions = 0;
@@ -44,29 +44,45 @@
   /**
    * @brief Notes that a connection ended under a request.
    * @param aSentAt when the request was sent to the endpoint
-   * @return whether the request is to be blocked
+   * @return whether requests with the key are to be blocked
    */
-  bool OnInterrupted(const std::string& aFingerprint, TimePoint aSentAt, TimePoint aEndedAt);
+  bool OnInterrupted(const std::string& aKey, TimePoint aSentAt, TimePoint aEndedAt);
 
-  /// @brief Notes that a run completed. @return whether the request was a suspect
-  bool OnCompleted(const std::string& aFingerprint, TimePoint aSentAt, TimePoint aNow);
+  /// @brief Notes that an endpoint survived a run. @return whether the key was a suspect
+  bool OnSurvived(const std::string& aKey, TimePoint aSentAt, TimePoint aNow);
 
-  /// @brief Clears a request of which another instance completed a run.
-  void Clear(const std::string& aFingerprint) { mSuspects.erase(aFingerprint); }
+  /// @brief Forgets what is known against a key.
+  void Clear(const std::string& aKey) { mSuspects.erase(aKey); }
 
-  /// @brief Returns what is known against a request; nothing if it is no suspect.
-  std::optional<Suspect> Find(const std::string& aFingerprint) const;
+  /// @brief Returns what is known against a key; nothing if it is no suspect.
+  std::optional<Suspect> Find(const std::string& aKey) const;
 
-  /// @brief Whether a run that was sent after a point in time is known to have completed.
-  bool HasCompletedSince(const std::string& aFingerprint, TimePoint aTime) const;
+  /// @brief Returns when the last run was sent that an endpoint is known to have survived.
+  std::optional<TimePoint> LastSurvived(const std::string& aKey) const;
+
+  /// @brief Whether an endpoint is known to have survived a run that was sent after a time.
+  bool HasSurvivedSince(const std::string& aKey, TimePoint aTime) const
+  {
+    const auto last = LastSurvived(aKey);
+    return last && *last >= aTime;
+  }
 
   /// @brief Drops what is older than kMemory.
   void RemoveExpired(TimePoint aNow);
 
 private:
+  /// Runs with one key that endpoints survived.
+  struct Survived
+  {
+    TimePoint mLastSentAt{};
+    TimePoint mNotedAt{}; ///< of the key's last entry in mSurvivedOrder
+  };
+
+  void DropOldestSurvived();
+
   std::map<std::string, Suspect> mSuspects;
-  std::map<std::string, TimePoint> mCompletions; ///< when the last completed run was sent
-  std::deque<std::pair<TimePoint, std::string>> mCompletionOrder; ///< oldest first, may repeat
+  std::map<std::string, Survived> mSurvived;
+  std::deque<std::pair<TimePoint, std::string>> mSurvivedOrder; ///< oldest first, may repeat
 };
 
 } // namespace gentianloom
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -1,7 +1,6 @@
 #include "gentianloom/gateway/CrashReportExchange.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/base/Log.h"
 #include "gentianloom/gateway/Datagram.h"
 #include "gentianloom/membership/InstanceDirectory.h"
 #include "gentianloom/membership/Keepers.h"
@@ -9,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace gentianloom {
@@ -19,18 +19,16 @@
 constexpr Millis kUpdateInterval{ 100 };
 /// The keepers write a record one after the other, so that mostly the first one does.
 constexpr Millis kRecordDelayPerRank{ 150 };
-/// A record is not written any more when the block ends within this time.
-constexpr Millis kMinRecordTtl{ 30'000 };
-/// Pause before a failed write is repeated.
-constexpr Millis kWriteRetryInterval{ 300 };
-/// Time to live of a record that takes a block back.
-constexpr Millis kClearedRecordTtl{ 60'000 };
 /// Interruptions in a row after which a request is not sent again for the same caller.
 constexpr int kInterruptionsWithoutRetry = 2;
 /// Reports to keepers in one second; a lost rack interrupts many requests at once.
 constexpr int kMaxReportsPerSecond = 100;
+/// Time for the other instances to answer a query.
+constexpr Millis kQueryTimeout{ 150 };
+/// Pause between two queries, each of which goes to all instances.
+constexpr Millis kQueryInterval{ 200 };
 /// Interruptions of one endpoint that are remembered in case that it turns out to have ended.
-constexpr std::ptrdiff_t kMaxSurvivedPerEndpoint = 64;
+constexpr std::ptrdiff_t kMaxStillOpenPerEndpoint = 64;
 /// Longest age that a message may state.
 constexpr Millis kMaxAge{ 300'000 };
 
@@ -45,17 +43,12 @@
   return std::chrono::duration_cast<Millis>(aNow - aTime);
 }
 
-std::string KeyOf(const std::string& aFingerprint)
-{
-  return std::string(kBlockedRequestPrefix) + aFingerprint;
-}
-
 } // namespace
 
 std::string EncodeCrashMessage(const CrashMessage& aMessage)
 {
   const auto json = nlohmann::json::array({ static_cast<int>(aMessage.mKind),
-                                            aMessage.mFingerprint,
+                                            aMessage.mKey,
                                             aMessage.mSentAgo.count(),
                                             aMessage.mEndedAgo.count() });
   return EncodeDatagram(json);
@@ -70,29 +63,6 @@
   });
 }
 
-std::string ToText(const BlockedRequestRecord& aRecord)
-{
-  const nlohmann::json out = { { "blocked", aRecord.mIsBlocked },
-                               { "first_interruption_ago_ms",
-                                 aRecord.mFirstInterruptionAgo.count() },
-                               { "block_time_left_ms", aRecord.mBlockTimeLeft.count() } };
-  return out.dump();
-}
-
-Result<BlockedRequestRecord> ParseBlockedRequestRecord(std::string_view aText)
-{
-  try {
-    const auto json = nlohmann::json::parse(aText);
-    BlockedRequestRecord out;
-    out.mIsBlocked = json.at("blocked").get<bool>();
-    out.mFirstInterruptionAgo = Millis(json.at("first_interruption_ago_ms").get<std::int64_t>());
-    out.mBlockTimeLeft = Millis(json.at("block_time_left_ms").get<std::int64_t>());
-    return out;
-  } catch (const nlohmann::json::exception& ex) {
-    return MakeError(ErrorCode::MalformedJson, Step::RequestPlace, "key-value service", ex.what());
-  }
-}
-
 CrashReportExchange::CrashReportExchange(net::Loop& aLoop,
                                          PeerSocket& aSocket,
                                          std::string aSelf,
@@ -108,44 +78,64 @@
   , mPeers(std::move(aPeers))
   , mProbe(std::move(aProbe))
   , mEnds(aEnds)
-  , mStore(aStore)
   , mClock(aClock)
   , mMetrics(aMetrics)
+  , mBlocked(
+      mEvidence,
+      [this](const std::string& aKey) { return RecordDelay(aKey); },
+      aStore,
+      aClock,
+      aMetrics)
 {
 }
 
 void CrashReportExchange::Start()
 {
-  for (const auto it : { PeerMessageKind::CrashReport, PeerMessageKind::CrashCleared }) {
-    mSocket.SetHandler(
-      it, [this](std::string_view aBytes, const PeerSocket::Address&) { OnDatagram(aBytes); });
+  constexpr std::array kKinds = { PeerMessageKind::CrashReport,
+                                  PeerMessageKind::CrashCleared,
+                                  PeerMessageKind::CrashQuery };
+  for (const auto it : kKinds) {
+    mSocket.SetHandler(it, [this](std::string_view aBytes, const PeerSocket::Address& aSender) {
+      OnDatagram(aBytes, aSender);
+    });
   }
   net::Start(mLoop, "crash reports", Run());
 }
 
-std::optional<Millis> CrashReportExchange::BlockedFor(const std::string& aFingerprint) const
+std::optional<Millis> CrashReportExchange::BlockedFor(std::span<const std::string> aKeys) const
 {
-  const auto it = mBlocks.find(aFingerprint);
-  const auto now = mClock.Now();
-  if (it == mBlocks.end() || it->second.mIsCleared || now >= it->second.mUntil) {
-    return std::nullopt;
+  std::optional<Millis> out;
+  for (const auto& it : aKeys) {
+    const auto blockedFor = mBlocked.BlockedFor(it);
+    if (blockedFor) {
+      out = std::max(out.value_or(Millis(0)), *blockedFor);
+    }
   }
-  return std::chrono::ceil<Millis>(it->second.mUntil - now);
+  return out;
+}
+
+bool CrashReportExchange::IsTrialDue(std::span<const std::string> aKeys) const
+{
+  return mBlocked.IsTrialDue(aKeys);
+}
+
+net::Task<bool> CrashReportExchange::TakeTrial(std::vector<std::string> aKeys)
+{
+  return mBlocked.TakeTrial(std::move(aKeys));
 }
 
-bool CrashReportExchange::MayRetry(const std::string& aFingerprint) const
+bool CrashReportExchange::MayRetry(const std::string& aKey) const
 {
-  const auto suspect = mEvidence.Find(aFingerprint);
-  return !BlockedFor(aFingerprint) &&
-         (!suspect || suspect->mInterruptions < kInterruptionsWithoutRetry);
+  const auto suspect = mEvidence.Find(aKey);
+  return !suspect || suspect->mInterruptions < kInterruptionsWithoutRetry;
 }
 
-void CrashReportExchange::OnInterrupted(const std::string& aFingerprint,
+void CrashReportExchange::OnInterrupted(std::vector<std::string> aKeys,
                                         TimePoint aSentAt,
                                         const std::string& aAddress)
 {
   const auto [unproved, isProbeNeeded] = mUnproved.try_emplace(aAddress);
-  unproved->second.push_back({ aFingerprint, aSentAt, mClock.Now() });
+  unproved->second.push_back({ std::move(aKeys), aSentAt, mClock.Now() });
   if (isProbeNeeded) {
     net::Start(mLoop, "endpoint probe", ProbeEndpoint(aAddress));
   }
@@ -170,17 +160,17 @@
   }
   // It seems to have reset the connections of these requests only, unless a new process is seen at
   // its address later: a supervisor may have accepted the connection.
-  auto& survived = mSurvived[aAddress];
-  survived.insert(survived.end(), unproved.begin(), unproved.end());
-  if (std::ssize(survived) > kMaxSurvivedPerEndpoint) {
-    survived.erase(survived.begin(), survived.end() - kMaxSurvivedPerEndpoint);
+  auto& stillOpen = mStillOpen[aAddress];
+  stillOpen.insert(stillOpen.end(), unproved.begin(), unproved.end());
+  if (std::ssize(stillOpen) > kMaxStillOpenPerEndpoint) {
+    stillOpen.erase(stillOpen.begin(), stillOpen.end() - kMaxStillOpenPerEndpoint);
   }
 }
 
 void CrashReportExchange::OnNewProcess(const std::string& aAddress)
 {
   mEnds.OnNewProcess(aAddress);
-  for (auto* it : { &mSurvived, &mUnproved }) {
+  for (auto* it : { &mStillOpen, &mUnproved }) {
     const auto known = it->find(aAddress);
     if (known != it->end()) {
       // A probe that is still running keeps its entry, which is empty now.
@@ -191,86 +181,79 @@
 
 void CrashReportExchange::ReportInterruptions(std::span<const UnprovedInterruption> aInterruptions)
 {
-  const auto now = mClock.Now();
+  // The last run with a key at the endpoint stands for all of them.
+  std::map<std::string, const UnprovedInterruption*> byKey;
   for (const auto& it : aInterruptions) {
-    SendToKeepers({ PeerMessageKind::CrashReport,
-                    it.mFingerprint,
-                    Age(it.mSentAt, now),
-                    Age(it.mEndedAt, now) });
-    AddInterruption(it.mFingerprint, it.mSentAt, it.mEndedAt);
+    for (const auto& key : it.mKeys) {
+      auto*& last = byKey[key];
+      last = last == nullptr || it.mSentAt > last->mSentAt ? &it : last;
+    }
+  }
+  std::erase_if(byKey, [this](const auto& it) {
+    return mEvidence.HasSurvivedSince(it.first, it.second->mSentAt);
+  });
+  const auto now = mClock.Now();
+  for (const auto& [key, it] : byKey) {
+    SendToKeepers(
+      { PeerMessageKind::CrashReport, key, Age(it->mSentAt, now), Age(it->mEndedAt, now) });
+    AddInterruption(key, it->mSentAt, it->mEndedAt);
   }
 }
 
-void CrashReportExchange::OnCompleted(const std::string& aFingerprint, TimePoint aSentAt)
+void CrashReportExchange::OnSurvived(std::span<const std::string> aKeys, TimePoint aSentAt)
 {
   const auto now = mClock.Now();
-  const bool wasSuspect = mEvidence.OnCompleted(aFingerprint, aSentAt, now);
-  if (wasSuspect) {
-    SendToKeepers({ PeerMessageKind::CrashCleared, aFingerprint, Age(aSentAt, now), Millis(0) });
-  }
-  const auto it = mBlocks.find(aFingerprint);
-  if (it != mBlocks.end() && aSentAt >= it->second.mFirstInterruptionAt) {
-    ClearBlock(aFingerprint, it->second);
+  for (const auto& it : aKeys) {
+    const bool wasSuspect = mEvidence.OnSurvived(it, aSentAt, now);
+    if (wasSuspect) {
+      SendToKeepers({ PeerMessageKind::CrashCleared, it, Age(aSentAt, now), Millis(0) });
+    }
+    mBlocked.OnSurvived(it, aSentAt);
   }
 }
 
-void CrashReportExchange::AddInterruption(const std::string& aFingerprint,
+void CrashReportExchange::AddInterruption(const std::string& aKey,
                                           TimePoint aSentAt,
                                           TimePoint aEndedAt)
 {
-  const bool isSufficient = mEvidence.OnInterrupted(aFingerprint, aSentAt, aEndedAt);
-  const auto it = mBlocks.find(aFingerprint);
-  const bool wasBlocked = it != mBlocks.end() && !it->second.mIsCleared;
-  const bool isBlocked = wasBlocked && mClock.Now() < it->second.mUntil;
-  const auto suspect = mEvidence.Find(aFingerprint);
-  if (!isBlocked && suspect && (isSufficient || wasBlocked)) {
-    BlockRequest(aFingerprint, suspect->mFirstAt);
+  const bool isSufficient = mEvidence.OnInterrupted(aKey, aSentAt, aEndedAt);
+  if (isSufficient && !mBlocked.BlockedFor(aKey) && mConfirming.insert(aKey).second) {
+    net::Start(mLoop, "crash query", ConfirmAndBlock(aKey));
   }
 }
 
-void CrashReportExchange::BlockRequest(const std::string& aFingerprint,
-                                       TimePoint aFirstInterruptionAt)
+net::Task<void> CrashReportExchange::ConfirmAndBlock(std::string aKey)
 {
-  const auto now = mClock.Now();
-  auto& block = mBlocks[aFingerprint];
-  block.mFirstInterruptionAt = aFirstInterruptionAt;
-  block.mUntil = now + kBlockTime;
-  block.mIsCleared = false;
-  block.mIsRecorded = false;
-  block.mRecordAt = now + RecordDelay(aFingerprint);
-  mMetrics.CounterOf("gentianloom_blocked_requests_total").Add();
-  LogChange(LogLevel::Warning,
-            "guard",
-            "a request is blocked: endpoints ended under it one after the other",
-            { { "fingerprint", aFingerprint },
-              { "first_ago_ms", std::to_string(Age(aFirstInterruptionAt, now).count()) },
-              { "block_ms", std::to_string(kBlockTime.count()) } });
-}
-
-void CrashReportExchange::ClearBlock(const std::string& aFingerprint, Block& aBlock)
-{
-  if (aBlock.mIsCleared) {
-    return;
+  while (mClock.Now() < mNextQueryAt) {
+    co_await net::Signal::Sleep(mLoop, kQueryInterval);
+  }
+  const auto before = mEvidence.Find(aKey);
+  if (before) {
+    mNextQueryAt = mClock.Now() + kQueryInterval;
+    const auto bytes = EncodeCrashMessage(
+      { PeerMessageKind::CrashQuery, aKey, Age(before->mFirstAt, mClock.Now()), Millis(0) });
+    for (const auto& it : mPeers()) {
+      mSocket.Send(it, bytes);
+    }
+    co_await net::Signal::Sleep(mLoop, kQueryTimeout);
+  }
+  mConfirming.erase(aKey);
+  const auto suspect = mEvidence.Find(aKey);
+  if (suspect && suspect->mInterruptions >= CrashEvidence::kInterruptionsToBlock) {
+    mBlocked.Block(aKey, suspect->mFirstAt);
   }
-  aBlock.mIsCleared = true;
-  aBlock.mIsRecorded = false;
-  aBlock.mRecordAt = mClock.Now();
-  LogChange(LogLevel::Warning,
-            "guard",
-            "a request is not blocked any more: an endpoint completed it",
-            { { "fingerprint", aFingerprint } });
 }
 
-std::vector<std::string> CrashReportExchange::KeepersOf(const std::string& aFingerprint) const
+std::vector<std::string> CrashReportExchange::KeepersOf(const std::string& aKey) const
 {
   auto instances = mPeers();
   instances.push_back(mSelf);
-  return ChooseKeepers(StableHash(aFingerprint), std::move(instances), kKeepers);
+  return ChooseKeepers(StableHash(aKey), std::move(instances), kKeepers);
 }
 
-Millis CrashReportExchange::RecordDelay(const std::string& aFingerprint) const
+Millis CrashReportExchange::RecordDelay(const std::string& aKey) const
 {
-  const auto keepers = KeepersOf(aFingerprint);
+  const auto keepers = KeepersOf(aKey);
   const auto rank = std::find(keepers.begin(), keepers.end(), mSelf) - keepers.begin();
   return kRecordDelayPerRank * rank;
 }
@@ -286,14 +269,14 @@
     return;
   }
   const auto bytes = EncodeCrashMessage(aMessage);
-  for (const auto& it : KeepersOf(aMessage.mFingerprint)) {
+  for (const auto& it : KeepersOf(aMessage.mKey)) {
     if (it != mSelf) {
       mSocket.Send(it, bytes);
     }
   }
 }
 
-void CrashReportExchange::OnDatagram(std::string_view aBytes)
+void CrashReportExchange::OnDatagram(std::string_view aBytes, const PeerSocket::Address& aSender)
 {
   const auto message = DecodeCrashMessage(aBytes);
   if (!message) {
@@ -302,68 +285,20 @@
   }
   const auto& it = message.value();
   const auto now = mClock.Now();
+  const auto sentAt = now - it.mSentAgo;
   if (it.mKind == PeerMessageKind::CrashReport) {
-    AddInterruption(it.mFingerprint, now - it.mSentAgo, now - it.mEndedAgo);
-    return;
-  }
-  mEvidence.Clear(it.mFingerprint);
-}
-
-void CrashReportExchange::OnRecord(const KeyValue& aEntry)
-{
-  const auto fingerprint = aEntry.mKey.substr(kBlockedRequestPrefix.size());
-  const auto record = ParseBlockedRequestRecord(aEntry.mValue);
-  if (!record) {
-    LogChange(LogLevel::Warning,
-              "guard",
-              "ignored an invalid record of a blocked request",
-              { { "key", aEntry.mKey }, { "error", ToString(record.error()) } });
+    AddInterruption(it.mKey, sentAt, now - it.mEndedAgo);
     return;
   }
-  if (!record.value().mIsBlocked) {
-    mBlocks.erase(fingerprint);
-    mEvidence.Clear(fingerprint);
+  if (it.mKind == PeerMessageKind::CrashCleared) {
+    mEvidence.OnSurvived(it.mKey, sentAt, now);
     return;
   }
-  const auto now = mClock.Now();
-  auto& block = mBlocks[fingerprint];
-  const bool isKnown = block.mUntil > now && !block.mIsCleared;
-  if (!isKnown) {
-    block.mFirstInterruptionAt = now - record.value().mFirstInterruptionAgo;
-    block.mUntil = now + std::min(record.value().mBlockTimeLeft, kBlockTime);
-    LogChange(LogLevel::Info,
-              "guard",
-              "a request is blocked by the record of another instance",
-              { { "fingerprint", fingerprint } });
-  }
-  block.mIsCleared = false;
-  block.mIsRecorded = true;
-  block.mRevision = aEntry.mModRevision;
-  if (mEvidence.HasCompletedSince(fingerprint, block.mFirstInterruptionAt)) {
-    ClearBlock(fingerprint, block);
-  }
-}
-
-void CrashReportExchange::OnRecordDeleted(std::string_view aKey)
-{
-  const auto it = mBlocks.find(std::string(aKey.substr(kBlockedRequestPrefix.size())));
-  if (it != mBlocks.end()) {
-    // Unless the block is about to end, the record has expired in an outage.
-    it->second.mIsRecorded = false;
-    it->second.mRevision = 0;
-    it->second.mRecordAt = mClock.Now() + RecordDelay(it->first);
-  }
-}
-
-void CrashReportExchange::OnRecords(std::span<const KeyValue> aEntries)
-{
-  for (auto& [fingerprint, block] : mBlocks) {
-    block.mIsRecorded = false;
-    block.mRevision = 0;
-    block.mRecordAt = mClock.Now() + RecordDelay(fingerprint);
-  }
-  for (const auto& it : aEntries) {
-    OnRecord(it);
+  const auto lastSurvived = mEvidence.LastSurvived(it.mKey);
+  if (lastSurvived && *lastSurvived >= sentAt) {
+    mSocket.Send(aSender,
+                 EncodeCrashMessage(
+                   { PeerMessageKind::CrashCleared, it.mKey, Age(*lastSurvived, now), Millis(0) }));
   }
 }
 
@@ -371,7 +306,7 @@
 {
   while (true) {
     RemoveExpired();
-    co_await WriteDueRecords();
+    co_await mBlocked.Update();
     co_await net::Signal::Sleep(mLoop, kUpdateInterval);
   }
 }
@@ -380,63 +315,11 @@
 {
   const auto now = mClock.Now();
   mEvidence.RemoveExpired(now);
-  for (auto& [address, interruptions] : mSurvived) {
+  for (auto& [address, interruptions] : mStillOpen) {
     std::erase_if(interruptions,
                   [&](const auto& it) { return now - it.mEndedAt > kReplacementTime; });
   }
-  std::erase_if(mSurvived, [](const auto& it) { return it.second.empty(); });
-  std::erase_if(mBlocks, [&](const auto& it) { return now >= it.second.mUntil + kBlockTime; });
-}
-
-net::Task<void> CrashReportExchange::WriteDueRecords()
-{
-  const auto now = mClock.Now();
-  std::vector<std::string> due;
-  for (const auto& [fingerprint, block] : mBlocks) {
-    const bool isWorthRecording = block.mUntil - now >= kMinRecordTtl;
-    if (!block.mIsRecorded && now >= block.mRecordAt && isWorthRecording) {
-      due.push_back(fingerprint);
-    }
-  }
-  for (const auto& it : due) {
-    co_await WriteRecord(it);
-  }
-}
-
-net::Task<void> CrashReportExchange::WriteRecord(std::string aFingerprint)
-{
-  const bool isCleared = mBlocks[aFingerprint].mIsCleared;
-  const auto now = mClock.Now();
-  mBlocks[aFingerprint].mRecordAt = now + kWriteRetryInterval;
-  const auto timeLeft = Age(now, mBlocks[aFingerprint].mUntil);
-  const auto lease = co_await mStore.GrantLease(isCleared ? kClearedRecordTtl : timeLeft);
-  const auto block = mBlocks.find(aFingerprint);
-  if (!lease || block == mBlocks.end() || block->second.mIsCleared != isCleared ||
-      block->second.mIsRecorded) {
-    co_return;
-  }
-  const BlockedRequestRecord record{ !isCleared,
-                                     Age(block->second.mFirstInterruptionAt, now),
-                                     timeLeft };
-  Transaction transaction;
-  transaction.mCompares.push_back({ KeyOf(aFingerprint), block->second.mRevision });
-  transaction.mWrites.push_back({ KeyOf(aFingerprint), ToText(record), lease.value() });
-  const auto answer = co_await mStore.Commit(std::move(transaction));
-  const auto it = mBlocks.find(aFingerprint);
-  if (it == mBlocks.end() || it->second.mIsCleared != isCleared) {
-    co_return;
-  }
-  if (answer.mCommit.mEffect == Effect::Applied) {
-    it->second.mIsRecorded = true;
-    it->second.mRevision = answer.mCommit.mRevision;
-    if (isCleared) {
-      mBlocks.erase(it);
-    }
-    co_return;
-  }
-  for (const auto& current : answer.mCurrent) {
-    OnRecord(current); // another instance was first
-  }
+  std::erase_if(mStillOpen, [](const auto& it) { return it.second.empty(); });
 }
 
 } // namespace gentianloom
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -296,13 +296,13 @@
     }
     const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
     mInstances.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
-    mCrashReports.OnRecords(blockedRequests);
+    mCrashReports.Blocked().OnRecords(blockedRequests);
   };
   out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
     for (const auto& it : aEvents) {
       if (it.mEntry.mKey.starts_with(kBlockedRequestPrefix)) {
-        it.mIsDeleted ? mCrashReports.OnRecordDeleted(it.mEntry.mKey)
-                      : mCrashReports.OnRecord(it.mEntry);
+        it.mIsDeleted ? mCrashReports.Blocked().OnRecordDeleted(it.mEntry.mKey)
+                      : mCrashReports.Blocked().OnRecord(it.mEntry);
         continue;
       }
       if (!it.mIsDeleted) {
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -110,6 +110,16 @@
   }
 }
 
+void EndpointAttempt::ReportSurvivedBegin()
+{
+  const bool isSurvived =
+    mFirstEventAt && mContext.mClock.Now() - *mFirstEventAt >= RequestGuard::kBeginOfResponse;
+  if (isSurvived && !mHasReportedSurvival && mContext.mGuard != nullptr) {
+    mHasReportedSurvival = true;
+    mContext.mGuard->OnSurvived(mRequest.mPartKeys, mRequestSentAt);
+  }
+}
+
 void EndpointAttempt::NotifyPendingTokensChanged() const
 {
   if (mContext.mOnPendingTokensChanged && IsStream()) {
@@ -396,6 +406,7 @@
   if (!events.empty() && !mFirstEventAt) {
     mFirstEventAt = mContext.mClock.Now();
   }
+  ReportSurvivedBegin();
   std::string chunk;
   for (const auto& event : events) {
     ++mReceivedEvents;
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -27,6 +27,8 @@
 /// is needed to serve it.
 constexpr int kMaxReserveWaitDivisor = 3;
 
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kPaymentRequired = 402;
@@ -183,8 +185,15 @@
   }
   mService = RouteTable::ChooseService(*mRoute, StableHash(mRequest.mId));
   const auto organisation = mAccount == nullptr ? std::string_view() : mAccount->mName;
-  mFingerprint = MakeRequestFingerprint(organisation, mRequest.mHost + mHead.mTarget, mBody);
-  return !RejectIfBlocked();
+  mCrashKeys =
+    MakeCrashKeys(MakeRequestFingerprint(organisation, mRequest.mHost + mHead.mTarget, mBody),
+                  mRequest.mPromptParts);
+  const auto blockedFor = BlockedFor();
+  if (blockedFor && !mContext.mGuard->IsTrialDue(mCrashKeys)) {
+    RejectBlocked(*blockedFor);
+    return false;
+  }
+  return true;
 }
 
 StreamKey RequestExchange::Stream() const
@@ -313,7 +322,7 @@
   request.mTarget = mRoute->mLatencyTarget;
   request.mTriedEndpoints = mTriedEndpoints;
   const auto* service = mRoutes->Service(mService);
-  if (service != nullptr && service->mEngine) {
+  if (service != nullptr && service->mEngine && !mIsTrial) {
     auto& model = mContext.mFirstTokenModels[mService];
     auto choice = ChooseEngineEndpoint(request, usable, *service->mEngine, model, now);
     if (choice.mEndpoint) {
@@ -332,7 +341,8 @@
   const bool isResumable = mRoute->mIsResumable && mProgress.mLastEventId;
   const bool isRetrySafe =
     aResult.mRequestDidNotRun || (mRoute->IsRepeatable() && (!isResponseStarted || isResumable));
-  const bool isSuspect = mContext.mGuard != nullptr && !mContext.mGuard->MayRetry(mFingerprint);
+  const bool isSuspect =
+    mContext.mGuard != nullptr && (BlockedFor() || !mContext.mGuard->MayRetry(Fingerprint()));
   if (!isRetrySafe || isSuspect || mWriter.IsCallerDisconnected() ||
       aResult.mOutcome == AttemptOutcome::TimedOut ||
       aResult.mOutcome == AttemptOutcome::CallerDisconnected || TimeLeft() <= Micros(0)) {
@@ -349,15 +359,20 @@
   const AttemptRequest request{ mHead,    mBody,
                                 mHasBody, mRequest,
                                 *mRoute,  mAccount == nullptr ? std::string() : mAccount->mName,
-                                Stream(), mDeadline };
+                                Stream(), PartKeys(),
+                                mDeadline };
   bool willRetry = true;
   while (willRetry) {
     if (mWriter.IsCallerDisconnected()) {
       mFailureReason = "the caller disconnected";
       co_return;
     }
-    if (!mRequestMayHaveRun && RejectIfBlocked()) {
-      co_return; // it was blocked while it waited
+    bool isAllowed = true;
+    if (!mRequestMayHaveRun) {
+      isAllowed = co_await PassGuard();
+    }
+    if (!isAllowed) {
+      co_return;
     }
     mPlacement = ChooseEndpoint();
     if (!mPlacement.mEndpoint) {
@@ -384,7 +399,7 @@
       "relay",
       "attempt failed",
       { { "request", mRequest.mId },
-        { "fingerprint", mFingerprint },
+        { "fingerprint", Fingerprint() },
         { "organisation", request.mOrganisation },
         { "endpoint", mTriedEndpoints.back() },
         { "address", mPlacement.mEndpoint->mEntry.mAddress },
@@ -450,22 +465,43 @@
                        "{\"error\":\"" + std::string(ToString(aError.mCode)) + "\"}");
 }
 
-bool RequestExchange::RejectIfBlocked()
+std::string RequestExchange::Fingerprint() const
+{
+  return mCrashKeys.empty() ? std::string() : mCrashKeys.front();
+}
+
+std::span<const std::string> RequestExchange::PartKeys() const
+{
+  return std::span(mCrashKeys).subspan(1);
+}
+
+std::optional<Millis> RequestExchange::BlockedFor() const
+{
+  return mContext.mGuard == nullptr ? std::nullopt : mContext.mGuard->BlockedFor(mCrashKeys);
+}
+
+void RequestExchange::RejectBlocked(Millis aTime)
 {
-  if (mContext.mGuard == nullptr) {
-    return false;
-  }
-  const auto blockedFor = mContext.mGuard->BlockedFor(mFingerprint);
-  if (!blockedFor) {
-    return false;
-  }
   auto error = MakeError(ErrorCode::RequestCrashesEndpoints,
                          Step::RequestPlace,
                          mService,
-                         "endpoints ended under this request one after the other; it did not run");
-  error.mRetryAfter = *blockedFor;
+                         "endpoints ended one after the other under this request or under others "
+                         "that share a part of its prompt; it did not run");
+  error.mRetryAfter = aTime;
   SendError(kUnavailable, error);
-  return true;
+}
+
+net::Task<bool> RequestExchange::PassGuard()
+{
+  const auto blockedFor = BlockedFor();
+  if (!blockedFor) {
+    co_return true;
+  }
+  mIsTrial = co_await mContext.mGuard->TakeTrial(mCrashKeys);
+  if (!mIsTrial) {
+    RejectBlocked(*blockedFor);
+  }
+  co_return mIsTrial;
 }
 
 void RequestExchange::ReportToGuard()
@@ -475,11 +511,18 @@
     return;
   }
   const auto sentAt = mContext.mClock.Now() - *end.mAfterSending;
+  const std::span<const std::string> keys = mCrashKeys;
   if (mLastAttempt.mOutcome == AttemptOutcome::Done) {
-    mContext.mGuard->OnCompleted(mFingerprint, sentAt);
-  } else if (mLastAttempt.mOutcome == AttemptOutcome::Interrupted &&
-             end.mConnection != net::ChannelState::Open) {
-    mContext.mGuard->OnInterrupted(mFingerprint, sentAt, mPlacement.mEndpoint->mEntry.mAddress);
+    // An error response shows nothing of the prompt: it may come before the endpoint reads it.
+    const bool isSuccess = mWriter.Status() >= kOk && mWriter.Status() < kMultipleChoices;
+    mContext.mGuard->OnSurvived(isSuccess ? keys : keys.first(1), sentAt);
+    return;
+  }
+  const bool isWriting =
+    end.mSinceFirstEvent && *end.mSinceFirstEvent >= RequestGuard::kBeginOfResponse;
+  if (mLastAttempt.mOutcome == AttemptOutcome::Interrupted &&
+      end.mConnection != net::ChannelState::Open && !isWriting) {
+    mContext.mGuard->OnInterrupted(mCrashKeys, sentAt, mPlacement.mEndpoint->mEntry.mAddress);
   }
 }
 
@@ -526,7 +569,7 @@
       { "route", route },
       { "service", mService },
       { "organisation", mAccount == nullptr ? "" : mAccount->mName },
-      { "fingerprint", mFingerprint },
+      { "fingerprint", Fingerprint() },
       { "configuration", mRoutes ? ToText(mRoutes->Version()) : "none" },
       { "endpoint", endpoint ? endpoint->mEntry.mId : "" },
       { "software_version", endpoint ? endpoint->mEntry.mSoftwareVersion : "" },
--- a/src/routing/CrashEvidence.cpp
+++ b/src/routing/CrashEvidence.cpp
@@ -4,21 +4,26 @@
 
 namespace gentianloom {
 
-bool CrashEvidence::OnInterrupted(const std::string& aFingerprint,
-                                  TimePoint aSentAt,
-                                  TimePoint aEndedAt)
+namespace {
+
+/// A key that is seen all the time is noted once in this time.
+constexpr Millis kNoteInterval{ 1'000 };
+
+} // namespace
+
+bool CrashEvidence::OnInterrupted(const std::string& aKey, TimePoint aSentAt, TimePoint aEndedAt)
 {
-  if (HasCompletedSince(aFingerprint, aSentAt)) {
+  if (HasSurvivedSince(aKey, aSentAt)) {
     return false;
   }
-  if (mSuspects.size() >= kMaxSuspects && !mSuspects.contains(aFingerprint)) {
+  if (mSuspects.size() >= kMaxSuspects && !mSuspects.contains(aKey)) {
     const auto oldest = std::min_element(
       mSuspects.begin(), mSuspects.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft.second.mLastAt < aRight.second.mLastAt;
       });
     mSuspects.erase(oldest);
   }
-  auto& suspect = mSuspects[aFingerprint];
+  auto& suspect = mSuspects[aKey];
   const bool isNew = suspect.mInterruptions == 0 || aEndedAt - suspect.mLastAt > kMemory;
   if (isNew) {
     suspect = { 1, aEndedAt, aEndedAt };
@@ -29,39 +34,48 @@
   return suspect.mInterruptions >= kInterruptionsToBlock;
 }
 
-bool CrashEvidence::OnCompleted(const std::string& aFingerprint, TimePoint aSentAt, TimePoint aNow)
+bool CrashEvidence::OnSurvived(const std::string& aKey, TimePoint aSentAt, TimePoint aNow)
+{
+  const auto [it, isNew] = mSurvived.try_emplace(aKey);
+  auto& survived = it->second;
+  survived.mLastSentAt = std::max(survived.mLastSentAt, aSentAt);
+  if (isNew || aNow - survived.mNotedAt >= kNoteInterval) {
+    survived.mNotedAt = aNow;
+    mSurvivedOrder.emplace_back(aNow, aKey);
+  }
+  while (mSurvivedOrder.size() > kMaxSurvived) {
+    DropOldestSurvived();
+  }
+  return mSuspects.erase(aKey) > 0;
+}
+
+void CrashEvidence::DropOldestSurvived()
 {
-  auto& completion = mCompletions[aFingerprint];
-  completion = std::max(completion, aSentAt);
-  mCompletionOrder.emplace_back(aNow, aFingerprint);
-  while (mCompletionOrder.size() > kMaxCompletions) {
-    mCompletions.erase(mCompletionOrder.front().second);
-    mCompletionOrder.pop_front();
+  const auto& [notedAt, key] = mSurvivedOrder.front();
+  const auto it = mSurvived.find(key);
+  if (it != mSurvived.end() && it->second.mNotedAt == notedAt) {
+    mSurvived.erase(it);
   }
-  return mSuspects.erase(aFingerprint) > 0;
+  mSurvivedOrder.pop_front();
 }
 
-std::optional<CrashEvidence::Suspect> CrashEvidence::Find(const std::string& aFingerprint) const
+std::optional<CrashEvidence::Suspect> CrashEvidence::Find(const std::string& aKey) const
 {
-  const auto it = mSuspects.find(aFingerprint);
+  const auto it = mSuspects.find(aKey);
   return it == mSuspects.end() ? std::nullopt : std::optional(it->second);
 }
 
-bool CrashEvidence::HasCompletedSince(const std::string& aFingerprint, TimePoint aTime) const
+std::optional<TimePoint> CrashEvidence::LastSurvived(const std::string& aKey) const
 {
-  const auto it = mCompletions.find(aFingerprint);
-  return it != mCompletions.end() && it->second >= aTime;
+  const auto it = mSurvived.find(aKey);
+  return it == mSurvived.end() ? std::nullopt : std::optional(it->second.mLastSentAt);
 }
 
 void CrashEvidence::RemoveExpired(TimePoint aNow)
 {
   std::erase_if(mSuspects, [&](const auto& it) { return aNow - it.second.mLastAt > kMemory; });
-  while (!mCompletionOrder.empty() && aNow - mCompletionOrder.front().first > kMemory) {
-    const auto it = mCompletions.find(mCompletionOrder.front().second);
-    if (it != mCompletions.end() && aNow - it->second > kMemory) {
-      mCompletions.erase(it);
-    }
-    mCompletionOrder.pop_front();
+  while (!mSurvivedOrder.empty() && aNow - mSurvivedOrder.front().first > kMemory) {
+    DropOldestSurvived();
   }
 }
 
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -23,7 +23,10 @@
   CPPUNIT_TEST(TestRequestsSentToEndedEndpoints);
   CPPUNIT_TEST(TestCompletionTakesBlockBack);
   CPPUNIT_TEST(TestRecordIsWrittenAgain);
+  CPPUNIT_TEST(TestTrials);
   CPPUNIT_TEST(TestBlockEnds);
+  CPPUNIT_TEST(TestTrialsOfSeveralKeys);
+  CPPUNIT_TEST(TestSurvivedRunsAtOtherInstances);
   CPPUNIT_TEST(TestMessages);
   CPPUNIT_TEST_SUITE_END();
 
@@ -117,7 +120,7 @@
       mClock.Advance(Millis(80));
       ++interruptions;
       it->mExchange.OnInterrupted(
-        mFingerprint, sentAt, "127.0.0.1:" + std::to_string(interruptions));
+        { mFingerprint }, sentAt, "127.0.0.1:" + std::to_string(interruptions));
       RunBriefly();
       mClock.Advance(Millis(100));
     }
@@ -133,17 +136,48 @@
   {
     const auto record = *Record();
     for (const auto& it : mInstances) {
-      it->mExchange.OnRecord(record);
+      it->mExchange.Blocked().OnRecord(record);
     }
   }
 
   long CountBlocking() const
   {
     return std::count_if(mInstances.begin(), mInstances.end(), [this](const auto& it) {
-      return it->mExchange.BlockedFor(mFingerprint).has_value();
+      return it->mExchange.Blocked().BlockedFor(mFingerprint).has_value();
     });
   }
 
+  void BlockAtAllInstances()
+  {
+    InterruptThreeRuns();
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return Record() != nullptr;
+    });
+    DistributeRecord();
+    CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
+  }
+
+  /// Lets all instances try to take a trial at the same time. @return how many got it
+  long TakeTrials(const std::vector<std::string>& aKeys)
+  {
+    long out = 0;
+    for (const auto& it : mInstances) {
+      net::Start(mLoop, "trial", TakeTrial(it->mExchange, aKeys, out));
+    }
+    RunBriefly();
+    DistributeRecord();
+    return out;
+  }
+
+  static net::Task<void> TakeTrial(CrashReportExchange& aExchange,
+                                   std::vector<std::string> aKeys,
+                                   long& aTaken)
+  {
+    const bool isTaken = co_await aExchange.TakeTrial(std::move(aKeys));
+    aTaken += isTaken ? 1 : 0;
+  }
+
 public:
   void setUp() override
   {
@@ -164,7 +198,7 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<long>(CrashReportExchange::kKeepers), CountBlocking());
     DistributeRecord();
     CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
-    CPPUNIT_ASSERT(!mInstances.front()->mExchange.BlockedFor("another"));
+    CPPUNIT_ASSERT(!mInstances.front()->mExchange.Blocked().BlockedFor("another"));
     constexpr int kMaxCommits = 3; // two instances may write before they see each other's record
     CPPUNIT_ASSERT_LESSEQUAL(kMaxCommits, mStore.mCommitCalls);
   }
@@ -206,13 +240,13 @@
       const auto sentAt = mClock.Now();
       mClock.Advance(Millis(80));
       const auto crashing = std::to_string(n);
-      mInstances[0]->mExchange.OnInterrupted(crashing, sentAt, address);
+      mInstances[0]->mExchange.OnInterrupted({ crashing }, sentAt, address);
       RunBriefly();
       mClock.Advance(Millis(20));
       const auto sentLaterAt = mClock.Now();
       mClock.Advance(Millis(1));
       mInstances[static_cast<std::size_t>(n)]->mExchange.OnInterrupted(
-        mFingerprint, sentLaterAt, address);
+        { mFingerprint }, sentLaterAt, address);
       RunBriefly();
       mClock.Advance(Millis(100));
     }
@@ -230,9 +264,9 @@
       mClock.Advance(Millis(10));
       return Record() != nullptr;
     });
-    witness.OnCompleted(mFingerprint, begin + Millis(300));
+    witness.OnSurvived(std::vector{ mFingerprint }, begin + Millis(300));
     DistributeRecord();
-    CPPUNIT_ASSERT(!witness.BlockedFor(mFingerprint));
+    CPPUNIT_ASSERT(!witness.Blocked().BlockedFor(mFingerprint));
     Run([this] {
       mClock.Advance(Millis(10));
       const auto record = ParseBlockedRequestRecord(Record()->mValue);
@@ -253,7 +287,7 @@
     DistributeRecord();
     mStore.Remove(Record()->mKey);
     for (const auto& it : mInstances) {
-      it->mExchange.OnRecords({});
+      it->mExchange.Blocked().OnRecords({});
     }
     Run([this] {
       mClock.Advance(Millis(10));
@@ -262,22 +296,72 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
   }
 
-  // A request whose endpoints were mended is tried again, and blocked by one more interruption.
-  void TestBlockEnds()
+  // Endpoints that were mended must get the requests again, but one request has to show it.
+  void TestTrials()
   {
-    InterruptThreeRuns();
+    BlockAtAllInstances();
+    for (const auto pause : BlockedRequests::kTrialPauses) {
+      CPPUNIT_ASSERT_EQUAL(0L, TakeTrials({ mFingerprint }));
+      mClock.Advance(pause);
+      CPPUNIT_ASSERT_EQUAL(1L, TakeTrials({ mFingerprint }));
+      CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
+      // Its endpoint ends: the requests stay blocked, and there is no trial until the next pause.
+      mInstances.front()->mExchange.OnInterrupted({ mFingerprint }, mClock.Now(), "127.0.0.1:1");
+      mClock.Advance(Millis(80));
+      RunBriefly();
+    }
+    CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
+    mClock.Advance(BlockedRequests::kTrialPauses[2]);
+    CPPUNIT_ASSERT_EQUAL(1L, TakeTrials({ mFingerprint }));
+    mInstances.front()->mExchange.OnSurvived(std::vector{ mFingerprint }, mClock.Now());
     Run([this] {
       mClock.Advance(Millis(10));
-      return Record() != nullptr;
+      return !ParseBlockedRequestRecord(Record()->mValue).value().mIsBlocked;
     });
     DistributeRecord();
-    mClock.Advance(CrashReportExchange::kBlockTime);
     CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
-    const auto sentAt = mClock.Now();
-    mClock.Advance(Millis(80));
-    mInstances.front()->mExchange.OnInterrupted(mFingerprint, sentAt, "127.0.0.1:1");
-    RunBriefly();
-    CPPUNIT_ASSERT(mInstances.front()->mExchange.BlockedFor(mFingerprint));
+  }
+
+  // A block of which no request is sent any more must end by itself.
+  void TestBlockEnds()
+  {
+    BlockAtAllInstances();
+    mClock.Advance(BlockedRequests::kBlockTime);
+    CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
+  }
+
+  // A request with two blocked parts told nothing of either, and used up the trials of both.
+  void TestTrialsOfSeveralKeys()
+  {
+    BlockAtAllInstances();
+    auto& instance = mInstances.front()->mExchange;
+    const std::vector<std::string> both = { mFingerprint, "other" };
+    mClock.Advance(BlockedRequests::kTrialPauses[0]);
+    CPPUNIT_ASSERT(instance.IsTrialDue(both)); // the other is not blocked
+    instance.Blocked().Block("other", mClock.Now());
+    CPPUNIT_ASSERT(!instance.IsTrialDue(both));
+    CPPUNIT_ASSERT(instance.IsTrialDue(std::vector{ mFingerprint }));
+    CPPUNIT_ASSERT(instance.BlockedFor(both));
+  }
+
+  // A part of most prompts stands in many interrupted runs: an instance that is no keeper has seen
+  // that endpoints survive it.
+  void TestSurvivedRunsAtOtherInstances()
+  {
+    const auto keepers = ChooseKeepersOfFingerprint();
+    const auto witness = std::find_if(mInstances.rbegin(), mInstances.rend(), [&](const auto& it) {
+      return std::find(keepers.begin(), keepers.end(), it->mAddress) == keepers.end();
+    });
+    const std::vector keys = { mFingerprint };
+    mClock.Advance(Millis(1'000));
+    (*witness)->mExchange.OnSurvived(keys, mClock.Now() + Millis(300));
+    InterruptThreeRuns();
+    for (int n = 0; n < 5; ++n) {
+      mClock.Advance(Millis(200));
+      RunBriefly();
+    }
+    CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
+    CPPUNIT_ASSERT(Record() == nullptr);
   }
 
   // A datagram that is cut or was not sent by an instance must not be taken for a report.
@@ -287,7 +371,7 @@
     const auto bytes = EncodeCrashMessage(message);
     const auto decoded = DecodeCrashMessage(bytes);
     CPPUNIT_ASSERT(decoded);
-    CPPUNIT_ASSERT_EQUAL(mFingerprint, decoded.value().mFingerprint);
+    CPPUNIT_ASSERT_EQUAL(mFingerprint, decoded.value().mKey);
     CPPUNIT_ASSERT(decoded.value().mSentAgo == Millis(80));
     for (std::size_t n = 0; n < bytes.size(); ++n) {
       CPPUNIT_ASSERT(!DecodeCrashMessage(std::string_view(bytes).substr(0, n)));
--- a/tests/relay/RequestFingerprintTest.cpp
+++ b/tests/relay/RequestFingerprintTest.cpp
@@ -11,6 +11,7 @@
 {
   CPPUNIT_TEST_SUITE(RequestFingerprintTest);
   CPPUNIT_TEST(TestEachFieldCounts);
+  CPPUNIT_TEST(TestKeysOfParts);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +36,38 @@
       CPPUNIT_ASSERT_MESSAGE(it.mPath, fingerprints.insert(out).second);
     }
   }
+
+  // The last part belongs to one request; a caller that names thousands must not fill the memory.
+  void TestKeysOfParts()
+  {
+    struct Row
+    {
+      std::string mName;
+      std::vector<PromptPart> mParts;
+      std::vector<std::string> mKeys; ///< behind the fingerprint
+    };
+    const std::string first = "part-0000000000000001";
+    const std::string second = "part-0000000000000002";
+    const Row rows[] = {
+      { "no parts", {}, {} },
+      { "one part", { { 1, 10 } }, {} },
+      { "the last is left out", { { 1, 10 }, { 2, 10 }, { 3, 10 } }, { first, second } },
+      { "twice", { { 1, 10 }, { 2, 10 }, { 1, 10 }, { 3, 10 } }, { first, second } },
+      { "the last stands earlier as well", { { 1, 10 }, { 2, 10 }, { 1, 10 } }, { first, second } },
+      { "without tokens", { { 2, 0 }, { 3, 0 } }, { second } },
+    };
+    for (const auto& row : rows) {
+      auto keys = MakeCrashKeys("f", row.mParts);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, std::string("f"), keys.front());
+      keys.erase(keys.begin());
+      CPPUNIT_ASSERT_MESSAGE(row.mName, row.mKeys == keys);
+    }
+    std::vector<PromptPart> many;
+    for (std::uint64_t n = 0; n < 1'000; ++n) {
+      many.push_back({ n, 1 });
+    }
+    CPPUNIT_ASSERT_EQUAL(kMaxCrashParts + 1, MakeCrashKeys("f", many).size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestFingerprintTest);
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(CrashEvidenceTest);
   CPPUNIT_TEST(TestRuns);
   CPPUNIT_TEST(TestMemoryIsBounded);
+  CPPUNIT_TEST(TestFrequentKeyIsRemembered);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ std::chrono::hours(1) };
@@ -77,7 +78,7 @@
         const auto endedAt = kStart + Millis(it.mEndedAtMs);
         evidence.RemoveExpired(endedAt);
         if (it.mIsCompleted) {
-          evidence.OnCompleted("f", sentAt, endedAt);
+          evidence.OnSurvived("f", sentAt, endedAt);
           continue;
         }
         isBlocked = evidence.OnInterrupted("f", sentAt, endedAt) || isBlocked;
@@ -90,11 +91,11 @@
   void TestMemoryIsBounded()
   {
     CrashEvidence evidence;
-    for (std::size_t n = 0; n <= CrashEvidence::kMaxCompletions; ++n) {
-      evidence.OnCompleted("c" + std::to_string(n), kStart, kStart);
+    for (std::size_t n = 0; n <= CrashEvidence::kMaxSurvived; ++n) {
+      evidence.OnSurvived("c" + std::to_string(n), kStart, kStart);
     }
-    CPPUNIT_ASSERT(!evidence.HasCompletedSince("c0", kStart));
-    CPPUNIT_ASSERT(evidence.HasCompletedSince("c1", kStart));
+    CPPUNIT_ASSERT(!evidence.HasSurvivedSince("c0", kStart));
+    CPPUNIT_ASSERT(evidence.HasSurvivedSince("c1", kStart));
     for (std::size_t n = 0; n <= CrashEvidence::kMaxSuspects; ++n) {
       const auto at = kStart + Millis(n);
       evidence.OnInterrupted("s" + std::to_string(n), at, at);
@@ -104,7 +105,21 @@
     evidence.RemoveExpired(kStart + CrashEvidence::kMemory +
                            Millis(CrashEvidence::kMaxSuspects + 1));
     CPPUNIT_ASSERT(!evidence.Find("s1"));
-    CPPUNIT_ASSERT(!evidence.HasCompletedSince("c1", kStart));
+    CPPUNIT_ASSERT(!evidence.HasSurvivedSince("c1", kStart));
+  }
+
+  // A part of most prompts was forgotten as soon as its first survived run was the oldest one.
+  void TestFrequentKeyIsRemembered()
+  {
+    CrashEvidence evidence;
+    auto now = kStart;
+    for (std::size_t n = 0; n <= 2 * CrashEvidence::kMaxSurvived; ++n) {
+      now += Millis(1);
+      evidence.OnSurvived("c" + std::to_string(n), now, now);
+      evidence.OnSurvived("frequent", now, now);
+      CPPUNIT_ASSERT(evidence.HasSurvivedSince("frequent", now));
+    }
+    CPPUNIT_ASSERT(!evidence.HasSurvivedSince("c0", kStart));
   }
 };
 
