WatchRelayTest: the follower is never the last in the order

Ports are random: where the follower comes last in the rendezvous order of 21 instances, it becomes a watcher in no set of four, and the loop ran past its peers. The test draws another follower then; what it checks is as it was.

--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -1,5 +1,8 @@
 #include "gentianloom/gateway/WatchRelay.h"
+
+#include "gentianloom/base/Ids.h"
 #include "gentianloom/gateway/PrefixWatcher.h"
+#include "gentianloom/membership/Keepers.h"
 
 #include "support/LoopbackPort.h"
 #include "support/MemoryAsyncStore.h"
@@ -160,6 +163,13 @@
     }
   }
 
+  /// Whether the follower is a watcher only if all others are gone.
+  bool IsFollowerLastInOrder() const
+  {
+    return ChooseKeepers(StableHash("watch"), mAddresses, mAddresses.size()).back() ==
+           mFollower->mAddress;
+  }
+
   /// Starts a follower with peers that do nothing, of which the test uses one to send updates.
   void StartFollower()
   {
@@ -329,7 +339,10 @@
   // that it had read itself, although it knew of later ones from others only.
   void TestFollowerBecomesWatcher()
   {
-    CreateFollower(mHeldStore, /*aIsWatcher=*/false);
+    do {
+      mUnused.push_back(std::move(mFollower));
+      CreateFollower(mHeldStore, /*aIsWatcher=*/false);
+    } while (IsFollowerLastInOrder());
     mFollower->mWatcher.Start();
     RunBriefly();
     SendToFollower(MakeUpdate(10, 20, { MakeEvent("p/a", 15) }));
