--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -244,6 +244,7 @@
         self.events = 5
         self.event_s = 0  # pause after each event of a stream
         self.is_leaving = False  # says so in each response
+        self.rate_limits = []  # stated in each response, in one header each
         self.refusal = {}
         self.states_not_run = True
         self.arrived = []
@@ -306,6 +307,7 @@
         worker.arrived.append({"path": self.path, "attempt": attempt, "at": time.monotonic()})
         if worker.is_leaving:
             common.append(("Server-Leaving", "1"))
+        common += [("Server-Limit", it) for it in worker.rate_limits]
         if worker.mode == "full":
             statement = [("X-Not-Executed", "1")] if worker.states_not_run else []
             return self.respond(503, b"", common + statement + list(worker.refusal.items()))
