LIMIT: the rate limit that an endpoint states holds for all instances together

Cause: nobody read the statement, and no instance sees what the others send.

Now the first instance in an endpoint's rendezvous order gives out a permit for each request (PermitBucket), the second one while the first does not answer. What a response states is told to both; the first tells all instances when it changes. Queries carry what the sender knows, so an instance that begins to give out permits needs no state. A denied request is placed elsewhere at once; with no endpoint left it is refused at once, with the time until the next permit.

--- /dev/null
+++ b/include/gentianloom/gateway/EndpointLimitExchange.h
@@ -0,0 +1,128 @@
+#ifndef GENTIANLOOM_GATEWAY_ENDPOINT_LIMIT_EXCHANGE_H
+#define GENTIANLOOM_GATEWAY_ENDPOINT_LIMIT_EXCHANGE_H
+
+#include "gentianloom/gateway/PeerSocket.h"
+#include "gentianloom/net/Signal.h"
+#include "gentianloom/relay/RequestPermits.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gentianloom {
+
+/// Message about the rate limit of one process of an endpoint.
+struct EndpointLimitMessage
+{
+  /// EndpointLimit, a statement; PermitQuery, or PermitAnswer.
+  PeerMessageKind mKind = PeerMessageKind::EndpointLimit;
+  std::uint64_t mQuery = 0; ///< of a query and its answer
+  std::string mEndpoint;    ///< id
+  std::int64_t mStartedAt = 0;
+  std::optional<double> mRequestsPerSecond; ///< nothing: the endpoint states no limit
+  Micros mStatedAgo{ 0 };                   ///< of the response that the sender knows it from
+  bool mIsGranted = false;                  ///< of an answer
+  Millis mWait{ 0 };                        ///< of a denial: time until the next query
+};
+
+/// @brief Encodes a message as MessagePack, to be sent in one datagram.
+std::string EncodeEndpointLimit(const EndpointLimitMessage& aMessage);
+
+/// @brief Decodes a datagram. @return ErrorCode::MalformedRequest if it is not a valid message
+Result<EndpointLimitMessage> DecodeEndpointLimit(std::string_view aBytes);
+
+/**
+ * @brief Keeps the rate limits of endpoints for all instances together.
+ *
+ * The first instance in the rendezvous order of an endpoint gives out the permits for its requests;
+ * the second one does while the first does not answer. What a response states is told to both, and
+ * a change of it by the first one to all instances. Queries state what the sender knows, so that an
+ * instance that begins to give out permits need not have heard of the limit.
+ */
+class EndpointLimitExchange final : public RequestPermits
+{
+public:
+  /// Instances that may give out the permits of one endpoint.
+  static constexpr std::size_t kKeepers = 2;
+  /// Longest wait for an answer.
+  static constexpr Millis kAnswerTimeout{ 60 };
+  /// An instance that did not answer is not asked for this time.
+  static constexpr Millis kUnresponsiveTime{ 1'000 };
+  /// Time for which an endpoint gets nothing if no instance gives out its permits.
+  static constexpr Millis kNoKeeperPause{ 300 };
+  /// A denied instance asks again after at least this time for each instance of the fleet, which
+  /// bounds the queries for one endpoint.
+  static constexpr Millis kDenialPerInstance{ 5 };
+  /// Most endpoints whose limits an instance keeps for others.
+  static constexpr std::size_t kMaxKept = 4'096;
+
+  /**
+   * @param aSelf address of this instance, the same that its peers know
+   * @param aPeers returns the addresses of the other instances
+   */
+  EndpointLimitExchange(net::Loop& aLoop,
+                        PeerSocket& aSocket,
+                        std::string aSelf,
+                        std::function<std::vector<std::string>()> aPeers,
+                        EndpointRegistry& aEndpoints,
+                        const Clock& aClock,
+                        Metrics& aMetrics);
+
+  /// @brief Starts to handle messages. Call it once.
+  void Start();
+
+  net::Task<bool> Take(EndpointRegistry::Ptr aEndpoint) override;
+  void OnStated(const EndpointRegistry::Ptr& aEndpoint,
+                std::optional<double> aRequestsPerSecond) override;
+
+private:
+  /// The limit of one process of an endpoint, for which this instance gives out permits.
+  struct Kept
+  {
+    StatedRateLimit mLimit;
+    PermitBucket mPermits;
+    TimePoint mUsedAt{};
+  };
+
+  /// A query that waits for its answer.
+  struct Query
+  {
+    std::optional<EndpointLimitMessage> mAnswer;
+    net::Signal* mSignal = nullptr;
+  };
+
+  EndpointLimitMessage MessageAbout(const Endpoint& aEndpoint, PeerMessageKind aKind) const;
+  std::vector<std::string> KeepersOf(const std::string& aEndpoint) const;
+  /// Asks a keeper. @return its answer, or nothing if it does not answer in time
+  net::Task<std::optional<EndpointLimitMessage>> Ask(std::string aKeeper,
+                                                     EndpointLimitMessage aQuery);
+  /// Answers a query of this or another instance.
+  EndpointLimitMessage Answer(const EndpointLimitMessage& aQuery);
+  /// Takes over a statement that this instance keeps. @return whether it changes the limit
+  bool Keep(const EndpointLimitMessage& aStatement);
+  /// Takes over a statement as the limit of a listed endpoint.
+  void Apply(const EndpointLimitMessage& aStatement);
+  /// Tells all instances, if this is the first keeper.
+  void Announce(const EndpointLimitMessage& aStatement);
+  void OnDatagram(std::string_view aBytes, const PeerSocket::Address& aSender);
+  void DropOldest();
+
+  net::Loop& mLoop;
+  PeerSocket& mSocket;
+  std::string mSelf;
+  std::function<std::vector<std::string>()> mPeers;
+  EndpointRegistry& mEndpoints;
+  const Clock& mClock;
+  Metrics& mMetrics;
+  std::map<std::string, Kept> mKept; ///< by endpoint and its process
+  std::map<std::uint64_t, Query> mQueries;
+  std::map<std::string, TimePoint> mUnresponsiveUntil; ///< by instance
+  std::uint64_t mNextQuery = 1;
+};
+
+} // namespace gentianloom
+
+#endif
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include "gentianloom/gateway/BudgetKeepers.h"
 #include "gentianloom/gateway/CallerServer.h"
 #include "gentianloom/gateway/CrashReportExchange.h"
+#include "gentianloom/gateway/EndpointLimitExchange.h"
 #include "gentianloom/gateway/GatewaySettings.h"
 #include "gentianloom/gateway/InstanceRegistration.h"
 #include "gentianloom/gateway/PeerLoadExchange.h"
@@ -94,6 +95,7 @@
   StreamOriginExchange mStreamOrigins;
   EndpointEndExchange mEndpointEnds;
   CrashReportExchange mCrashReports;
+  EndpointLimitExchange mEndpointLimits;
   WatchRelay mWatchRelay;
   CallerServer mCallerServer;
   PrefixWatcher mConfigurationWatcher;
--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -31,11 +31,14 @@
   EndpointEnded = 10,
   EndpointFirstEnd = 11,
   PrefixUpdate = 12,
-  CrashQuery = 13
+  CrashQuery = 13,
+  EndpointLimit = 14,
+  PermitQuery = 15,
+  PermitAnswer = 16
 };
 
 /// Number of kinds of datagrams.
-inline constexpr std::size_t kPeerMessageKinds = 14;
+inline constexpr std::size_t kPeerMessageKinds = 17;
 
 /// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none.
 PeerMessageKind PeerMessageKindOf(std::string_view aBytes);
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -104,6 +104,10 @@
   bool IsResponseToThisRequest() const;
   /// Remembers what the endpoint wants: that it is leaving, or no requests for some time.
   void ObserveEndpointState();
+  /// Notes the rate limit that the endpoint states, or that it states none.
+  void ObserveRateLimit();
+  /// Whether the endpoint still takes the request after the connection was opened.
+  bool AcceptsRequest() const;
   /// Counts a Retry-After: "asked" for a pause, or "invalid".
   void CountPause(std::string_view aKind) const;
   /// Whether the status promises the caller that the request did not run, which the endpoint did
@@ -137,7 +141,8 @@
   double mTokensToPrefill; ///< uncached prompt tokens of this request and those pending at the
                            ///< endpoint before it
   EndpointLoad::RequestHandle mLoadHandle;
-  bool mIsTrial; ///< the first request after a pause that the endpoint asked for
+  bool mHasPermit; ///< of an endpoint with a rate limit
+  bool mIsTrial;   ///< the first request after a pause that the endpoint asked for
   net::Channel::Ptr mChannel;
   std::size_t mBytesSentBefore = 0; ///< bytes that earlier requests sent on the connection
   bool mIsRequestSent = false;
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -7,6 +7,7 @@
 #include "gentianloom/relay/ConnectionPool.h"
 #include "gentianloom/relay/RequestCodec.h"
 #include "gentianloom/relay/RequestGuard.h"
+#include "gentianloom/relay/RequestPermits.h"
 #include "gentianloom/relay/StreamOrigins.h"
 #include "gentianloom/relay/TokenReservations.h"
 #include "gentianloom/routing/EndpointRegistry.h"
@@ -37,6 +38,7 @@
   SoftwareVersionHistory mVersionHistory{};
   StreamOrigins* mStreamOrigins = nullptr; ///< null: no origin is known
   RequestGuard* mGuard = nullptr;          ///< null: no request is blocked
+  RequestPermits* mPermits = nullptr;      ///< null: rate limits of endpoints are not kept
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -70,6 +70,8 @@
   bool mIsLeaving = false;           ///< the endpoint states that it is leaving
   std::optional<Millis> mRetryAfter; ///< of a refusal: time for which the endpoint wants nothing
   bool mIsRetryAfterInvalid = false; ///< a refusal states no such time in its place
+  std::optional<double> mRateLimit;  ///< requests a second that the endpoint takes of all instances
+  bool mIsRateLimitInvalid = false;  ///< it states something else in its place
   std::optional<ReportedLoad> mLoad;
   std::optional<Millis> mIdleTimeout; ///< after which the endpoint closes an idle connection
 };
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -46,7 +46,10 @@
   net::Task<bool> ReserveTokens();
   void OnTokensNotReserved(Tokens aTokens); ///< responds by mReservation
   net::Task<void> RunAttempts();
-  PlacementChoice ChooseEndpoint();
+  /// Chooses an endpoint and takes the permit that it needs.
+  net::Task<void> Place();
+  /// @param aOnlyUnlimited leaves out endpoints with a rate limit
+  PlacementChoice ChooseEndpoint(bool aOnlyUnlimited);
   bool MayRetry(const AttemptResult& aResult);
   /// When an endpoint may accept a request that none accepted now.
   Millis RetryAfterRefusal() const;
--- /dev/null
+++ b/include/gentianloom/relay/RequestPermits.h
@@ -0,0 +1,34 @@
+#ifndef GENTIANLOOM_RELAY_REQUEST_PERMITS_H
+#define GENTIANLOOM_RELAY_REQUEST_PERMITS_H
+
+#include "gentianloom/net/Task.h"
+#include "gentianloom/routing/EndpointRegistry.h"
+
+#include <optional>
+
+namespace gentianloom {
+
+/**
+ * @brief Shares out the requests that endpoints with a rate limit take from all instances together.
+ */
+class RequestPermits
+{
+public:
+  virtual ~RequestPermits() = default;
+
+  /**
+   * @brief Asks for the permit to send one request to an endpoint with a rate limit.
+   *
+   * Takes a bounded time. If it is denied, the endpoint's StatedRateLimit says until when.
+   * @return whether the request may be sent
+   */
+  virtual net::Task<bool> Take(EndpointRegistry::Ptr aEndpoint) = 0;
+
+  /// @brief Notes the rate limit that a response stated, or that it stated none.
+  virtual void OnStated(const EndpointRegistry::Ptr& aEndpoint,
+                        std::optional<double> aRequestsPerSecond) = 0;
+};
+
+} // namespace gentianloom
+
+#endif
--- a/include/gentianloom/routing/EndpointChooser.h
+++ b/include/gentianloom/routing/EndpointChooser.h
@@ -26,6 +26,7 @@
 struct PlacementChoice
 {
   EndpointRegistry::Ptr mEndpoint; ///< null: no endpoint is usable
+  bool mHasPermit = false;         ///< of an endpoint with a rate limit
   std::int64_t mCachedTokens = 0;  ///< prompt tokens that the endpoint probably has cached
   std::int64_t mPrefillTokens = 0; ///< prompt tokens that the endpoint has to process
   std::int64_t mPendingTokens = 0; ///< prompt tokens of requests ahead on the endpoint
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/routing/EndpointLoad.h"
+#include "gentianloom/routing/RateLimit.h"
 #include "gentianloom/routing/RequestHold.h"
 
 #include <cstdint>
@@ -54,6 +55,7 @@
   bool mHasAnnouncedLeaving = false;
   EndpointLoad mLoad;
   RequestHold mHold;
+  StatedRateLimit mRateLimit;
 
   /// @brief Whether the endpoint is registered and does not leave.
   bool AcceptsRequests() const
@@ -122,8 +124,8 @@
   /// periodically.
   void RemoveExpired(TimePoint aNow);
 
-  /// @brief Endpoints of a service that accept requests and have not asked for a pause; missing
-  /// ones only if none is listed.
+  /// @brief Endpoints of a service that accept requests, have not asked for a pause and whose rate
+  /// limit leaves room; missing ones only if none is listed.
   /// @param aSoftwareVersion only endpoints with this version of their software, if it is set
   std::vector<Ptr> UsableEndpoints(
     std::string_view aService,
@@ -131,7 +133,8 @@
     std::optional<std::string_view> aSoftwareVersion = std::nullopt) const;
 
   /// @brief Time until the first of the service's endpoints may get a request again, if all of
-  /// those that accept requests have asked for a pause; otherwise nothing.
+  /// those that accept requests have asked for a pause or have reached their rate limit; otherwise
+  /// nothing.
   std::optional<Micros> TimeUntilPauseEnds(std::string_view aService, TimePoint aNow) const;
 
   /// @brief All endpoints by id.
@@ -148,6 +151,7 @@
     EndpointEntry mEntry;
     bool mHasAnnouncedLeaving = false;
     RequestHold mHold;
+    StatedRateLimit mRateLimit;
     TimePoint mRemovedAt{};
   };
 
--- /dev/null
+++ b/src/gateway/EndpointLimitExchange.cpp
@@ -0,0 +1,292 @@
+#include "gentianloom/gateway/EndpointLimitExchange.h"
+
+#include "gentianloom/base/Ids.h"
+#include "gentianloom/base/Log.h"
+#include "gentianloom/gateway/Datagram.h"
+#include "gentianloom/membership/Keepers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace gentianloom {
+
+namespace {
+
+constexpr double kMilli = 1'000;
+constexpr std::int64_t kMaxNumber = std::numeric_limits<std::int64_t>::max();
+/// Largest limit in thousandths of a request a second that a message may state.
+constexpr std::int64_t kMaxLimitMillis = 1'000'000'000;
+/// Longest age, and longest time of a denial, that a message may state.
+constexpr Micros kMaxAge{ 600'000'000 };
+constexpr Millis kMaxWait{ 10'000 };
+
+std::string KeyOf(const EndpointLimitMessage& aMessage)
+{
+  return aMessage.mEndpoint + "@" + std::to_string(aMessage.mStartedAt);
+}
+
+std::string ToText(std::optional<double> aRequestsPerSecond)
+{
+  return aRequestsPerSecond ? std::to_string(*aRequestsPerSecond) : "none";
+}
+
+} // namespace
+
+std::string EncodeEndpointLimit(const EndpointLimitMessage& aMessage)
+{
+  nlohmann::json limit;
+  if (aMessage.mRequestsPerSecond) {
+    limit =
+      std::min<std::int64_t>(std::llround(*aMessage.mRequestsPerSecond * kMilli), kMaxLimitMillis);
+  }
+  const auto json = nlohmann::json::array({ static_cast<int>(aMessage.mKind),
+                                            aMessage.mQuery,
+                                            aMessage.mEndpoint,
+                                            aMessage.mStartedAt,
+                                            limit,
+                                            std::min(aMessage.mStatedAgo, kMaxAge).count(),
+                                            aMessage.mIsGranted,
+                                            aMessage.mWait.count() });
+  return EncodeDatagram(json);
+}
+
+Result<EndpointLimitMessage> DecodeEndpointLimit(std::string_view aBytes)
+{
+  return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
+    EndpointLimitMessage out;
+    out.mKind = PeerMessageKindOf(aBytes);
+    out.mQuery = aArray.at(1).get<std::uint64_t>();
+    out.mEndpoint = aArray.at(2).get<std::string>();
+    out.mStartedAt = ReadDatagramNumber(aArray, 3, kMaxNumber);
+    if (!aArray.at(4).is_null()) {
+      out.mRequestsPerSecond =
+        static_cast<double>(ReadDatagramNumber(aArray, 4, kMaxLimitMillis)) / kMilli;
+    }
+    out.mStatedAgo = Micros(ReadDatagramNumber(aArray, 5, kMaxAge.count()));
+    out.mIsGranted = aArray.at(6).get<bool>();
+    out.mWait = Millis(ReadDatagramNumber(aArray, 7, kMaxWait.count()));
+    return out;
+  });
+}
+
+EndpointLimitExchange::EndpointLimitExchange(net::Loop& aLoop,
+                                             PeerSocket& aSocket,
+                                             std::string aSelf,
+                                             std::function<std::vector<std::string>()> aPeers,
+                                             EndpointRegistry& aEndpoints,
+                                             const Clock& aClock,
+                                             Metrics& aMetrics)
+  : mLoop(aLoop)
+  , mSocket(aSocket)
+  , mSelf(std::move(aSelf))
+  , mPeers(std::move(aPeers))
+  , mEndpoints(aEndpoints)
+  , mClock(aClock)
+  , mMetrics(aMetrics)
+{
+}
+
+void EndpointLimitExchange::Start()
+{
+  for (const auto it : { PeerMessageKind::EndpointLimit,
+                         PeerMessageKind::PermitQuery,
+                         PeerMessageKind::PermitAnswer }) {
+    mSocket.SetHandler(it, [this](std::string_view aBytes, const PeerSocket::Address& aSender) {
+      OnDatagram(aBytes, aSender);
+    });
+  }
+}
+
+EndpointLimitMessage EndpointLimitExchange::MessageAbout(const Endpoint& aEndpoint,
+                                                         PeerMessageKind aKind) const
+{
+  EndpointLimitMessage out;
+  out.mKind = aKind;
+  out.mEndpoint = aEndpoint.mEntry.mId;
+  out.mStartedAt = std::max<std::int64_t>(0, aEndpoint.mEntry.mStartedAt);
+  out.mRequestsPerSecond = aEndpoint.mRateLimit.RequestsPerSecond();
+  const auto age = mClock.Now() - aEndpoint.mRateLimit.StatedAt();
+  out.mStatedAgo = std::chrono::duration_cast<Micros>(age);
+  return out;
+}
+
+std::vector<std::string> EndpointLimitExchange::KeepersOf(const std::string& aEndpoint) const
+{
+  auto instances = mPeers();
+  instances.push_back(mSelf);
+  return ChooseKeepers(StableHash(aEndpoint), std::move(instances), kKeepers);
+}
+
+net::Task<bool> EndpointLimitExchange::Take(EndpointRegistry::Ptr aEndpoint)
+{
+  const auto query = MessageAbout(*aEndpoint, PeerMessageKind::PermitQuery);
+  for (const auto& keeper : KeepersOf(query.mEndpoint)) {
+    std::optional<EndpointLimitMessage> answer;
+    if (keeper == mSelf) {
+      answer = Answer(query);
+    } else {
+      answer = co_await Ask(keeper, query);
+    }
+    if (!answer) {
+      continue;
+    }
+    const auto now = mClock.Now();
+    aEndpoint->mRateLimit.OnStated(answer->mRequestsPerSecond, now - answer->mStatedAgo);
+    if (!answer->mIsGranted) {
+      aEndpoint->mRateLimit.OnDenied(now + answer->mWait);
+    }
+    mMetrics
+      .CounterOf("gentianloom_endpoint_permits_total",
+                 answer->mIsGranted ? "outcome=\"granted\"" : "outcome=\"denied\"")
+      .Add();
+    co_return answer->mIsGranted;
+  }
+  aEndpoint->mRateLimit.OnDenied(mClock.Now() + kNoKeeperPause);
+  mMetrics.CounterOf("gentianloom_endpoint_permits_total", "outcome=\"no answer\"").Add();
+  co_return false;
+}
+
+net::Task<std::optional<EndpointLimitMessage>> EndpointLimitExchange::Ask(
+  std::string aKeeper,
+  EndpointLimitMessage aQuery)
+{
+  const auto now = mClock.Now();
+  const auto unresponsive = mUnresponsiveUntil.find(aKeeper);
+  if (unresponsive != mUnresponsiveUntil.end() && now < unresponsive->second) {
+    co_return std::nullopt;
+  }
+  aQuery.mQuery = mNextQuery++;
+  net::Signal signal(mLoop);
+  mQueries[aQuery.mQuery] = { std::nullopt, &signal };
+  mSocket.Send(aKeeper, EncodeEndpointLimit(aQuery));
+  const auto deadline = now + kAnswerTimeout;
+  while (!mQueries[aQuery.mQuery].mAnswer && mClock.Now() < deadline) {
+    co_await signal.WaitFor(deadline - mClock.Now());
+  }
+  const auto out = mQueries[aQuery.mQuery].mAnswer;
+  mQueries.erase(aQuery.mQuery);
+  if (!out) {
+    std::erase_if(mUnresponsiveUntil, [&](const auto& it) { return it.second <= now; });
+    mUnresponsiveUntil[aKeeper] = mClock.Now() + kUnresponsiveTime;
+  }
+  co_return out;
+}
+
+EndpointLimitMessage EndpointLimitExchange::Answer(const EndpointLimitMessage& aQuery)
+{
+  Keep(aQuery);
+  const auto now = mClock.Now();
+  auto& kept = mKept[KeyOf(aQuery)];
+  kept.mUsedAt = now;
+  auto out = aQuery;
+  out.mKind = PeerMessageKind::PermitAnswer;
+  out.mRequestsPerSecond = kept.mLimit.RequestsPerSecond();
+  out.mStatedAgo = std::chrono::duration_cast<Micros>(now - kept.mLimit.StatedAt());
+  const double rate = out.mRequestsPerSecond.value_or(0);
+  out.mIsGranted = !out.mRequestsPerSecond || kept.mPermits.TryTake(rate, now);
+  if (!out.mIsGranted) {
+    const auto instances = static_cast<std::int64_t>(mPeers().size()) + 1;
+    const auto untilPermit = std::chrono::ceil<Millis>(kept.mPermits.TimeUntilPermit(rate));
+    out.mWait = std::min(kMaxWait, std::max(untilPermit, kDenialPerInstance * instances));
+  }
+  return out;
+}
+
+bool EndpointLimitExchange::Keep(const EndpointLimitMessage& aStatement)
+{
+  if (mKept.size() >= kMaxKept) {
+    DropOldest();
+  }
+  const auto now = mClock.Now();
+  auto& kept = mKept[KeyOf(aStatement)];
+  kept.mUsedAt = now;
+  return kept.mLimit.OnStated(aStatement.mRequestsPerSecond, now - aStatement.mStatedAgo);
+}
+
+void EndpointLimitExchange::DropOldest()
+{
+  const auto oldest =
+    std::min_element(mKept.begin(), mKept.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.mUsedAt < aRight.second.mUsedAt;
+    });
+  mKept.erase(oldest);
+}
+
+void EndpointLimitExchange::OnStated(const EndpointRegistry::Ptr& aEndpoint,
+                                     std::optional<double> aRequestsPerSecond)
+{
+  auto& limit = aEndpoint->mRateLimit;
+  const bool isChanged = limit.OnStated(aRequestsPerSecond, mClock.Now());
+  if (isChanged) {
+    LogChange(
+      LogLevel::Info,
+      "endpoints",
+      "the rate limit that an endpoint states has changed",
+      { { "endpoint", aEndpoint->mEntry.mId }, { "requests_per_s", ToText(aRequestsPerSecond) } });
+  }
+  if (!isChanged && !aRequestsPerSecond) {
+    return;
+  }
+  const auto statement = MessageAbout(*aEndpoint, PeerMessageKind::EndpointLimit);
+  for (const auto& it : KeepersOf(statement.mEndpoint)) {
+    if (it != mSelf) {
+      mSocket.Send(it, EncodeEndpointLimit(statement));
+    } else if (Keep(statement)) {
+      Announce(statement);
+    }
+  }
+}
+
+void EndpointLimitExchange::Announce(const EndpointLimitMessage& aStatement)
+{
+  if (KeepersOf(aStatement.mEndpoint).front() != mSelf) {
+    return;
+  }
+  const auto bytes = EncodeEndpointLimit(aStatement);
+  for (const auto& it : mPeers()) {
+    mSocket.Send(it, bytes);
+  }
+}
+
+void EndpointLimitExchange::Apply(const EndpointLimitMessage& aStatement)
+{
+  const auto it = mEndpoints.All().find(aStatement.mEndpoint);
+  const bool isSameProcess =
+    it != mEndpoints.All().end() &&
+    std::max<std::int64_t>(0, it->second->mEntry.mStartedAt) == aStatement.mStartedAt;
+  if (isSameProcess) {
+    it->second->mRateLimit.OnStated(aStatement.mRequestsPerSecond,
+                                    mClock.Now() - aStatement.mStatedAgo);
+  }
+}
+
+void EndpointLimitExchange::OnDatagram(std::string_view aBytes, const PeerSocket::Address& aSender)
+{
+  const auto message = DecodeEndpointLimit(aBytes);
+  if (!message) {
+    mMetrics.CounterOf("gentianloom_endpoint_limits_malformed_total").Add();
+    return;
+  }
+  const auto& it = message.value();
+  if (it.mKind == PeerMessageKind::PermitQuery) {
+    mSocket.Send(aSender, EncodeEndpointLimit(Answer(it)));
+    return;
+  }
+  if (it.mKind == PeerMessageKind::EndpointLimit) {
+    Apply(it);
+    if (Keep(it)) {
+      Announce(it);
+    }
+    return;
+  }
+  const auto query = mQueries.find(it.mQuery);
+  if (query != mQueries.end()) {
+    query->second.mAnswer = it;
+    query->second.mSignal->Notify();
+  }
+}
+
+} // namespace gentianloom
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -139,6 +139,14 @@
       aStore,
       aClock,
       mMetrics)
+  , mEndpointLimits(
+      aLoop,
+      mPeerSocket,
+      mSettings.mPeerAddress,
+      [this] { return mInstances.PeerAddresses(mSelf.mName); },
+      mRelay.mEndpoints,
+      aClock,
+      mMetrics)
   , mWatchRelay(
       mPeerSocket,
       mSettings.mPeerAddress,
@@ -183,6 +191,7 @@
 {
   mRelay.mStreamOrigins = &mStreamOrigins;
   mRelay.mGuard = &mCrashReports;
+  mRelay.mPermits = &mEndpointLimits;
   mRelay.mEndpoints.OnNewProcess(
     [this](const std::string& aAddress) { mCrashReports.OnNewProcess(aAddress); });
 }
@@ -334,6 +343,7 @@
     mBudgetExchange.Start();
     mEndpointEnds.Start();
     mCrashReports.Start();
+    mEndpointLimits.Start();
     mRelay.mOnPendingTokensChanged = [this] { mPeerLoadExchange.NotifyChange(); };
   }
   mConfigurationWatcher.Start();
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -61,6 +61,7 @@
   , mSignal(std::move(aSignal))
   , mTokensToPrefill(static_cast<double>(aPlacement.mPendingTokens + aPlacement.mPrefillTokens))
   , mLoadHandle(mEndpoint->mLoad.OnSent(aPlacement.mPrefillTokens))
+  , mHasPermit(aPlacement.mHasPermit)
   , mIsTrial(mEndpoint->mHold.OnSent())
   , mParser(aRequest.mHead.mMethod == "HEAD")
 {
@@ -173,9 +174,7 @@
     Finish(AttemptOutcome::NotReached, true, "the endpoint refused the connection");
     co_return false;
   }
-  const bool acceptsWork =
-    mEndpoint->AcceptsRequests() && !mEndpoint->mHold.IsPaused(mContext.mClock.Now());
-  if (mWriter.IsCallerDisconnected() || !acceptsWork) {
+  if (mWriter.IsCallerDisconnected() || !AcceptsRequest()) {
     // The list of endpoints or what the endpoint wants may have changed while the connection was
     // being opened.
     const auto outcome = mWriter.IsCallerDisconnected() ? AttemptOutcome::CallerDisconnected
@@ -186,6 +185,13 @@
   co_return true;
 }
 
+bool EndpointAttempt::AcceptsRequest() const
+{
+  const bool isWithinLimit = mHasPermit || !mEndpoint->mRateLimit.IsLimited();
+  return mEndpoint->AcceptsRequests() && isWithinLimit &&
+         !mEndpoint->mHold.IsPaused(mContext.mClock.Now());
+}
+
 void EndpointAttempt::SendRequest()
 {
   ForwardingInfo info;
@@ -314,6 +320,7 @@
   if (!IsResponseToThisRequest()) {
     return;
   }
+  ObserveRateLimit();
   const auto now = mContext.mClock.Now();
   if (mResponse.mIsLeaving && !mEndpoint->mHasAnnouncedLeaving) {
     mEndpoint->mHasAnnouncedLeaving = true;
@@ -342,6 +349,18 @@
   }
 }
 
+void EndpointAttempt::ObserveRateLimit()
+{
+  if (mResponse.mIsRateLimitInvalid) {
+    mContext.mMetrics.CounterOf("gentianloom_endpoint_limits_invalid_total").Add();
+    return;
+  }
+  const bool isCertain = mResponse.mRequestId == ResponseRequestId::Same;
+  if (isCertain && mContext.mPermits != nullptr) {
+    mContext.mPermits->OnStated(mEndpoint, mResponse.mRateLimit);
+  }
+}
+
 void EndpointAttempt::CountPause(std::string_view aKind) const
 {
   mContext.mMetrics
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -27,6 +27,9 @@
 /// is needed to serve it.
 constexpr int kMaxReserveWaitDivisor = 3;
 
+/// Endpoints with a rate limit that may turn a request away; after them it goes to one without.
+constexpr int kMaxDenials = 3;
+
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 constexpr int kBadRequest = 400;
@@ -307,14 +310,33 @@
   SendError(kUnavailable, error);
 }
 
-PlacementChoice RequestExchange::ChooseEndpoint()
+net::Task<void> RequestExchange::Place()
+{
+  for (int denials = 0;; ++denials) {
+    mPlacement = ChooseEndpoint(denials >= kMaxDenials);
+    const bool needsPermit = mPlacement.mEndpoint && mContext.mPermits != nullptr &&
+                             mPlacement.mEndpoint->mRateLimit.IsLimited();
+    if (!needsPermit) {
+      co_return;
+    }
+    mPlacement.mHasPermit = co_await mContext.mPermits->Take(mPlacement.mEndpoint);
+    if (mPlacement.mHasPermit) {
+      co_return;
+    }
+  }
+}
+
+PlacementChoice RequestExchange::ChooseEndpoint(bool aOnlyUnlimited)
 {
   const auto now = mContext.mClock.Now();
   std::optional<std::string_view> softwareVersion;
   if (mProgress.mOrigin) {
     softwareVersion = mProgress.mOrigin->mSoftwareVersion;
   }
-  const auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion);
+  auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion);
+  if (aOnlyUnlimited) {
+    std::erase_if(usable, [](const auto& it) { return it->mRateLimit.IsLimited(); });
+  }
   PlacementRequest request;
   request.mTieBreakHash = StableHash(mRequest.mId);
   request.mZone = mContext.mZone;
@@ -374,7 +396,7 @@
     if (!isAllowed) {
       co_return;
     }
-    mPlacement = ChooseEndpoint();
+    co_await Place();
     if (!mPlacement.mEndpoint) {
       mFailureReason = "no endpoint of " + mService +
                        (mProgress.mOrigin ? " with the stream's software version" : "") +
--- a/src/routing/EndpointChooser.cpp
+++ b/src/routing/EndpointChooser.cpp
@@ -152,7 +152,9 @@
     cost += LastResortPenalty(aRequest, *it, aNow);
     const auto hash = CombineHashes(aRequest.mTieBreakHash, it->mHash);
     if (cost < best.mCost || (cost == best.mCost && hash > bestHash)) {
-      best = { it, 0, 0, 0, it->mLoad.Running(aNow), 0, cost };
+      best.mEndpoint = it;
+      best.mRunning = it->mLoad.Running(aNow);
+      best.mCost = cost;
       bestHash = hash;
     }
   }
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -43,6 +43,7 @@
   if (isContinued) {
     out->mHasAnnouncedLeaving = removed->second.mHasAnnouncedLeaving;
     out->mHold = removed->second.mHold;
+    out->mRateLimit = removed->second.mRateLimit;
     out->mHold.OnTrialEnded(); // a trial request in flight ends with the old record
   } else if (mOnNewProcess) {
     mOnNewProcess(aEntry.mAddress);
@@ -148,7 +149,7 @@
   std::vector<Ptr> missing;
   for (const auto& [id, it] : mEndpoints) {
     if (it->mEntry.mService != aService || !it->AcceptsRequests() ||
-        !it->mHold.AllowsRequest(aNow)) {
+        !it->mHold.AllowsRequest(aNow) || !it->mRateLimit.AllowsRequest(aNow)) {
       continue;
     }
     if (aSoftwareVersion && it->mEntry.mSoftwareVersion != *aSoftwareVersion) {
@@ -167,10 +168,10 @@
     if (it->mEntry.mService != aService || !it->AcceptsRequests()) {
       continue;
     }
-    if (it->mHold.AllowsRequest(aNow)) {
+    if (it->mHold.AllowsRequest(aNow) && it->mRateLimit.AllowsRequest(aNow)) {
       return std::nullopt;
     }
-    const auto left = it->mHold.TimeLeft(aNow);
+    const auto left = std::max(it->mHold.TimeLeft(aNow), it->mRateLimit.TimeLeft(aNow));
     out = out ? std::min(*out, left) : left;
   }
   return out;
@@ -183,7 +184,7 @@
   aEndpoint->second->mState = EntryState::Removed;
   const auto& endpoint = *aEndpoint->second;
   mRemoved[aEndpoint->first] = {
-    endpoint.mEntry, endpoint.mHasAnnouncedLeaving, endpoint.mHold, aNow
+    endpoint.mEntry, endpoint.mHasAnnouncedLeaving, endpoint.mHold, endpoint.mRateLimit, aNow
   };
   mEndpoints.erase(aEndpoint);
 }
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestNumbersOfResponses);
   CPPUNIT_TEST(TestWishesOfEndpoints);
+  CPPUNIT_TEST(TestRateLimits);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -246,6 +247,46 @@
     }
   }
 
+  // A value that is no limit must neither block an endpoint nor count as the end of a limit.
+  void TestRateLimits()
+  {
+    struct Row
+    {
+      std::vector<std::string> mValues;
+      std::optional<double> mLimit;
+    };
+    const Row rows[] = {
+      { {}, std::nullopt },
+      { { "1.3" }, 1.3 },
+      { { "0" }, 0 },
+      { { "0.2" }, 0.2 },
+      { { "7" }, 7 },
+      { { "99999999" }, 1'000'000 },
+      { { "-1" }, std::nullopt },
+      { { "-0.5" }, std::nullopt },
+      { { "nan" }, std::nullopt },
+      { { "inf" }, std::nullopt },
+      { { "1e99" }, std::nullopt },
+      { { "1,5" }, std::nullopt },
+      { { "0x1" }, std::nullopt },
+      { { "" }, std::nullopt },
+      { { std::string(400, '9') }, std::nullopt },
+      { { "1", "2" }, std::nullopt },
+      { { "1", "1" }, std::nullopt },
+    };
+    for (const auto& row : rows) {
+      net::ResponseHead head{ 200, "", {}, true };
+      for (const auto& it : row.mValues) {
+        head.mHeaders.Add("Server-Limit", it);
+      }
+      const auto response = mCodec.DecodeResponse(head, {});
+      const auto name = row.mValues.empty() ? std::string("none") : row.mValues.front();
+      CPPUNIT_ASSERT_MESSAGE(name, row.mLimit == response.mRateLimit);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        name, !row.mValues.empty() && !row.mLimit, response.mIsRateLimitInvalid);
+    }
+  }
+
 private:
   WireCodec mCodec;
 };
