--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -43,7 +43,7 @@
         self.oldest_revision = 0  # watches from an earlier one get 410
         self.accepts_any_lease = False  # lease numbers that went back belong to others
         # Or "busy" (503), "silent" (no response), "lost" (POST calls are executed, but get no
-        # response).
+        # response), "read-only" (503 to transactions).
         self.mode = "up"
         self.watches = 0
         self.slow_prefix = None  # reads of this prefix wait for SLOW_READ_S
@@ -126,7 +126,8 @@
         body = self.body()
         with store.changed:
             store.calls += 1
-            if store.mode == "busy":
+            is_refused = store.mode == "read-only" and url.path == "/kv-txn"
+            if store.mode == "busy" or is_refused:
                 return self.respond(503, {})
             if store.mode == "silent":
                 self.close_connection = True
@@ -191,7 +192,7 @@
             left = end - time.monotonic()
             if store.era != era:
                 return 503, {}
-            if events or left <= 0 or store.mode != "up":
+            if events or left <= 0 or store.mode not in ("up", "read-only"):
                 return 200, {"events": events, "at": store.revision}
             store.changed.wait(min(left, 0.1))
 
--- a/tests/platform/stream_version_test.py
+++ b/tests/platform/stream_version_test.py
@@ -151,6 +151,56 @@
         self.assertEqual(503, response.status)
         self.check_refused(self.second, "old", "named")
 
+    # A version that began streams before it was recorded was unknown to all once they were killed.
+    def test_version_that_is_not_recorded_begins_no_streams(self):
+        self.stop_prepaying()
+        for name in ("w2", "w4"):
+            self.platform.send_command(remove="servers/" + name)
+        self.kill_all()
+        self.platform.send_command(remove="/gentianloom/software-versions")
+        for it in (self.first, self.second):
+            it.start()
+        self.wait_for_recorded_versions({"v1"})
+        self.platform.send_command(store_mode="read-only")
+        for name in ("w2", "w4"):
+            self.platform.list_endpoint(name, born=7)
+            self.first.wait_for_log_line(lambda it, name=name: it.get("endpoint") == name
+                                         and it.get("started_at") == "7")
+        for number in range(STREAMS):
+            self.begin(self.first, f"early{number}", number)
+        begun = {n: self.endpoints_of(f"early{n}") for n in range(STREAMS)}
+        self.kill_all()
+        for name in ("w2", "w4"):
+            self.platform.send_command(remove="servers/" + name)
+        self.platform.send_command(store_mode="up")
+        for it in (self.first, self.second):
+            it.start()
+        for number, (name,) in begun.items():
+            with self.subTest(number):
+                response = self.resume(self.second, f"later{number}", f"early{number}", number)
+                joined = {VERSIONS[it] for it in self.endpoints_of(f"later{number}")}
+                self.assertIn(response.status, (200, 503))
+                self.assertLessEqual(joined, {VERSIONS[name]})
+
+    def stop_prepaying(self):
+        """Lets requests be served while the store takes no transactions."""
+        free = configuration(8)
+        del free["tenants"][0]["prepaid"]
+        self.platform.send_command(put="op/config", value=free)
+
+    def kill_all(self):
+        for it in (self.first, self.second):
+            it.kill()
+
+    # A version that nobody has recorded is better than none.
+    def test_new_streams_begin_while_no_version_is_recorded(self):
+        self.stop_prepaying()
+        self.kill_all()
+        self.platform.send_command(remove="/gentianloom/software-versions")
+        self.platform.send_command(store_mode="read-only")
+        self.second.start()
+        self.assertEqual(200, self.second.call("/resume/x", "new", self.headers(1)).status)
+
     def test_stream_goes_on_at_the_service_that_began_it(self):
         # The route is split among two services, by a hash of the request's id.
         services = {"w1": "pool", "w2": "pool", "w3": "other", "w4": "other"}
