ORDER: streams begin only at versions that a restarted instance would know

Here a resume of unknown origin goes on only if one version can have begun it, by the record of versions in the key-value service. But endpoints of a new version got streams before their version stood in the record; when all instances ended then, and these endpoints too, the record named the other version only.

Resumable streams now begin at endpoints of recorded versions, unless there are no others.

What stays: if endpoints of unrecorded versions are the only ones, streams begin there.

--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -50,6 +50,9 @@
   net::Task<void> Place();
   /// @param aOnlyUnlimited leaves out endpoints with a rate limit
   PlacementChoice ChooseEndpoint(bool aOnlyUnlimited);
+  /// Leaves out endpoints whose software version a restarted instance would not know, unless there
+  /// are no others.
+  void KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints) const;
   bool MayRetry(const AttemptResult& aResult);
   /// When an endpoint may accept a request that none accepted now.
   Millis RetryAfterRefusal() const;
--- a/include/gentianloom/routing/SoftwareVersionHistory.h
+++ b/include/gentianloom/routing/SoftwareVersionHistory.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace gentianloom {
 
@@ -37,6 +38,13 @@
   /// @brief States that all versions which served up to a time were observed.
   void ConfirmUntil(TimePoint aTime) { mConfirmedUntil = aTime; }
 
+  /// @brief Sets the versions that stand in the record which processes read when they start.
+  void SetRecorded(SoftwareVersions aVersions) { mRecorded = std::move(aVersions); }
+
+  /// @brief Whether a process that starts now would know that a version has served. Streams should
+  /// begin at no other: once all instances have ended, nobody could tell what began them.
+  bool IsRecorded(std::string_view aService, std::string_view aVersion) const;
+
   /// @brief Returns the only version that can have begun a stream of a service that still runs.
   /// @return nothing if there are several, none, or if the history is not complete or outdated
   std::optional<std::string> SoleVersion(std::string_view aService, TimePoint aNow) const;
@@ -46,6 +54,7 @@
 
 private:
   std::map<std::string, std::map<std::string, TimePoint, std::less<>>, std::less<>> mObservedAt;
+  SoftwareVersions mRecorded;
   TimePoint mCompleteFrom = TimePoint::max();
   TimePoint mConfirmedUntil{};
 };
--- a/src/gateway/SoftwareVersionRecord.cpp
+++ b/src/gateway/SoftwareVersionRecord.cpp
@@ -107,6 +107,7 @@
               "the record of software versions is invalid; it will be replaced",
               { { "error", ToString(versions.error()) } });
   }
+  mHistory.SetRecorded(mRecorded);
   return isValid;
 }
 
@@ -152,6 +153,7 @@
   }
   mRevision = result.mCommit.mRevision;
   mRecorded = std::move(updated);
+  mHistory.SetRecorded(mRecorded);
   LogChange(LogLevel::Info,
             "endpoints",
             "wrote the record of software versions",
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -337,6 +337,9 @@
   if (aOnlyUnlimited) {
     std::erase_if(usable, [](const auto& it) { return it->mRateLimit.IsLimited(); });
   }
+  if (mRoute->mIsResumable && !mProgress.mOrigin) {
+    KeepRecordedVersions(usable);
+  }
   PlacementRequest request;
   request.mTieBreakHash = StableHash(mRequest.mId);
   request.mZone = mContext.mZone;
@@ -355,6 +358,18 @@
   return ChoosePlainEndpoint(request, usable, now);
 }
 
+void RequestExchange::KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints) const
+{
+  const auto firstUnrecorded =
+    std::stable_partition(aEndpoints.begin(), aEndpoints.end(), [this](const auto& it) {
+      return mContext.mVersionHistory.IsRecorded(mService, it->mEntry.mSoftwareVersion);
+    });
+  // An endpoint of an unrecorded version is better than none.
+  if (firstUnrecorded != aEndpoints.begin()) {
+    aEndpoints.erase(firstUnrecorded, aEndpoints.end());
+  }
+}
+
 bool RequestExchange::MayRetry(const AttemptResult& aResult)
 {
   const auto attempts = static_cast<std::int64_t>(mTriedEndpoints.size());
--- a/src/routing/SoftwareVersionHistory.cpp
+++ b/src/routing/SoftwareVersionHistory.cpp
@@ -23,6 +23,12 @@
   return *it->second.begin();
 }
 
+bool SoftwareVersionHistory::IsRecorded(std::string_view aService, std::string_view aVersion) const
+{
+  const auto it = mRecorded.find(aService);
+  return it != mRecorded.end() && it->second.contains(std::string(aVersion));
+}
+
 SoftwareVersions SoftwareVersionHistory::ObservedWithin(Millis aTime, TimePoint aNow) const
 {
   SoftwareVersions out;
