What an endpoint wants is looked at again after its permit; log lines of requests have a file of their own

While a permit was asked for, the endpoint may begin to leave or ask for a pause, and the caller may leave; a kept connection was then used without another look. By reading, no test of its own. Queries before a block are spaced by the size of the fleet, so that a candidate does not wait seconds behind others in a small one.

--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -70,6 +70,7 @@
   net::Task<bool> PassGuard();
   /// Tells the guard how the last attempt ended.
   void ReportToGuard();
+  void LogFailedAttempt(bool aWillRetry) const;
   void Log() const;
   Micros TimeLeft() const { return mDeadline - mContext.mClock.Now(); }
 
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -25,8 +25,9 @@
 constexpr int kMaxReportsPerSecond = 100;
 /// Time for the other instances to answer a query.
 constexpr Millis kQueryTimeout{ 150 };
-/// Pause between two queries, each of which goes to all instances.
-constexpr Millis kQueryInterval{ 200 };
+/// Pause after a query, for each instance that it goes to, and at least.
+constexpr Millis kQueryPausePerInstance{ 1 };
+constexpr Millis kMinQueryPause{ 20 };
 /// Interruptions of one endpoint that are remembered in case that it turns out to have ended.
 constexpr std::ptrdiff_t kMaxStillOpenPerEndpoint = 64;
 /// Longest age that a message may state.
@@ -225,14 +226,16 @@
 net::Task<void> CrashReportExchange::ConfirmAndBlock(std::string aKey)
 {
   while (mClock.Now() < mNextQueryAt) {
-    co_await net::Signal::Sleep(mLoop, kQueryInterval);
+    co_await net::Signal::Sleep(mLoop, kMinQueryPause);
   }
   const auto before = mEvidence.Find(aKey);
   if (before) {
-    mNextQueryAt = mClock.Now() + kQueryInterval;
+    const auto peers = mPeers();
+    const auto n = static_cast<std::int64_t>(peers.size());
+    mNextQueryAt = mClock.Now() + std::max(kMinQueryPause, kQueryPausePerInstance * n);
     const auto bytes = EncodeCrashMessage(
       { PeerMessageKind::CrashQuery, aKey, Age(before->mFirstAt, mClock.Now()), Millis(0) });
-    for (const auto& it : mPeers()) {
+    for (const auto& it : peers) {
       mSocket.Send(it, bytes);
     }
     co_await net::Signal::Sleep(mLoop, kQueryTimeout);
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -1,7 +1,6 @@
 #include "gentianloom/relay/RequestExchange.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/base/Log.h"
 #include "gentianloom/outcome/RetryAfter.h"
 #include "gentianloom/relay/RequestFingerprint.h"
 
@@ -40,16 +39,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-std::string ToText(std::int64_t aNumber)
-{
-  return std::to_string(aNumber);
-}
-
-std::string ToMillisText(Micros aTime)
-{
-  return ToText(std::chrono::duration_cast<Millis>(aTime).count());
-}
-
 std::string ToSecondsText(Millis aTime)
 {
   std::array<char, 32> buf{};
@@ -58,41 +47,6 @@
   return { buf.data(), static_cast<std::size_t>(n) };
 }
 
-/// Most parts of a prompt that are written into a log line.
-constexpr std::size_t kMaxLoggedParts = 16;
-
-/// Lists the identifiers of a prompt's parts in hexadecimal digits.
-std::string ToText(std::span<const PromptPart> aParts)
-{
-  std::string out;
-  for (const auto& it : aParts.first(std::min(aParts.size(), kMaxLoggedParts))) {
-    std::array<char, 17> buf{};
-    std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(it.mId));
-    out += out.empty() ? "" : ",";
-    out += buf.data();
-  }
-  return out;
-}
-
-std::string_view ToString(AttemptOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case AttemptOutcome::Done:
-      return "done";
-    case AttemptOutcome::Refused:
-      return "refused";
-    case AttemptOutcome::NotReached:
-      return "not-reached";
-    case AttemptOutcome::Interrupted:
-      return "broke";
-    case AttemptOutcome::TimedOut:
-      return "timed-out";
-    case AttemptOutcome::CallerDisconnected:
-      return "caller-left";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 RequestExchange::RequestExchange(RelayContext& aContext,
@@ -298,7 +252,7 @@
               MakeError(ErrorCode::BudgetExhausted,
                         Step::RequestReserve,
                         mAccount->mName,
-                        "the remaining budget does not cover " + ToText(aTokens) +
+                        "the remaining budget does not cover " + std::to_string(aTokens) +
                           " tokens; the request did not run"));
     return;
   }
@@ -320,7 +274,10 @@
       co_return;
     }
     mPlacement.mHasPermit = co_await mContext.mPermits->Take(mPlacement.mEndpoint);
-    if (mPlacement.mHasPermit) {
+    // What the endpoint wants may have changed while the permit was asked for.
+    const bool acceptsWork = mPlacement.mEndpoint->AcceptsRequests() &&
+                             !mPlacement.mEndpoint->mHold.IsPaused(mContext.mClock.Now());
+    if (mPlacement.mHasPermit && acceptsWork) {
       co_return;
     }
   }
@@ -400,10 +357,6 @@
                                 mDeadline };
   bool willRetry = true;
   while (willRetry) {
-    if (mWriter.IsCallerDisconnected()) {
-      mFailureReason = "the caller disconnected";
-      co_return;
-    }
     bool isAllowed = true;
     if (!mRequestMayHaveRun) {
       isAllowed = co_await PassGuard();
@@ -412,6 +365,10 @@
       co_return;
     }
     co_await Place();
+    if (mWriter.IsCallerDisconnected()) {
+      mFailureReason = "the caller disconnected";
+      co_return;
+    }
     if (!mPlacement.mEndpoint) {
       mFailureReason = "no endpoint of " + mService +
                        (mProgress.mOrigin ? " with the stream's software version" : "") +
@@ -430,29 +387,7 @@
       co_return;
     }
     willRetry = MayRetry(mLastAttempt);
-    const auto& end = mLastAttempt.mResponseEnd;
-    LogChange(
-      LogLevel::Info,
-      "relay",
-      "attempt failed",
-      { { "request", mRequest.mId },
-        { "fingerprint", Fingerprint() },
-        { "organisation", request.mOrganisation },
-        { "endpoint", mTriedEndpoints.back() },
-        { "address", mPlacement.mEndpoint->mEntry.mAddress },
-        { "software_version", mPlacement.mEndpoint->mEntry.mSoftwareVersion },
-        { "end", std::string(ToString(mLastAttempt.mOutcome)) },
-        { "error", mLastAttempt.mReason },
-        { "framing", std::string(net::ToString(end.mFraming)) },
-        { "connection", std::string(net::ToString(end.mConnection)) },
-        { "after_sending_ms", end.mAfterSending ? ToMillisText(*end.mAfterSending) : "" },
-        { "head_received", end.mIsHeadReceived ? "yes" : "no" },
-        { "since_first_event_ms", end.mSinceFirstEvent ? ToMillisText(*end.mSinceFirstEvent) : "" },
-        { "parts", ToText(mRequest.mPromptParts) },
-        { "in_flight", ToText(static_cast<std::int64_t>(end.mInFlight)) },
-        { "partial_event_bytes", ToText(static_cast<std::int64_t>(end.mPartialEventBytes)) },
-        { "proved_not_run", mLastAttempt.mRequestDidNotRun ? "yes" : "no" },
-        { "retried", willRetry ? "yes" : "no" } });
+    LogFailedAttempt(willRetry);
   }
   ReportFailedAttempts();
 }
@@ -581,54 +516,4 @@
   mReservation.mTokens = 0;
 }
 
-void RequestExchange::Log() const
-{
-  const auto now = mContext.mClock.Now();
-  const auto status = ToText(mWriter.Status());
-  const auto route = mRoute == nullptr ? std::string("none") : mRoute->mName;
-  mContext.mMetrics.CounterOf("gentianloom_requests_total", "status=\"" + status + "\"").Add();
-  const auto totalSeconds = std::chrono::duration<double>(now - mStartedAt).count();
-  mContext.mMetrics.HistogramOf("gentianloom_request_seconds").Observe(totalSeconds);
-  const bool hasEvents = mProgress.mEventCount > 0;
-  if (hasEvents) {
-    mContext.mMetrics.HistogramOf("gentianloom_first_event_seconds")
-      .Observe(std::chrono::duration<double>(mProgress.mFirstEventAt - mStartedAt).count());
-  }
-  const auto& endpoint = mPlacement.mEndpoint;
-  const auto& end = mLastAttempt.mResponseEnd;
-  LogChange(
-    LogLevel::Info,
-    "relay",
-    "request ended",
-    { { "request", mRequest.mId },
-      { "status", status },
-      { "error", mFailureReason },
-      { "route", route },
-      { "service", mService },
-      { "organisation", mAccount == nullptr ? "" : mAccount->mName },
-      { "fingerprint", Fingerprint() },
-      { "configuration", mRoutes ? ToText(mRoutes->Version()) : "none" },
-      { "endpoint", endpoint ? endpoint->mEntry.mId : "" },
-      { "software_version", endpoint ? endpoint->mEntry.mSoftwareVersion : "" },
-      { "resumes", mRequest.mResumedRequest },
-      { "resume_after", mRequest.mResumeAfter ? ToText(*mRequest.mResumeAfter) : "" },
-      { "entry_age_ms", endpoint ? ToMillisText(now - endpoint->mLastSeenAt) : "" },
-      { "prompt_tokens", ToText(mRequest.mPromptTokens.value_or(0)) },
-      { "cached_tokens", ToText(mPlacement.mCachedTokens) },
-      { "pending_tokens", ToText(mPlacement.mPendingTokens) },
-      { "running", ToText(static_cast<std::int64_t>(mPlacement.mRunning)) },
-      { "predicted_ms", ToText(static_cast<std::int64_t>(mPlacement.mPredictedMs)) },
-      { "cost", ToText(static_cast<std::int64_t>(mPlacement.mCost)) },
-      { "attempts", ToText(static_cast<std::int64_t>(mTriedEndpoints.size())) },
-      { "end", mTriedEndpoints.empty() ? "" : std::string(ToString(mLastAttempt.mOutcome)) },
-      { "framing", std::string(net::ToString(end.mFraming)) },
-      { "connection", std::string(net::ToString(end.mConnection)) },
-      { "partial_event_bytes", ToText(static_cast<std::int64_t>(end.mPartialEventBytes)) },
-      { "events", ToText(mProgress.mEventCount) },
-      { "reserve_ms", ToMillisText(mReserveDuration) },
-      { "keeper", mReservation.mKeeper },
-      { "first_event_ms", hasEvents ? ToMillisText(mProgress.mFirstEventAt - mStartedAt) : "" },
-      { "total_ms", ToMillisText(now - mStartedAt) } });
-}
-
 } // namespace gentianloom
