A refused request is not told to come back at once because a trial is due

Callers of a blocked part got a Retry-After of a millisecond while the trial was due and another request took it, or while the block was not recorded. TestTrials asserts at least 100 ms (1 ms before). The state is read again after a trial was not had, and what an endpoint wants now is asked in one place.

--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -62,6 +62,9 @@
   {
     return mState != EntryState::Removed && !mEntry.mIsLeaving && !mHasAnnouncedLeaving;
   }
+
+  /// @brief Whether the endpoint accepts requests and no pause that it asked for holds.
+  bool AcceptsRequests(TimePoint aNow) const { return AcceptsRequests() && !mHold.IsPaused(aNow); }
 };
 
 /**
--- a/src/gateway/BlockedRequests.cpp
+++ b/src/gateway/BlockedRequests.cpp
@@ -15,6 +15,8 @@
 constexpr Millis kMinRecordTtl{ 30'000 };
 /// Pause before a failed write is repeated.
 constexpr Millis kWriteRetryInterval{ 300 };
+/// Shortest time that is stated for a block: a trial that is due may be taken by another request.
+constexpr Millis kMinBlockedTime{ 400 };
 /// Time to live of a record that takes a block back.
 constexpr Millis kClearedRecordTtl{ 60'000 };
 /// Longest time to live that the key-value service grants. A record that expires before its block
@@ -87,9 +89,8 @@
   if (it == mBlocks.end() || !IsBlocked(it->second)) {
     return std::nullopt;
   }
-  const auto now = mClock.Now();
   const auto end = std::min(it->second.mUntil, it->second.mTrialAt);
-  return std::max(Millis(1), std::chrono::ceil<Millis>(end - now));
+  return std::max(kMinBlockedTime, std::chrono::ceil<Millis>(end - mClock.Now()));
 }
 
 std::vector<std::string> BlockedRequests::BlockedKeys(std::span<const std::string> aKeys) const
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -188,8 +188,7 @@
 bool EndpointAttempt::AcceptsRequest() const
 {
   const bool isWithinLimit = mHasPermit || !mEndpoint->mRateLimit.IsLimited();
-  return mEndpoint->AcceptsRequests() && isWithinLimit &&
-         !mEndpoint->mHold.IsPaused(mContext.mClock.Now());
+  return isWithinLimit && mEndpoint->AcceptsRequests(mContext.mClock.Now());
 }
 
 void EndpointAttempt::SendRequest()
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -275,9 +275,7 @@
     }
     mPlacement.mHasPermit = co_await mContext.mPermits->Take(mPlacement.mEndpoint);
     // What the endpoint wants may have changed while the permit was asked for.
-    const bool acceptsWork = mPlacement.mEndpoint->AcceptsRequests() &&
-                             !mPlacement.mEndpoint->mHold.IsPaused(mContext.mClock.Now());
-    if (mPlacement.mHasPermit && acceptsWork) {
+    if (mPlacement.mHasPermit && mPlacement.mEndpoint->AcceptsRequests(mContext.mClock.Now())) {
       co_return;
     }
   }
@@ -465,15 +463,18 @@
 
 net::Task<bool> RequestExchange::PassGuard()
 {
-  const auto blockedFor = BlockedFor();
-  if (!blockedFor) {
+  if (!BlockedFor()) {
     co_return true;
   }
   mIsTrial = co_await mContext.mGuard->TakeTrial(mCrashKeys);
-  if (!mIsTrial) {
+  if (mIsTrial) {
+    co_return true;
+  }
+  const auto blockedFor = BlockedFor();
+  if (blockedFor) {
     RejectBlocked(*blockedFor);
   }
-  co_return mIsTrial;
+  co_return !blockedFor;
 }
 
 void RequestExchange::ReportToGuard()
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -312,6 +312,9 @@
     }
     CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
     mClock.Advance(BlockedRequests::kTrialPauses[2]);
+    // Callers must not come back at once because a trial is due.
+    CPPUNIT_ASSERT(*mInstances.front()->mExchange.Blocked().BlockedFor(mFingerprint) >=
+                   Millis(100));
     CPPUNIT_ASSERT_EQUAL(1L, TakeTrials({ mFingerprint }));
     mInstances.front()->mExchange.OnSurvived(std::vector{ mFingerprint }, mClock.Now());
     Run([this] {
