--- a/include/gentianloom/gateway/BlockedRequests.h
+++ b/include/gentianloom/gateway/BlockedRequests.h
@@ -50,7 +50,7 @@
 public:
   /// A block ends if no request came for a trial in this time.
   static constexpr Millis kBlockTime{ 1'200'000 };
-  /// Time from the begin of a block, and from each of its trials, to the next trial. The first ones
+  /// Time from the start of a block, and from each of its trials, to the next trial. The first ones
   /// follow soon, since a key may have been blocked for what ended beside it.
   static constexpr Millis kTrialPauses[] = { Millis(1'000), Millis(4'000), Millis(600'000) };
   /// A request with several blocked keys leaves the trials to those with one for this time.
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -124,7 +124,7 @@
   void OnFirstEvent();
   /// Notes the origin of a stream, before its first event of this attempt is forwarded.
   void RecordOrigin();
-  /// Tells the guard that the endpoint survived the begin of the response.
+  /// Tells the guard that the endpoint survived the start of the response.
   void ReportSurvivedBegin();
   void NotifyPendingTokensChanged() const;
   bool IsStream() const { return mRequest.mRoute.mKind == RouteKind::Streaming; }
