--- a/tests/platform/gateway_environment.py
+++ b/tests/platform/gateway_environment.py
@@ -117,7 +117,7 @@
 class Environment:
     """One gateway and its stand-in of the platform, which several gateways can share."""
 
-    def __init__(self, start_gateway=True, platform=None, name="g1"):
+    def __init__(self, start_gateway=True, platform=None, name="g1", **settings):
         self.platform = platform or Platform()
         self.owns_platform = platform is None
         self.name = name
@@ -125,7 +125,7 @@
         self.ready, self.directory, self.metrics, self.peer = ready, directory, metrics, peer
         self.folder = tempfile.TemporaryDirectory()
         self.settings = pathlib.Path(self.folder.name) / "settings.json"
-        self.write_settings()
+        self.write_settings(**settings)
         self.gateway = None
         if start_gateway:
             self.start()
--- /dev/null
+++ b/tests/platform/instance_without_endpoints_test.py
@@ -0,0 +1,160 @@
+#!/usr/bin/env python3
+"""Gateways that reach no endpoint while callers, the store and the other gateways still reach them.
+
+The bounds are those of the rule: from contact-ms (3 s) after the cut, callers' first tries at the gateways
+that are cut off are served at least two thirds as often as those at the others.
+"""
+import concurrent.futures
+import itertools
+import threading
+import time
+import unittest
+
+from endpoint_links import HANG, REFUSE_NEW, RESET, Links
+from gateway_environment import Environment, Platform, configuration
+
+ENDPOINTS = ["w1", "w2", "w3"]
+CONTACT_S = 3
+CUT_S = 5
+MIN_SHARE = 2 / 3  # of the share that is served at the other gateways
+SENDERS, INTERVAL_S = 8, 0.1  # of each gateway
+PATHS = ["/send/x", "/read/x", "/chat/x", "/resume/x"]
+PREPAID = 10 ** 9
+NEVER_RUN = (408, 421, 429, 503)
+PROMPT_S = 0.5
+RESTORED_S = 2  # after the cut, until requests go over the gateway's own connections again
+
+
+class Fleet:
+    """Gateways with links of their own to the endpoints, and callers of each."""
+
+    def __init__(self, gateways):
+        self.platform = Platform({it: "v1" for it in ENDPOINTS})
+        self.platform.send_command(put="op/config", value=configuration(8, prepaid=PREPAID))
+        self.platform.configure_workers(run_s=0.01, events=3)
+        self.links = [Links(self.platform) for _ in range(gateways)]
+        # An availability zone each, so that none relays its view of the store to another.
+        self.gateways = [Environment(platform=self.platform, name=f"g{n}", availability_zone=f"z{n}",
+                                     store_address=it.store) for n, it in enumerate(self.links)]
+        for it in self.gateways:
+            it.wait_for_log_line(lambda line: line.get("version") == "8")
+        self.numbers = itertools.count()
+        self.stop = threading.Event()
+        self.calls = []  # gateway, begin, attempt, status, duration
+        self.pool = concurrent.futures.ThreadPoolExecutor(SENDERS * gateways)
+        self.senders = [self.pool.submit(self.send_all, n % gateways)
+                        for n in range(SENDERS * gateways)]
+
+    def send_all(self, gateway):
+        while not self.stop.wait(INTERVAL_S):
+            n = next(self.numbers)
+            self.call(gateway, PATHS[n % len(PATHS)], f"r{n}", {"X-Prompt-Prefix": f"{n + 1:x}:60,bb:40"})
+
+    def call(self, gateway, path, attempt, headers=None):
+        begin = time.monotonic()
+        try:
+            response = self.gateways[gateway].call(path, attempt, headers)
+            status = response.status if response.is_complete else 0
+            retry_after = response.headers.get("Retry-After")
+        except OSError:
+            status, retry_after = 0, None
+        self.calls.append((gateway, begin, attempt, status, time.monotonic() - begin))
+        return status, time.monotonic() - begin, retry_after
+
+    def statuses(self, gateways, begin, end):
+        return [it[3] for it in self.calls if it[0] in gateways and begin <= it[1] < end]
+
+    def served(self, gateways, begin, end):
+        statuses = self.statuses(gateways, begin, end)
+        return sum(it == 200 for it in statuses) / max(1, len(statuses))
+
+    def stop_senders(self):
+        self.stop.set()
+        for it in self.senders:
+            it.result()
+
+    def close(self):
+        self.stop_senders()
+        for it in self.gateways + self.links:
+            it.close()
+        self.platform.close()
+
+
+class InstanceWithoutEndpointsTest(unittest.TestCase):
+    def start(self, gateways):
+        out = Fleet(gateways)
+        self.addCleanup(out.close)
+        time.sleep(1)
+        return out
+
+    def cut(self, fleet, gateways, how, seconds=CUT_S):
+        """Returns the time from which on the rule counts, and the end of the cut."""
+        at = time.monotonic()
+        for it in gateways:
+            fleet.links[it].cut(how)
+        time.sleep(seconds)
+        return at + CONTACT_S, at + seconds
+
+    def check_served(self, fleet, cut, begin, end):
+        others = [n for n in range(len(fleet.gateways)) if n not in cut]
+        share = fleet.served(cut, begin, end)
+        self.assertGreaterEqual(share, MIN_SHARE * fleet.served(others, begin, end),
+                                fleet.statuses(cut, begin, end))
+
+    def check_runs(self, fleet):
+        """No request that must not repeat ran twice, and none ran that its caller was told did not."""
+        runs = {}
+        for it in fleet.platform.executed_requests():
+            attempt = it["headers"]["X-Attempt-Id"]
+            runs.setdefault(attempt, []).append(it["path"])
+        for _, _, attempt, status, _ in fleet.calls:
+            paths = runs.get(attempt, [])
+            if "/send/x" in paths or "/chat/x" in paths:
+                self.assertEqual(1, len(paths), attempt)
+                self.assertNotIn(status, NEVER_RUN, attempt)
+
+    # Each request tried three endpoints, one time limit after the other, and was refused then.
+    def test_callers_are_served_at_an_instance_that_is_cut_off(self):
+        for how in (HANG, RESET, REFUSE_NEW):
+            with self.subTest(how):
+                fleet = self.start(3)
+                begin, end = self.cut(fleet, [0], how)
+                fleet.links[0].restore()
+                time.sleep(RESTORED_S)
+                forwarded = fleet.links[0].forwarded()
+                time.sleep(1)
+                self.assertGreater(fleet.links[0].forwarded(), forwarded)
+                fleet.stop_senders()
+                self.check_served(fleet, [0], begin, end)
+                self.check_runs(fleet)
+                self.assertEqual(1, fleet.served([0], end + RESTORED_S, time.monotonic()))
+
+    # An instance that asked another one that is cut off as well found no third.
+    def test_most_instances_are_cut_off(self):
+        fleet = self.start(4)
+        begin, end = self.cut(fleet, [0, 1, 2], HANG)
+        fleet.stop_senders()
+        self.check_served(fleet, [0, 1, 2], begin, end)
+        self.check_runs(fleet)
+
+    # Callers waited 1.8 s for a refusal that was certain.
+    def test_callers_are_told_at_once_if_all_instances_are_cut_off(self):
+        fleet = self.start(3)
+        begin, _ = self.cut(fleet, [0, 1, 2], HANG)
+        refused = [it for it in fleet.calls if it[1] >= begin and it[3] == 503]
+        late = [it for it in refused if it[4] > PROMPT_S]
+        for it in fleet.links:
+            it.restore()
+        time.sleep(RESTORED_S)
+        begin = time.monotonic()
+        time.sleep(1)
+        fleet.stop_senders()
+        self.assertGreater(len(refused), 0)
+        # One request in a while may find out whether the cut has ended.
+        self.assertLessEqual(len(late), len(refused) / 10)
+        self.assertEqual(1, fleet.served([0, 1, 2], begin, time.monotonic()))
+        self.check_runs(fleet)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -142,7 +142,24 @@
             if store.mode == "lost" and method == "POST":
                 self.close_connection = True
                 return None
-        return self.respond(status, out)
+        return self.respond(status, self.seen(out))
+
+    def seen(self, out):
+        """What the callers of this listener read: endpoints under the addresses of its `view`."""
+        if not self.server.view:
+            return out
+        out = dict(out)
+        for part in set(out) & {"items", "events"}:
+            out[part] = [self.seen_item(it) for it in out[part]]
+        return out
+
+    def seen_item(self, item):
+        if not item["key"].startswith("servers/") or "value" not in item:
+            return item
+        entry = json.loads(base64.b64decode(item["value"]))
+        address = entry.get("address")
+        entry["address"] = self.server.view.get(address, address)
+        return item | {"value": base64.b64encode(json.dumps(entry).encode()).decode()}
 
     def route(self, store, method, path, query, body):
         if path == "/kv-range":
@@ -447,6 +464,11 @@
                 store.oldest_revision = store.revision
             if "worker" in command:
                 vars(platform["workers"][command["worker"]]).update(command["set"])
+            added = None
+            if "view" in command:
+                # Another address of the store, whose callers see other addresses of endpoints.
+                server, added = start_server(StoreHandler, store)
+                server.view = command["view"]
             for name in command.get("crash", ()):
                 worker = platform["workers"][name]
                 worker.crash(worker.server)
@@ -457,6 +479,7 @@
                                for k, it in platform["workers"].items()},
                    "crashes": [it for w in platform["workers"].values() for it in w.crashes],
                    "calls": store.calls,
+                   "store": added,
                    "items": {k: base64.b64decode(it["value"]).decode()
                              for k, it in store.items.items()}}
         self.respond(200, out)
@@ -510,6 +533,7 @@
             super().handle_error(request, client_address)
 
     page = 500
+    view = None  # addresses of endpoints by those in their entries
 
 
 def start_server(handler, state):
