RECOVER: an instance that reaches no endpoint lets other instances serve its callers

Callers of instances that were partitioned from all endpoints were refused (503) after 1.8 s, three connect time limits, as long as the cut lasted: 15 of 122 first tries served, the others 293 of 296.

Cause: a request had one road, and nothing learned on it reached the next request. Each instance knew of single endpoints that they had failed, not that it reached none, and had no use for the instances that did reach them.

Change: EndpointContact and EndpointContactMonitor find out that no endpoint of a service can be reached: failed connections, or 0.5 s of silence while a request waits, call for a check, and the check opens connections to three endpoints. From then on requests are given to another instance (ForwardingPeers) over HTTP at the address for peers, which authenticates, reserves, places, retries and bills as for a caller of its own; the first instance reserves nothing. An instance that cannot serve either says so (declined, not run), and up to three are asked; after eight refusals in a row none is asked for 250 ms, so that callers hear at once when nobody reaches an endpoint. A request whose attempts all reached nobody is given to another instance as well. Runs that break off while contact is lost are no evidence that endpoints ended.

--- a/include/gentianloom/gateway/CallerServer.h
+++ b/include/gentianloom/gateway/CallerServer.h
@@ -4,11 +4,14 @@
 #include "gentianloom/net/HttpParser.h"
 #include "gentianloom/relay/RequestExchange.h"
 
+#include <functional>
+#include <string>
+
 namespace gentianloom {
 
 /**
- * @brief HTTP server for callers: reads the requests of each connection in turn and serves each
- * with a RequestExchange.
+ * @brief HTTP server for callers, and for instances that send callers' requests on: reads the
+ * requests of each connection in turn and serves each with a RequestExchange.
  *
  * A request with ambiguous framing, for example both Content-Length and Transfer-Encoding, is
  * rejected and its connection closed, since two HTTP parsers could split it differently (request
@@ -17,8 +20,17 @@
 class CallerServer
 {
 public:
+  /// Tells from the IP address of a connection's other end who sends requests there.
+  using SourceOf = std::function<RequestSource(const std::string& aHost)>;
+
   explicit CallerServer(RelayContext& aRelay)
+    : CallerServer(aRelay, [](const auto&) { return RequestSource::Caller; })
+  {
+  }
+
+  CallerServer(RelayContext& aRelay, SourceOf aSourceOf)
     : mRelay(aRelay)
+    , mSourceOf(std::move(aSourceOf))
   {
   }
 
@@ -36,6 +48,7 @@
   CallerLimits Limits() const;
 
   RelayContext& mRelay;
+  SourceOf mSourceOf;
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -5,7 +5,9 @@
 #include "gentianloom/gateway/BudgetKeepers.h"
 #include "gentianloom/gateway/CallerServer.h"
 #include "gentianloom/gateway/CrashReportExchange.h"
+#include "gentianloom/gateway/EndpointContactMonitor.h"
 #include "gentianloom/gateway/EndpointLimitExchange.h"
+#include "gentianloom/gateway/ForwardingPeers.h"
 #include "gentianloom/gateway/GatewaySettings.h"
 #include "gentianloom/gateway/InstanceRegistration.h"
 #include "gentianloom/gateway/PeerLoadExchange.h"
@@ -97,7 +99,10 @@
   CrashReportExchange mCrashReports;
   EndpointLimitExchange mEndpointLimits;
   WatchRelay mWatchRelay;
+  EndpointContactMonitor mEndpointContact;
+  ForwardingPeers mForwardingPeers;
   CallerServer mCallerServer;
+  CallerServer mPeerServer; ///< requests of instances that reach no endpoint
   PrefixWatcher mConfigurationWatcher;
   PrefixWatcher mEndpointWatcher;
   PrefixWatcher mInstanceWatcher;
--- a/include/gentianloom/membership/InstanceDirectory.h
+++ b/include/gentianloom/membership/InstanceDirectory.h
@@ -88,6 +88,9 @@
                                                 TimePoint aNow,
                                                 std::string_view aZone = {}) const;
 
+  /// @brief Whether an IP address is that of a known instance.
+  bool HasHost(std::string_view aHost) const;
+
   /// @brief Returns the number of known instances, including this one.
   std::size_t Size(std::string_view aSelf) const;
 
--- a/include/gentianloom/net/ConnectionProbe.h
+++ b/include/gentianloom/net/ConnectionProbe.h
@@ -8,6 +8,13 @@
 
 namespace gentianloom::net {
 
+/**
+ * @brief Opens a connection and closes it at once.
+ * @param aAddress IP:PORT
+ * @return whether it was accepted within the time
+ */
+Task<bool> AcceptsConnection(Loop& aLoop, std::string aAddress, Millis aTimeout);
+
 /**
  * @brief Opens a connection, sends nothing, and closes it after some time.
  *
--- a/include/gentianloom/relay/ConnectionPool.h
+++ b/include/gentianloom/relay/ConnectionPool.h
@@ -45,6 +45,9 @@
   /// @brief Closes connections that expired, received unexpected bytes or were closed by the peer.
   void Prune();
 
+  /// @brief Closes all idle connections to an endpoint.
+  void CloseIdle(const std::string& aEndpoint);
+
   /// @brief Opens a new connection.
   net::Channel::Ptr Connect(const net::Channel::Address& aAddress) const
   {
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -31,6 +31,7 @@
   const net::RequestHead& mHead;
   const std::string& mBody;
   bool mHasBody = false; ///< true also if the caller sent an empty body
+  RequestSource mSource = RequestSource::Caller;
   const CallerRequest& mCallerRequest;
   const Route& mRoute;
   std::string mOrganisation;              ///< name; empty for an anonymous caller
@@ -96,10 +97,15 @@
   net::Task<bool> OpenConnection();
   net::Task<void> ReceiveResponse();
   void SendRequest();
+  net::RequestHead MakeForwardedRequestHead() const;
+  /// Tells the service's contact that the endpoint accepted no connection.
+  void ReportNotConnected();
   /// @return true if bytes were consumed, the parser state changed or the attempt ended; false if
   ///         there is nothing to do until the next notification
   bool ProcessReceived();
   void OnResponseHead();
+  /// Handles the head of a response from another instance.
+  void OnPeerResponseHead();
   /// Whether a response that need not state a request's id certainly answers this request.
   bool IsResponseToThisRequest() const;
   /// Remembers what the endpoint wants: that it is leaving, or no requests for some time.
@@ -127,6 +133,7 @@
   /// Tells the guard that the endpoint survived the start of the response.
   void ReportSurvivedBegin();
   void NotifyPendingTokensChanged() const;
+  bool IsAtPeer() const { return mEndpoint->mIsPeerInstance; }
   bool IsStream() const { return mRequest.mRoute.mKind == RouteKind::Streaming; }
   bool IsAtMostOnce() const { return mRequest.mRoute.mKind == RouteKind::AtMostOnce; }
   Micros TimeLeft() const;
@@ -135,6 +142,7 @@
   RelayContext& mContext;
   const AttemptRequest& mRequest;
   EndpointRegistry::Ptr mEndpoint;
+  EndpointContact* mContact; ///< with the endpoints of the service; null at another instance
   ResponseWriter& mWriter;
   StreamProgress& mProgress;
   std::shared_ptr<net::Signal> mSignal;
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -5,11 +5,13 @@
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/outcome/RetryPolicy.h"
 #include "gentianloom/relay/ConnectionPool.h"
+#include "gentianloom/relay/PeerInstances.h"
 #include "gentianloom/relay/RequestCodec.h"
 #include "gentianloom/relay/RequestGuard.h"
 #include "gentianloom/relay/RequestPermits.h"
 #include "gentianloom/relay/StreamOrigins.h"
 #include "gentianloom/relay/TokenReservations.h"
+#include "gentianloom/routing/EndpointContact.h"
 #include "gentianloom/routing/EndpointRegistry.h"
 #include "gentianloom/routing/FirstTokenModel.h"
 #include "gentianloom/routing/RouteTable.h"
@@ -39,12 +41,15 @@
   StreamOrigins* mStreamOrigins = nullptr; ///< null: no origin is known
   RequestGuard* mGuard = nullptr;          ///< null: no request is blocked
   RequestPermits* mPermits = nullptr;      ///< null: rate limits of endpoints are not kept
+  PeerInstances* mPeers = nullptr;         ///< null: no other instance can serve a request
+  EndpointContacts mContacts{};
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
   bool mIsLeaving = false;          ///< responses ask callers to close their connections
   bool mRejectsNewRequests = false; ///< the process ends too soon to complete new requests
   int mOpenRequests = 0;
+  int mOpenPeerRequests = 0;      ///< of these, those that other instances sent
   std::size_t mBufferedBytes = 0; ///< of responses that are forwarded once they are complete
 };
 
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -73,6 +73,8 @@
   std::optional<double> mRateLimit;  ///< requests a second that the endpoint takes of all instances
   bool mIsRateLimitInvalid = false;  ///< it states something else in its place
   std::optional<ReportedLoad> mLoad;
+  bool mIsDeclined = false;           ///< by another instance, see RequestCodec::AddDeclined()
+  std::string mPeerEndpoint;          ///< endpoint of another instance's response; empty if none
   std::optional<Millis> mIdleTimeout; ///< after which the endpoint closes an idle connection
 };
 
@@ -95,6 +97,21 @@
   virtual net::RequestHead Encode(const net::RequestHead& aHead,
                                   const ForwardingInfo& aInfo) const = 0;
 
+  /// @brief Builds the request head that is sent to another instance, which decodes it like a
+  /// caller's.
+  /// @param aTimeLeft how long the caller still waits
+  virtual net::RequestHead EncodeForPeer(const net::RequestHead& aHead, Millis aTimeLeft) const = 0;
+
+  /// @brief Adds to a response for another instance that this one did not run the request, which
+  /// another one may be able to.
+  virtual void AddDeclined(net::ResponseHead& aHead) const = 0;
+
+  /// @brief Adds to a response for another instance which endpoint gave it.
+  virtual void AddEndpoint(net::ResponseHead& aHead, std::string_view aEndpoint) const = 0;
+
+  /// @brief Removes from another instance's response what AddDeclined() and AddEndpoint() added.
+  virtual void RemovePeerHeaders(net::ResponseHead& aHead) const = 0;
+
   /// @brief Decodes the head of an endpoint's response to aRequest.
   virtual EndpointResponse DecodeResponse(const net::ResponseHead& aHead,
                                           const CallerRequest& aRequest) const = 0;
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -26,7 +26,8 @@
                   std::shared_ptr<net::Signal> aSignal,
                   net::RequestHead aHead,
                   std::string aBody,
-                  bool aHasBody);
+                  bool aHasBody,
+                  RequestSource aSource);
   ~RequestExchange();
   RequestExchange(const RequestExchange&) = delete;
   RequestExchange& operator=(const RequestExchange&) = delete;
@@ -46,6 +47,16 @@
   net::Task<bool> ReserveTokens();
   void OnTokensNotReserved(Tokens aTokens); ///< responds by mReservation
   net::Task<void> RunAttempts();
+  /// Lets other instances serve the request. No endpoint has received it yet.
+  net::Task<void> RunAtPeers();
+  /// Makes one attempt at the endpoint or instance of mPlacement.
+  net::Task<void> RunAttempt();
+  /// Whether this instance reaches no endpoint of the request's service.
+  bool IsContactLost() const;
+  /// Whether the request may be given to another instance, because no endpoint was reached.
+  bool MayAskPeers() const;
+  /// Whether endpoints were tried and none of them accepted a connection.
+  bool WasNoEndpointReached() const;
   /// Chooses an endpoint and takes the permit that it needs.
   net::Task<void> Place();
   /// @param aOnlyUnlimited leaves out endpoints with a rate limit
@@ -79,6 +90,7 @@
   net::RequestHead mHead;
   std::string mBody;
   bool mHasBody;
+  RequestSource mSource;
   ResponseWriter mWriter;
   TimePoint mStartedAt;
   TimePoint mDeadline;
@@ -93,6 +105,8 @@
   bool mRequestMayHaveRun = false; ///< at least one attempt may have run the request
   StreamProgress mProgress;
   std::vector<std::string> mTriedEndpoints; ///< ids, one for each attempt
+  std::size_t mNotReachedAttempts = 0;      ///< of these, those without a connection
+  std::vector<std::string> mTriedPeers;     ///< addresses of other instances, one for each attempt
   AttemptResult mLastAttempt;
   PlacementChoice mPlacement;
   Micros mReserveDuration{ 0 }; ///< from the start of the request until its tokens were reserved
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -46,6 +46,9 @@
 struct Endpoint
 {
   EndpointEntry mEntry;
+  /// Stands for another instance, which serves requests for this one at any endpoint of the
+  /// service.
+  bool mIsPeerInstance = false;
   std::uint64_t mHash = 0; ///< hash of the id; cached because each request needs it
   EntryState mState = EntryState::Listed;
   TimePoint mLastSeenAt{};   ///< time of the last read or watch event that contained the entry
@@ -116,6 +119,10 @@
    */
   void DropOutdated(std::vector<EndpointEntry>& aEntries) const;
 
+  /// @brief Notes that an endpoint stated in a response that it is leaving. Unknown ids are
+  /// ignored.
+  void OnLeaving(std::string_view aId);
+
   /// @brief Removes an endpoint whose address now belongs to another one.
   void OnAddressReassigned(std::string_view aId, TimePoint aNow);
 
@@ -123,6 +130,9 @@
   /// EndpointLoad::kUnreachableSuspension.
   void SuspendAddress(std::string_view aAddress, TimePoint aNow);
 
+  /// @brief Service of the endpoint at an address; empty if there is none.
+  std::string ServiceAt(std::string_view aAddress) const;
+
   /// @brief Removes endpoints that have been missing for kRenewalGracePeriod. Must be called
   /// periodically.
   void RemoveExpired(TimePoint aNow);
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -125,8 +125,13 @@
       break;
     }
     auto head = parser.Head();
-    RequestExchange exchange(
-      mRelay, *aChannel, signal, std::move(head), parser.TakeBody(), parser.HasBody());
+    RequestExchange exchange(mRelay,
+                             *aChannel,
+                             signal,
+                             std::move(head),
+                             parser.TakeBody(),
+                             parser.HasBody(),
+                             mSourceOf(aChannel->PeerHost()));
     const bool keepsConnection = co_await exchange.Run();
     if (!keepsConnection) {
       aChannel->CloseAfterSending();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -153,7 +153,24 @@
       [this] { return mInstances.ServingPeerAddresses(mSelf.mName, mClock.Now(), mSelf.mZone); },
       aClock,
       mMetrics)
+  , mEndpointContact(aLoop,
+                     mRelay.mEndpoints,
+                     mRelay.mContacts,
+                     mRelay.mConnections,
+                     aClock,
+                     mMetrics)
+  , mForwardingPeers(
+      [this](std::string_view aZone) {
+        return mInstances.ServingPeerAddresses(mSelf.mName, mClock.Now(), aZone);
+      },
+      mSettings.mZone,
+      aClock)
   , mCallerServer(mRelay)
+  , mPeerServer(mRelay,
+                [this](const std::string& aHost) {
+                  return mInstances.HasHost(aHost) ? RequestSource::Peer
+                                                   : RequestSource::UnknownPeer;
+                })
   , mConfigurationWatcher(aLoop,
                           aStore,
                           aProtocol.ConfigurationKey(),
@@ -192,6 +209,7 @@
   mRelay.mStreamOrigins = &mStreamOrigins;
   mRelay.mGuard = &mCrashReports;
   mRelay.mPermits = &mEndpointLimits;
+  mRelay.mPeers = mSettings.mPeerAddress.empty() ? nullptr : &mForwardingPeers;
   mRelay.mEndpoints.OnNewProcess(
     [this](const std::string& aAddress) { mCrashReports.OnNewProcess(aAddress); });
 }
@@ -337,6 +355,11 @@
   BOOST_OUTCOME_TRY(ServeAuxiliaryHttp());
   if (!mSettings.mPeerAddress.empty()) {
     BOOST_OUTCOME_TRY(mPeerSocket.Start(mSettings.mPeerAddress));
+    const auto peers = net::ParseSocketAddress(mSettings.mPeerAddress);
+    if (!peers) {
+      return peers.error();
+    }
+    BOOST_OUTCOME_TRY(mPeerServer.Start(peers.value()));
     mPeerLoadExchange.Start();
     mStreamOrigins.Start();
     mWatchRelay.Start();
@@ -352,6 +375,7 @@
   mRights.Start();
   mRegistration.Start();
   mVersionRecord.Start();
+  mEndpointContact.Start();
   net::Start(mLoop, "housekeeping", RunHousekeeping());
   mTrafficLog.Start();
   mLoopMonitor.Start();
@@ -479,10 +503,14 @@
 net::Task<bool> Gateway::ProbeEndpoint(std::string aAddress)
 {
   const bool isAlive = co_await net::KeepsConnectionOpen(mLoop, aAddress, kProbeTimeout);
-  if (!isAlive) {
-    mRelay.mEndpoints.SuspendAddress(aAddress, mClock.Now());
+  if (isAlive) {
+    co_return true;
   }
-  co_return isAlive;
+  mRelay.mEndpoints.SuspendAddress(aAddress, mClock.Now());
+  // An instance that reaches no endpoint knows of none that it has ended.
+  const auto service = mRelay.mEndpoints.ServiceAt(aAddress);
+  const bool isContact = co_await mEndpointContact.Check(service);
+  co_return !isContact;
 }
 
 bool Gateway::IsReady() const
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace gentianloom {
@@ -143,6 +144,14 @@
   return out;
 }
 
+bool InstanceDirectory::HasHost(std::string_view aHost) const
+{
+  return std::any_of(mEntries.begin(), mEntries.end(), [&](const auto& it) {
+    const std::string_view address = it.second.mRecord.mPeerAddress;
+    return address.substr(0, address.rfind(':')) == aHost;
+  });
+}
+
 std::size_t InstanceDirectory::Size(std::string_view aSelf) const
 {
   return mEntries.size() + (mEntries.contains(aSelf) ? 0 : 1);
--- a/src/net/ConnectionProbe.cpp
+++ b/src/net/ConnectionProbe.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+/// What a probed connection has to do.
+enum class Expectation
+{
+  IsAccepted,
+  StaysOpen
+};
+
 /// Waits while the channel is in a state, for at most a time.
 Task<void> WaitWhile(const Channel& aChannel,
                      Signal& aSignal,
@@ -24,9 +31,8 @@
   }
 }
 
-} // namespace
-
-Task<bool> KeepsConnectionOpen(Loop& aLoop, std::string aAddress, Millis aTimeout)
+/// Opens a connection within a time, and waits for as long whether it stays open if it has to.
+Task<bool> Probe(Loop& aLoop, std::string aAddress, Millis aTimeout, Expectation aExpectation)
 {
   const auto address = ParseSocketAddress(aAddress);
   if (!address) {
@@ -37,12 +43,26 @@
   channel->SetListener(signal);
   const auto start = std::chrono::steady_clock::now();
   co_await WaitWhile(*channel, *signal, ChannelState::Connecting, start + aTimeout);
-  co_await WaitWhile(
-    *channel, *signal, ChannelState::Open, std::chrono::steady_clock::now() + aTimeout);
+  if (aExpectation == Expectation::StaysOpen) {
+    co_await WaitWhile(
+      *channel, *signal, ChannelState::Open, std::chrono::steady_clock::now() + aTimeout);
+  }
   const bool isOpen = channel->IsUsable();
   channel->SetListener(nullptr);
   channel->Close();
   co_return isOpen;
 }
 
+} // namespace
+
+Task<bool> AcceptsConnection(Loop& aLoop, std::string aAddress, Millis aTimeout)
+{
+  return Probe(aLoop, std::move(aAddress), aTimeout, Expectation::IsAccepted);
+}
+
+Task<bool> KeepsConnectionOpen(Loop& aLoop, std::string aAddress, Millis aTimeout)
+{
+  return Probe(aLoop, std::move(aAddress), aTimeout, Expectation::StaysOpen);
+}
+
 } // namespace gentianloom::net
--- a/src/relay/ConnectionPool.cpp
+++ b/src/relay/ConnectionPool.cpp
@@ -4,10 +4,8 @@
 
 ConnectionPool::~ConnectionPool()
 {
-  for (const auto& [endpoint, connections] : mIdle) {
-    for (const auto& connection : connections) {
-      connection.mChannel->Close();
-    }
+  while (!mIdle.empty()) {
+    CloseIdle(std::string(mIdle.begin()->first));
   }
 }
 
@@ -50,6 +48,18 @@
   mIdle[aEndpoint].push_back({ std::move(aChannel), now, now + aMaxIdleTime });
 }
 
+void ConnectionPool::CloseIdle(const std::string& aEndpoint)
+{
+  const auto entry = mIdle.find(aEndpoint);
+  if (entry == mIdle.end()) {
+    return;
+  }
+  for (const auto& it : entry->second) {
+    it.mChannel->Close();
+  }
+  mIdle.erase(entry);
+}
+
 void ConnectionPool::Prune()
 {
   for (auto it = mIdle.begin(); it != mIdle.end();) {
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -14,6 +14,8 @@
 
 /// Time limit for connecting to an endpoint.
 constexpr Millis kConnectTimeout{ 600 };
+/// Time limit for connecting to another instance; others can be asked instead.
+constexpr Millis kPeerConnectTimeout{ 200 };
 /// Longest idle time of a connection that is reused for an at-most-once request. After a longer
 /// time the endpoint may be closing the connection, and such a request cannot be retried once the
 /// endpoint may have received it.
@@ -56,6 +58,7 @@
   : mContext(aContext)
   , mRequest(aRequest)
   , mEndpoint(aPlacement.mEndpoint)
+  , mContact(IsAtPeer() ? nullptr : &aContext.mContacts[mEndpoint->mEntry.mService])
   , mWriter(aWriter)
   , mProgress(aProgress)
   , mSignal(std::move(aSignal))
@@ -85,7 +88,7 @@
 
 void EndpointAttempt::OnFirstEvent()
 {
-  if (!mEndpoint->mLoad.OnStarted(mLoadHandle)) {
+  if (!mEndpoint->mLoad.OnStarted(mLoadHandle) || IsAtPeer()) {
     return;
   }
   NotifyPendingTokensChanged();
@@ -99,7 +102,7 @@
 
 void EndpointAttempt::RecordOrigin()
 {
-  if (mHasForwardedEvent) {
+  if (mHasForwardedEvent || IsAtPeer()) {
     return;
   }
   if (!mProgress.mOrigin) {
@@ -115,7 +118,7 @@
 {
   const bool isSurvived =
     mFirstEventAt && mContext.mClock.Now() - *mFirstEventAt >= RequestGuard::kBeginOfResponse;
-  if (isSurvived && !mHasReportedSurvival && mContext.mGuard != nullptr) {
+  if (isSurvived && !mHasReportedSurvival && !IsAtPeer() && mContext.mGuard != nullptr) {
     mHasReportedSurvival = true;
     mContext.mGuard->OnSurvived(mRequest.mPartKeys, mRequestSentAt);
   }
@@ -155,7 +158,8 @@
   mChannel = mContext.mConnections.Connect(address.value());
   mChannel->SetListener(mSignal);
   mContext.mMetrics.CounterOf("gentianloom_endpoint_connections_total").Add();
-  const auto deadline = mContext.mClock.Now() + std::min<Micros>(kConnectTimeout, TimeLeft());
+  const auto timeout = IsAtPeer() ? kPeerConnectTimeout : kConnectTimeout;
+  const auto deadline = mContext.mClock.Now() + std::min<Micros>(timeout, TimeLeft());
   while (mChannel->State() == net::ChannelState::Connecting) {
     const auto left = deadline - mContext.mClock.Now();
     if (mWriter.IsCallerDisconnected()) {
@@ -165,15 +169,20 @@
       co_return false;
     }
     if (left <= Micros(0)) {
+      ReportNotConnected();
       Finish(AttemptOutcome::NotReached, true, "connecting to the endpoint timed out");
       co_return false;
     }
     co_await mSignal->WaitFor(left);
   }
   if (!mChannel->IsUsable()) {
+    ReportNotConnected();
     Finish(AttemptOutcome::NotReached, true, "the endpoint refused the connection");
     co_return false;
   }
+  if (mContact != nullptr) {
+    mContact->OnConnected();
+  }
   if (mWriter.IsCallerDisconnected() || !AcceptsRequest()) {
     // The list of endpoints or what the endpoint wants may have changed while the connection was
     // being opened.
@@ -185,22 +194,38 @@
   co_return true;
 }
 
+void EndpointAttempt::ReportNotConnected()
+{
+  if (mContact != nullptr) {
+    mContact->OnNotConnected();
+  }
+}
+
 bool EndpointAttempt::AcceptsRequest() const
 {
   const bool isWithinLimit = mHasPermit || !mEndpoint->mRateLimit.IsLimited();
   return isWithinLimit && mEndpoint->AcceptsRequests(mContext.mClock.Now());
 }
 
-void EndpointAttempt::SendRequest()
+net::RequestHead EndpointAttempt::MakeForwardedRequestHead() const
 {
+  const auto left = std::chrono::floor<Millis>(mRequest.mDeadline - mContext.mClock.Now());
+  const auto timeLeft = std::max(Millis(1), left);
+  if (IsAtPeer()) {
+    return mContext.mCodec.EncodeForPeer(mRequest.mHead, timeLeft);
+  }
   ForwardingInfo info;
   info.mEndpoint = mEndpoint->mEntry.mId;
-  const auto left = std::chrono::floor<Millis>(mRequest.mDeadline - mContext.mClock.Now());
-  info.mTimeLeft = std::max(Millis(1), left);
+  info.mTimeLeft = timeLeft;
   info.mOrganisation = mRequest.mOrganisation;
   info.mResumeAfter =
     mProgress.mLastEventId ? mProgress.mLastEventId : mRequest.mCallerRequest.mResumeAfter;
-  const auto head = mContext.mCodec.Encode(mRequest.mHead, info);
+  return mContext.mCodec.Encode(mRequest.mHead, info);
+}
+
+void EndpointAttempt::SendRequest()
+{
+  const auto head = MakeForwardedRequestHead();
   std::optional<std::size_t> size;
   if (mRequest.mHasBody) {
     size = mRequest.mBody.size();
@@ -210,6 +235,9 @@
   mChannel->Send(std::move(text));
   mIsRequestSent = true;
   mRequestSentAt = mContext.mClock.Now();
+  if (mContact != nullptr) {
+    mContact->OnRequestSent(mRequestSentAt);
+  }
   mEndpoint->mLoad.Cache().Touch(mRequest.mCallerRequest.mPromptParts);
   NotifyPendingTokensChanged();
 }
@@ -240,6 +268,9 @@
   const auto stateBefore = mParser.State();
   const auto consumed = mParser.Put(mChannel->Received(), mUnforwardedBody);
   mChannel->Consume(consumed);
+  if (consumed > 0 && mContact != nullptr) {
+    mContact->OnBytesReceived();
+  }
   if (consumed == 0 && mChannel->State() == net::ChannelState::PeerClosed) {
     mParser.PutEof();
   }
@@ -282,6 +313,10 @@
 {
   const auto now = mContext.mClock.Now();
   mResponse = mContext.mCodec.DecodeResponse(mParser.Head(), mRequest.mCallerRequest);
+  if (IsAtPeer()) {
+    OnPeerResponseHead();
+    return;
+  }
   if (mResponse.mLoad) {
     mEndpoint->mLoad.OnReportedLoad(*mResponse.mLoad, now);
   }
@@ -314,6 +349,26 @@
   }
 }
 
+void EndpointAttempt::OnPeerResponseHead()
+{
+  if (mResponse.mRequestId != ResponseRequestId::Same) {
+    Finish(AttemptOutcome::Interrupted, false, "the response belongs to another request");
+    return;
+  }
+  if (mResponse.mIsDeclined) {
+    mContext.mPeers->OnDeclined(mEndpoint);
+    Finish(AttemptOutcome::NotReached, true, "the instance cannot serve the request either");
+    return;
+  }
+  mContext.mPeers->OnAnswered(mEndpoint);
+  if (mResponse.mIsLeaving) {
+    mContext.mEndpoints.OnLeaving(mResponse.mPeerEndpoint);
+  }
+  if (IsSuccess(mParser.Head().mStatus) && !mResponse.mHasSignature) {
+    Finish(AttemptOutcome::Interrupted, false, "success status without the endpoint's signature");
+  }
+}
+
 void EndpointAttempt::ObserveEndpointState()
 {
   if (!IsResponseToThisRequest()) {
@@ -388,6 +443,10 @@
 {
   auto out = mParser.Head();
   out.mHeaders.RemoveHopByHop();
+  mContext.mCodec.RemovePeerHeaders(out);
+  if (mRequest.mSource != RequestSource::Caller && !IsAtPeer()) {
+    mContext.mCodec.AddEndpoint(out, mEndpoint->mEntry.mId);
+  }
   return out;
 }
 
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -26,6 +26,11 @@
 /// is needed to serve it.
 constexpr int kMaxReserveWaitDivisor = 3;
 
+/// Other instances that are asked to serve a request, one after the other.
+constexpr int kMaxPeerAttempts = 3;
+/// Requests that this instance serves for others at a time, on top of those of its own callers.
+constexpr int kMaxPeerRequests = 96;
+
 /// Endpoints with a rate limit that may turn a request away; after them it goes to one without.
 constexpr int kMaxDenials = 3;
 
@@ -47,6 +52,17 @@
   return { buf.data(), static_cast<std::size_t>(n) };
 }
 
+/// Whether another instance may be able to serve a request that this one rejects with an error.
+bool MayBeServedElsewhere(ErrorCode aCode)
+{
+  constexpr std::array kCodes = { ErrorCode::Leaving,
+                                  ErrorCode::PlatformUnavailable,
+                                  ErrorCode::UnknownPath,
+                                  ErrorCode::NotAuthenticated,
+                                  ErrorCode::NoEndpoint };
+  return std::find(kCodes.begin(), kCodes.end(), aCode) != kCodes.end();
+}
+
 } // namespace
 
 RequestExchange::RequestExchange(RelayContext& aContext,
@@ -54,27 +70,35 @@
                                  std::shared_ptr<net::Signal> aSignal,
                                  net::RequestHead aHead,
                                  std::string aBody,
-                                 bool aHasBody)
+                                 bool aHasBody,
+                                 RequestSource aSource)
   : mContext(aContext)
   , mSignal(std::move(aSignal))
   , mHead(std::move(aHead))
   , mBody(std::move(aBody))
   , mHasBody(aHasBody)
+  , mSource(aSource)
   , mWriter(aChannel, mHead.mKeepAlive && !aContext.mIsLeaving)
   , mStartedAt(aContext.mClock.Now())
   , mDeadline(mStartedAt + kDefaultTimeout)
 {
   ++mContext.mOpenRequests;
+  mContext.mOpenPeerRequests += mSource == RequestSource::Caller ? 0 : 1;
 }
 
 RequestExchange::~RequestExchange()
 {
   --mContext.mOpenRequests;
+  mContext.mOpenPeerRequests -= mSource == RequestSource::Caller ? 0 : 1;
 }
 
 net::Task<bool> RequestExchange::Run()
 {
   bool isAdmitted = Admit();
+  if (isAdmitted && IsContactLost()) {
+    co_await RunAtPeers();
+    isAdmitted = false;
+  }
   if (isAdmitted) {
     isAdmitted = co_await FindStreamOrigin();
   }
@@ -98,6 +122,15 @@
     return false;
   }
   mRequest = std::move(request.value());
+  if (mSource == RequestSource::UnknownPeer || mContext.mOpenPeerRequests > kMaxPeerRequests) {
+    auto error = MakeError(ErrorCode::NoEndpoint,
+                           Step::RequestAccept,
+                           "peer",
+                           "this instance serves no further requests of other instances");
+    error.mRetryAfter = kRetryAfter;
+    SendError(kUnavailable, error);
+    return false;
+  }
   if (mContext.mRejectsNewRequests) {
     auto error = MakeError(
       ErrorCode::Leaving,
@@ -346,13 +379,71 @@
   return attempts < mRoute->mMaxAttempts && mContext.mRetryBudgets.Of(mService).TryTake();
 }
 
-net::Task<void> RequestExchange::RunAttempts()
+bool RequestExchange::IsContactLost() const
 {
-  const AttemptRequest request{ mHead,    mBody,
-                                mHasBody, mRequest,
-                                *mRoute,  mAccount == nullptr ? std::string() : mAccount->mName,
-                                Stream(), PartKeys(),
+  const auto it = mContext.mContacts.find(mService);
+  return it != mContext.mContacts.end() && it->second.IsLost();
+}
+
+bool RequestExchange::WasNoEndpointReached() const
+{
+  return !mRequestMayHaveRun && !mTriedEndpoints.empty() &&
+         mNotReachedAttempts == mTriedEndpoints.size();
+}
+
+bool RequestExchange::MayAskPeers() const
+{
+  return mContext.mPeers != nullptr && mSource == RequestSource::Caller && WasNoEndpointReached() &&
+         !mWriter.IsCallerDisconnected() && TimeLeft() > Micros(0);
+}
+
+net::Task<void> RequestExchange::RunAtPeers()
+{
+  SettleTokens(); // the instance that serves the request reserves them for itself
+  const bool isCallers = mContext.mPeers != nullptr && mSource == RequestSource::Caller;
+  for (int n = 0; isCallers && n < kMaxPeerAttempts && TimeLeft() > Micros(0); ++n) {
+    mPlacement = {};
+    mPlacement.mEndpoint = mContext.mPeers->Choose(mService, mTriedPeers);
+    if (!mPlacement.mEndpoint) {
+      break;
+    }
+    co_await RunAttempt();
+    mTriedPeers.push_back(mPlacement.mEndpoint->mEntry.mId);
+    if (mLastAttempt.mOutcome == AttemptOutcome::Done ||
+        mLastAttempt.mOutcome == AttemptOutcome::CallerDisconnected) {
+      co_return;
+    }
+    const bool mayTryNext = mLastAttempt.mOutcome == AttemptOutcome::NotReached;
+    LogFailedAttempt(mayTryNext);
+    if (!mayTryNext) {
+      break;
+    }
+  }
+  if (!mRequestMayHaveRun) {
+    mFailureReason = "no endpoint of " + mService + " can be reached";
+  }
+  ReportFailedAttempts();
+}
+
+net::Task<void> RequestExchange::RunAttempt()
+{
+  const AttemptRequest request{ mHead,
+                                mBody,
+                                mHasBody,
+                                mSource,
+                                mRequest,
+                                *mRoute,
+                                mAccount == nullptr ? std::string() : mAccount->mName,
+                                Stream(),
+                                PartKeys(),
                                 mDeadline };
+  EndpointAttempt attempt(mContext, request, mPlacement, mWriter, mProgress, mSignal);
+  mLastAttempt = co_await attempt.Run();
+  mRequestMayHaveRun = mRequestMayHaveRun || !mLastAttempt.mRequestDidNotRun;
+}
+
+net::Task<void> RequestExchange::RunAttempts()
+{
   bool willRetry = true;
   while (willRetry) {
     bool isAllowed = true;
@@ -362,6 +453,9 @@
     if (!isAllowed) {
       co_return;
     }
+    if (MayAskPeers() && IsContactLost()) {
+      break;
+    }
     co_await Place();
     if (mWriter.IsCallerDisconnected()) {
       mFailureReason = "the caller disconnected";
@@ -373,13 +467,10 @@
                        " accepts work";
       break;
     }
-    {
-      EndpointAttempt attempt(mContext, request, mPlacement, mWriter, mProgress, mSignal);
-      mLastAttempt = co_await attempt.Run();
-    }
+    co_await RunAttempt();
     ReportToGuard();
     mTriedEndpoints.push_back(mPlacement.mEndpoint->mEntry.mId);
-    mRequestMayHaveRun = mRequestMayHaveRun || !mLastAttempt.mRequestDidNotRun;
+    mNotReachedAttempts += mLastAttempt.mOutcome == AttemptOutcome::NotReached ? 1 : 0;
     if (mLastAttempt.mOutcome == AttemptOutcome::Done ||
         mLastAttempt.mOutcome == AttemptOutcome::CallerDisconnected) {
       co_return;
@@ -387,6 +478,10 @@
     willRetry = MayRetry(mLastAttempt);
     LogFailedAttempt(willRetry);
   }
+  if (MayAskPeers()) {
+    co_await RunAtPeers();
+    co_return;
+  }
   ReportFailedAttempts();
 }
 
@@ -406,7 +501,9 @@
     return;
   }
   if (!mRequestMayHaveRun) {
-    auto error = MakeError(ErrorCode::Overloaded,
+    const bool mayPeerReachOne =
+      mSource != RequestSource::Caller && (WasNoEndpointReached() || IsContactLost());
+    auto error = MakeError(mayPeerReachOne ? ErrorCode::NoEndpoint : ErrorCode::Overloaded,
                            Step::RequestDispatch,
                            mService,
                            "no endpoint accepted the request; it did not run");
@@ -418,7 +515,7 @@
   SendError(isTimedOut ? kGatewayTimeout : kBadGateway,
             MakeError(isTimedOut ? ErrorCode::DeadlineExceeded : ErrorCode::EndpointFailed,
                       Step::RequestRelay,
-                      mTriedEndpoints.back(),
+                      mTriedPeers.empty() ? mTriedEndpoints.back() : mTriedPeers.back(),
                       mLastAttempt.mReason + "; the request may have run"));
 }
 
@@ -431,6 +528,10 @@
     head.mHeaders.Add("Retry-After", ToSecondsText(*aError.mRetryAfter));
   }
   mContext.mCodec.AddRequestId(head, mRequest);
+  if (mSource != RequestSource::Caller && !mRequestMayHaveRun &&
+      MayBeServedElsewhere(aError.mCode)) {
+    mContext.mCodec.AddDeclined(head);
+  }
   mWriter.SendComplete(std::move(head),
                        "{\"error\":\"" + std::string(ToString(aError.mCode)) + "\"}");
 }
--- a/src/relay/RequestExchangeLog.cpp
+++ b/src/relay/RequestExchangeLog.cpp
@@ -62,7 +62,7 @@
     { { "request", mRequest.mId },
       { "fingerprint", Fingerprint() },
       { "organisation", mAccount == nullptr ? "" : mAccount->mName },
-      { "endpoint", mTriedEndpoints.back() },
+      { "endpoint", mPlacement.mEndpoint->mEntry.mId },
       { "address", mPlacement.mEndpoint->mEntry.mAddress },
       { "software_version", mPlacement.mEndpoint->mEntry.mSoftwareVersion },
       { "end", std::string(ToString(mLastAttempt.mOutcome)) },
@@ -118,7 +118,12 @@
       { "predicted_ms", ToText(static_cast<std::int64_t>(mPlacement.mPredictedMs)) },
       { "cost", ToText(static_cast<std::int64_t>(mPlacement.mCost)) },
       { "attempts", ToText(static_cast<std::int64_t>(mTriedEndpoints.size())) },
-      { "end", mTriedEndpoints.empty() ? "" : std::string(ToString(mLastAttempt.mOutcome)) },
+      { "source", mSource == RequestSource::Caller ? "" : "instance" },
+      { "forwarded_to", mTriedPeers.empty() ? "" : mTriedPeers.back() },
+      { "end",
+        mTriedEndpoints.empty() && mTriedPeers.empty()
+          ? ""
+          : std::string(ToString(mLastAttempt.mOutcome)) },
       { "framing", std::string(net::ToString(end.mFraming)) },
       { "connection", std::string(net::ToString(end.mConnection)) },
       { "partial_event_bytes", ToText(static_cast<std::int64_t>(end.mPartialEventBytes)) },
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -103,6 +103,14 @@
   }
 }
 
+void EndpointRegistry::OnLeaving(std::string_view aId)
+{
+  const auto it = mEndpoints.find(aId);
+  if (it != mEndpoints.end()) {
+    it->second->mHasAnnouncedLeaving = true;
+  }
+}
+
 void EndpointRegistry::OnAddressReassigned(std::string_view aId, TimePoint aNow)
 {
   const auto it = mEndpoints.find(aId);
@@ -125,6 +133,14 @@
   }
 }
 
+std::string EndpointRegistry::ServiceAt(std::string_view aAddress) const
+{
+  const auto it = std::find_if(mEndpoints.begin(), mEndpoints.end(), [&](const auto& aEndpoint) {
+    return aEndpoint.second->mEntry.mAddress == aAddress;
+  });
+  return it == mEndpoints.end() ? std::string() : it->second->mEntry.mService;
+}
+
 void EndpointRegistry::RemoveExpired(TimePoint aNow)
 {
   std::erase_if(
