LIMIT: endpoints that refusals would end are not pressed when they are full

An endpoint that says that it is brittle falls over once it has turned away too many requests in a second, and is back after some seconds.

Cause: a refusal for want of room was known to the instance whose request was refused only, and held no request back; a process that came back empty got at once what waited for it (a fact of the fleet without a home, as with rate limits).

Change: the instance whose request was refused tells all others, by the exchange that keeps rate limits; none sends there for 0.6 s, then each a single one first (RequestHold). RefusalWindow bounds what an instance has in flight at such an endpoint: it begins with one request at a process that is new, grows by one for each window that is served and is halved by a refusal.

No run with more than four gateways was made.

--- a/include/gentianloom/gateway/EndpointLimitExchange.h
+++ b/include/gentianloom/gateway/EndpointLimitExchange.h
@@ -17,7 +17,7 @@
 /// Message about the rate limit of one process of an endpoint.
 struct EndpointLimitMessage
 {
-  /// EndpointLimit, a statement; PermitQuery, or PermitAnswer.
+  /// EndpointLimit, a statement; PermitQuery, PermitAnswer, or EndpointFull.
   PeerMessageKind mKind = PeerMessageKind::EndpointLimit;
   std::uint64_t mQuery = 0; ///< of a query and its answer
   std::string mEndpoint;    ///< id
@@ -25,7 +25,8 @@
   std::optional<double> mRequestsPerSecond; ///< nothing: the endpoint states no limit
   Micros mStatedAgo{ 0 };                   ///< of the response that the sender knows it from
   bool mIsGranted = false;                  ///< of an answer
-  Millis mWait{ 0 };                        ///< of a denial: time until the next query
+  Millis mWait{ 0 };                        ///< of a denial: time until the next query;
+                                            ///< of EndpointFull: time without requests
 };
 
 /// @brief Encodes a message as MessagePack, to be sent in one datagram.
@@ -35,7 +36,8 @@
 Result<EndpointLimitMessage> DecodeEndpointLimit(std::string_view aBytes);
 
 /**
- * @brief Keeps the rate limits of endpoints for all instances together.
+ * @brief Keeps what endpoints want of all instances together: their rate limits, and no requests
+ * for a moment if they are full and refusals would end them.
  *
  * The first instance in the rendezvous order of an endpoint gives out the permits for its requests;
  * the second one does while the first does not answer. What a response states is told to both, and
@@ -56,6 +58,8 @@
   /// A denied instance asks again after at least this time for each instance of the fleet, which
   /// bounds the queries for one endpoint.
   static constexpr Millis kDenialPerInstance{ 5 };
+  /// Time without requests for a full endpoint, unless it asks for a pause itself.
+  static constexpr Millis kFullPause{ 600 };
   /// Most endpoints whose limits an instance keeps for others.
   static constexpr std::size_t kMaxKept = 4'096;
 
@@ -75,6 +79,7 @@
   void Start();
 
   net::Task<bool> Take(EndpointRegistry::Ptr aEndpoint) override;
+  void OnFull(const EndpointRegistry::Ptr& aEndpoint) override;
   void OnStated(const EndpointRegistry::Ptr& aEndpoint,
                 std::optional<double> aRequestsPerSecond) override;
 
@@ -103,6 +108,8 @@
   EndpointLimitMessage Answer(const EndpointLimitMessage& aQuery);
   /// Takes over a statement that this instance keeps. @return whether it changes the limit
   bool Keep(const EndpointLimitMessage& aStatement);
+  /// The listed endpoint that a message is about; null if this process of it is not listed.
+  EndpointRegistry::Ptr ListedEndpoint(const EndpointLimitMessage& aMessage) const;
   /// Takes over a statement as the limit of a listed endpoint.
   void Apply(const EndpointLimitMessage& aStatement);
   /// Tells all instances, if this is the first keeper.
--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -34,11 +34,12 @@
   CrashQuery = 13,
   EndpointLimit = 14,
   PermitQuery = 15,
-  PermitAnswer = 16
+  PermitAnswer = 16,
+  EndpointFull = 17
 };
 
 /// Number of kinds of datagrams.
-inline constexpr std::size_t kPeerMessageKinds = 17;
+inline constexpr std::size_t kPeerMessageKinds = 18;
 
 /// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none.
 PeerMessageKind PeerMessageKindOf(std::string_view aBytes);
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -72,6 +72,7 @@
   bool mIsRetryAfterInvalid = false; ///< a refusal states no such time in its place
   std::optional<double> mRateLimit;  ///< requests a second that the endpoint takes of all instances
   bool mIsRateLimitInvalid = false;  ///< it states something else in its place
+  bool mIsBrittle = false; ///< the endpoint states that too many refusals in a second end it
   std::optional<ReportedLoad> mLoad;
   bool mIsDeclined = false;           ///< by another instance, see RequestCodec::AddDeclined()
   std::string mPeerEndpoint;          ///< endpoint of another instance's response; empty if none
--- a/include/gentianloom/relay/RequestPermits.h
+++ b/include/gentianloom/relay/RequestPermits.h
@@ -24,6 +24,10 @@
    */
   virtual net::Task<bool> Take(EndpointRegistry::Ptr aEndpoint) = 0;
 
+  /// @brief Keeps the requests of all instances from an endpoint that refused one for want of room,
+  /// and that too many refusals would end.
+  virtual void OnFull(const EndpointRegistry::Ptr& aEndpoint) = 0;
+
   /// @brief Notes the rate limit that a response stated, or that it stated none.
   virtual void OnStated(const EndpointRegistry::Ptr& aEndpoint,
                         std::optional<double> aRequestsPerSecond) = 0;
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -4,6 +4,7 @@
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/routing/EndpointLoad.h"
 #include "gentianloom/routing/RateLimit.h"
+#include "gentianloom/routing/RefusalWindow.h"
 #include "gentianloom/routing/RequestHold.h"
 
 #include <cstdint>
@@ -59,6 +60,7 @@
   EndpointLoad mLoad;
   RequestHold mHold;
   StatedRateLimit mRateLimit;
+  RefusalWindow mWindow;
 
   /// @brief Whether the endpoint is registered and does not leave.
   bool AcceptsRequests() const
@@ -138,7 +140,7 @@
   void RemoveExpired(TimePoint aNow);
 
   /// @brief Endpoints of a service that accept requests, have not asked for a pause and whose rate
-  /// limit leaves room; missing ones only if none is listed.
+  /// limit and window leave room; missing ones only if none is listed.
   /// @param aSoftwareVersion only endpoints with this version of their software, if it is set
   std::vector<Ptr> UsableEndpoints(
     std::string_view aService,
@@ -165,9 +167,13 @@
     bool mHasAnnouncedLeaving = false;
     RequestHold mHold;
     StatedRateLimit mRateLimit;
+    RefusalWindow mWindow;
     TimePoint mRemovedAt{};
   };
 
+  /// Whether an endpoint of a service states that too many refusals would end it.
+  bool IsBrittle(std::string_view aService) const;
+
   /// Creates the record of a process that was not known, or continues one that was removed.
   Ptr AddRecord(const EndpointEntry& aEntry);
 
--- /dev/null
+++ b/include/gentianloom/routing/RefusalWindow.h
@@ -0,0 +1,48 @@
+#ifndef GENTIANLOOM_ROUTING_REFUSAL_WINDOW_H
+#define GENTIANLOOM_ROUTING_REFUSAL_WINDOW_H
+
+#include <cstdint>
+
+namespace gentianloom {
+
+/**
+ * @brief Bounds this instance's requests in flight at an endpoint that too many refusals would end.
+ * No clock or I/O.
+ *
+ * Load pattern: an endpoint that ended is back and empty, and all instances send what waited for
+ * it at once. The window begins with a single request, grows by one for each window of requests
+ * that are served, and is halved by a refusal.
+ */
+class RefusalWindow
+{
+public:
+  /// @brief Applies what a response says of the endpoint.
+  /// @param aIsBrittle whether too many refusals would end it
+  /// @param aInFlight requests in flight there, with which the window begins
+  void OnStated(bool aIsBrittle, std::int64_t aInFlight);
+
+  /// @brief Notes a response to a request that the endpoint had room for.
+  /// @param aInFlight requests in flight there, with this one
+  void OnServed(std::int64_t aInFlight);
+
+  /// @brief Notes that the endpoint refused a request for want of room.
+  void OnRefused();
+
+  /// @brief Whether one more request may be sent.
+  bool AllowsRequest(std::int64_t aInFlight) const
+  {
+    return !mIsBrittle || static_cast<double>(aInFlight) + 1 <= mSize;
+  }
+
+  bool IsBrittle() const { return mIsBrittle; }
+
+private:
+  static constexpr double kMinSize = 1;
+
+  bool mIsBrittle = false;
+  double mSize = kMinSize; ///< requests
+};
+
+} // namespace gentianloom
+
+#endif
--- a/src/gateway/EndpointLimitExchange.cpp
+++ b/src/gateway/EndpointLimitExchange.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/gateway/EndpointLimitExchange.h"
 
 #include "gentianloom/base/Ids.h"
+#include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
 #include "gentianloom/gateway/Datagram.h"
 #include "gentianloom/membership/Keepers.h"
@@ -93,7 +94,8 @@
 {
   for (const auto it : { PeerMessageKind::EndpointLimit,
                          PeerMessageKind::PermitQuery,
-                         PeerMessageKind::PermitAnswer }) {
+                         PeerMessageKind::PermitAnswer,
+                         PeerMessageKind::EndpointFull }) {
     mSocket.SetHandler(it, [this](std::string_view aBytes, const PeerSocket::Address& aSender) {
       OnDatagram(aBytes, aSender);
     });
@@ -215,6 +217,23 @@
   mKept.erase(oldest);
 }
 
+void EndpointLimitExchange::OnFull(const EndpointRegistry::Ptr& aEndpoint)
+{
+  const auto now = mClock.Now();
+  if (aEndpoint->mHold.IsPaused(now)) {
+    return; // the others were told under the request that was refused before
+  }
+  aEndpoint->mHold.Begin(kFullPause, now, Jitter());
+  aEndpoint->mWindow.OnRefused();
+  auto message = MessageAbout(*aEndpoint, PeerMessageKind::EndpointFull);
+  message.mWait = kFullPause;
+  const auto bytes = EncodeEndpointLimit(message);
+  for (const auto& it : mPeers()) {
+    mSocket.Send(it, bytes);
+  }
+  mMetrics.CounterOf("gentianloom_endpoint_full_total").Add();
+}
+
 void EndpointLimitExchange::OnStated(const EndpointRegistry::Ptr& aEndpoint,
                                      std::optional<double> aRequestsPerSecond)
 {
@@ -251,15 +270,22 @@
   }
 }
 
-void EndpointLimitExchange::Apply(const EndpointLimitMessage& aStatement)
+EndpointRegistry::Ptr EndpointLimitExchange::ListedEndpoint(
+  const EndpointLimitMessage& aMessage) const
 {
-  const auto it = mEndpoints.All().find(aStatement.mEndpoint);
+  const auto it = mEndpoints.All().find(aMessage.mEndpoint);
   const bool isSameProcess =
     it != mEndpoints.All().end() &&
-    std::max<std::int64_t>(0, it->second->mEntry.mStartedAt) == aStatement.mStartedAt;
-  if (isSameProcess) {
-    it->second->mRateLimit.OnStated(aStatement.mRequestsPerSecond,
-                                    mClock.Now() - aStatement.mStatedAgo);
+    std::max<std::int64_t>(0, it->second->mEntry.mStartedAt) == aMessage.mStartedAt;
+  return isSameProcess ? it->second : nullptr;
+}
+
+void EndpointLimitExchange::Apply(const EndpointLimitMessage& aStatement)
+{
+  const auto endpoint = ListedEndpoint(aStatement);
+  if (endpoint) {
+    endpoint->mRateLimit.OnStated(aStatement.mRequestsPerSecond,
+                                  mClock.Now() - aStatement.mStatedAgo);
   }
 }
 
@@ -282,6 +308,14 @@
     }
     return;
   }
+  if (it.mKind == PeerMessageKind::EndpointFull) {
+    const auto endpoint = ListedEndpoint(it);
+    if (endpoint) {
+      endpoint->mHold.Begin(std::min(it.mWait, kFullPause), mClock.Now(), Jitter());
+      endpoint->mWindow.OnRefused();
+    }
+    return;
+  }
   const auto query = mQueries.find(it.mQuery);
   if (query != mQueries.end()) {
     query->second.mAnswer = it;
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -376,6 +376,11 @@
   }
   ObserveRateLimit();
   const auto now = mContext.mClock.Now();
+  const bool isFull = mResponse.mIsBrittle && mResponse.mDidNotRun && mContext.mPermits != nullptr;
+  mEndpoint->mWindow.OnStated(mResponse.mIsBrittle, mEndpoint->mLoad.InFlight());
+  if (!isFull) {
+    mEndpoint->mWindow.OnServed(mEndpoint->mLoad.InFlight());
+  }
   if (mResponse.mIsLeaving && !mEndpoint->mHasAnnouncedLeaving) {
     mEndpoint->mHasAnnouncedLeaving = true;
     LogChange(
@@ -395,6 +400,10 @@
                 { "pause_ms", std::to_string(mResponse.mRetryAfter->count()) } });
     return;
   }
+  if (isFull) {
+    mContext.mPermits->OnFull(mEndpoint);
+    return;
+  }
   if (mResponse.mIsRetryAfterInvalid) {
     CountPause("invalid");
   }
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -33,10 +33,26 @@
   it->mLastSeenAt = aNow;
 }
 
+bool EndpointRegistry::IsBrittle(std::string_view aService) const
+{
+  const auto isBrittle = [&](const EndpointEntry& aEntry, const RefusalWindow& aWindow) {
+    return aEntry.mService == aService && aWindow.IsBrittle();
+  };
+  return std::any_of(mEndpoints.begin(),
+                     mEndpoints.end(),
+                     [&](const auto& it) {
+                       return it.second && isBrittle(it.second->mEntry, it.second->mWindow);
+                     }) ||
+         std::any_of(mRemoved.begin(), mRemoved.end(), [&](const auto& it) {
+           return isBrittle(it.second.mEntry, it.second.mWindow);
+         });
+}
+
 EndpointRegistry::Ptr EndpointRegistry::AddRecord(const EndpointEntry& aEntry)
 {
   auto out = std::make_shared<Endpoint>();
   out->mHash = StableHash(aEntry.mId);
+  out->mWindow.OnStated(IsBrittle(aEntry.mService), 0);
   const auto removed = mRemoved.find(aEntry.mId);
   const bool isContinued =
     removed != mRemoved.end() && IsSameProcess(removed->second.mEntry, aEntry);
@@ -165,7 +181,8 @@
   std::vector<Ptr> missing;
   for (const auto& [id, it] : mEndpoints) {
     if (it->mEntry.mService != aService || !it->AcceptsRequests() ||
-        !it->mHold.AllowsRequest(aNow) || !it->mRateLimit.AllowsRequest(aNow)) {
+        !it->mHold.AllowsRequest(aNow) || !it->mRateLimit.AllowsRequest(aNow) ||
+        !it->mWindow.AllowsRequest(it->mLoad.InFlight())) {
       continue;
     }
     if (aSoftwareVersion && it->mEntry.mSoftwareVersion != *aSoftwareVersion) {
@@ -199,9 +216,9 @@
   // Requests in flight still refer to the record and must see that it was removed.
   aEndpoint->second->mState = EntryState::Removed;
   const auto& endpoint = *aEndpoint->second;
-  mRemoved[aEndpoint->first] = {
-    endpoint.mEntry, endpoint.mHasAnnouncedLeaving, endpoint.mHold, endpoint.mRateLimit, aNow
-  };
+  mRemoved[aEndpoint->first] = { endpoint.mEntry,  endpoint.mHasAnnouncedLeaving,
+                                 endpoint.mHold,   endpoint.mRateLimit,
+                                 endpoint.mWindow, aNow };
   mEndpoints.erase(aEndpoint);
 }
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -235,6 +235,9 @@
     with a part of its prompt, but the last, in `crashing_parts`, as it begins to write its response.
     Mode "full" refuses each request, with the headers `refusal` and the statement that it did not run
     if `states_not_run`. `arrived` lists the requests that were run or refused.
+
+    With `room`, it runs so many requests at a time and refuses others. With `brittle` too, it says so, and ends
+    once it has refused more than that in a second; `falls` lists when.
     """
 
     def __init__(self, name, changed):
@@ -266,8 +269,21 @@
         self.refusal = {}
         self.states_not_run = True
         self.arrived = []
+        self.room = None
+        self.brittle = None
+        self.running = 0
+        self.refused_at = []
+        self.falls = []
         self.executed = []
 
+    def refuse_for_room(self, server):
+        """Notes a refusal, and falls over under too many of them."""
+        now = time.monotonic()
+        self.refused_at = [it for it in self.refused_at if it > now - 1] + [now]
+        if isinstance(self.brittle, int) and len(self.refused_at) > self.brittle:
+            self.falls.append(now)
+            self.crash(server)
+
     def crash(self, server, request=None):
         """Resets all connections and, by `crashed_listener`, the listening socket; serves again after
         CRASH_DURATION_S.
@@ -329,6 +345,23 @@
         if worker.mode == "full":
             statement = [("X-Not-Executed", "1")] if worker.states_not_run else []
             return self.respond(503, b"", common + statement + list(worker.refusal.items()))
+        if worker.brittle is not None:
+            common.append(("Server-Brittle", str(worker.brittle)))
+        if worker.room is not None:
+            with worker.changed:
+                is_full = worker.running >= worker.room
+                worker.running += 0 if is_full else 1
+            if is_full:
+                self.respond(503, b"", common + [("X-Not-Executed", "1")])
+                return worker.refuse_for_room(self.server)
+        try:
+            return self.run(worker, body, attempt, common)
+        finally:
+            if worker.room is not None:
+                with worker.changed:
+                    worker.running -= 1
+
+    def run(self, worker, body, attempt, common):
         if self.server.has_crashed.is_set():
             self.close_connection = True
             return None
@@ -478,6 +511,7 @@
                    "endless": {k: [it.endless_bytes, it.endless_closed]
                                for k, it in platform["workers"].items()},
                    "crashes": [it for w in platform["workers"].values() for it in w.crashes],
+                   "falls": {k: it.falls for k, it in platform["workers"].items()},
                    "calls": store.calls,
                    "store": added,
                    "items": {k: base64.b64decode(it["value"]).decode()
--- /dev/null
+++ b/tests/routing/RefusalWindowTest.cpp
@@ -0,0 +1,57 @@
+#include "gentianloom/routing/RefusalWindow.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace gentianloom {
+
+class RefusalWindowTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RefusalWindowTest);
+  CPPUNIT_TEST(TestSoundEndpointIsNotBounded);
+  CPPUNIT_TEST(TestNewProcessGetsFewRequests);
+  CPPUNIT_TEST(TestUnusedWindowDoesNotGrow);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Endpoints that say nothing of refusals would serve less than they can.
+  void TestSoundEndpointIsNotBounded()
+  {
+    RefusalWindow window;
+    CPPUNIT_ASSERT(window.AllowsRequest(1'000));
+    window.OnStated(true, 7);
+    CPPUNIT_ASSERT(window.AllowsRequest(6));
+    CPPUNIT_ASSERT(!window.AllowsRequest(7));
+    window.OnStated(false, 7);
+    CPPUNIT_ASSERT(window.AllowsRequest(1'000));
+  }
+
+  // All that waited for a process that ended was sent to the next one at once.
+  void TestNewProcessGetsFewRequests()
+  {
+    RefusalWindow window;
+    window.OnStated(true, 0);
+    CPPUNIT_ASSERT(window.AllowsRequest(0));
+    CPPUNIT_ASSERT(!window.AllowsRequest(1));
+    window.OnServed(1);
+    CPPUNIT_ASSERT(window.AllowsRequest(1));
+    CPPUNIT_ASSERT(!window.AllowsRequest(2));
+    window.OnRefused();
+    CPPUNIT_ASSERT(window.AllowsRequest(0));
+    CPPUNIT_ASSERT(!window.AllowsRequest(1));
+  }
+
+  // A window that grew while little was sent would let a burst through.
+  void TestUnusedWindowDoesNotGrow()
+  {
+    RefusalWindow window;
+    window.OnStated(true, 8);
+    for (int n = 0; n < 100; ++n) {
+      window.OnServed(2);
+    }
+    CPPUNIT_ASSERT(!window.AllowsRequest(8));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RefusalWindowTest);
+
+} // namespace gentianloom
