--- a/tests/platform/retry_after_test.py
+++ b/tests/platform/retry_after_test.py
@@ -58,6 +58,35 @@
                 self.env.wait(lambda: self.env.call("/send/x", f"back{time.monotonic()}").status
                               == 200 and self.arrivals()[-1] > refused_at + HOLD_S)
 
+    def check_pause_is_kept(self, refused_at):
+        self.send_for(HOLD_S)
+        during = [it for it in self.arrivals()
+                  if refused_at + AFTER_S < it < refused_at + HOLD_S]
+        self.assertLessEqual(len(during), MAX_REQUESTS)
+
+    # The pause was noted for an entry that had been replaced while the request was under way.
+    def test_entry_lapses_while_a_request_is_refused(self):
+        slow = {"mode": "full", "refusal": {"Retry-After": str(HOLD_S)}, "refuse_after_s": 0.8}
+        self.env.configure_workers(**slow)
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            calls = [pool.submit(self.env.call, "/send/x", f"lapse{n}") for n in range(8)]
+            self.env.wait(lambda: self.arrivals() and self.arrivals(OTHER))
+            self.env.send_command(remove="servers/" + BUSY)
+            self.env.wait_for_log_line(lambda it: it["change"] == "the entry of an endpoint was deleted")
+            self.env.platform.list_endpoint(BUSY)
+            for it in calls:
+                it.result()
+        refused_at = time.monotonic()
+        self.env.configure_workers(mode="good", refuse_after_s=0)
+        self.check_pause_is_kept(refused_at)
+
+    # A refusal without a request id on a kept connection was taken for that of another request only.
+    def test_refusal_without_an_id(self):
+        for n in range(4):
+            self.env.call("/send/x", f"kept{n}")
+        self.refuse(str(HOLD_S), "/read/x", echoes_id=False)
+        self.check_pause_is_kept(self.arrivals()[-1])
+
     # A value that is no duration, or that no endpoint can mean, must not block it for good.
     def test_values_that_ask_for_nothing(self):
         for it in ("0", "-5", "nan", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "9" * 400, ""):
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -234,7 +234,7 @@
     A run whose path, organisation and body are in `crashing` ends the endpoint, see `crash`; so does one
     with a part of its prompt, but the last, in `crashing_parts`, as it begins to write its response.
     Mode "full" refuses each request, with the headers `refusal` and the statement that it did not run
-    if `states_not_run`. `arrived` lists the requests that were run or refused.
+    if `states_not_run`, after `refuse_after_s`; with `echoes_id` unset, a refusal has no request id. `arrived` lists the requests that were run or refused.
 
     With `room`, it runs so many requests at a time and refuses others. With `brittle` too, it says so, and ends
     once it has refused more than that in a second; `falls` lists when.
@@ -268,6 +268,8 @@
         self.rate_limits = []  # stated in each response, in one header each
         self.refusal = {}
         self.states_not_run = True
+        self.refuse_after_s = 0
+        self.echoes_id = True
         self.arrived = []
         self.room = None
         self.brittle = None
@@ -344,7 +346,9 @@
         common += [("Server-Limit", it) for it in worker.rate_limits]
         if worker.mode == "full":
             statement = [("X-Not-Executed", "1")] if worker.states_not_run else []
-            return self.respond(503, b"", common + statement + list(worker.refusal.items()))
+            time.sleep(worker.refuse_after_s)
+            echoed = common if worker.echoes_id else common[1:]
+            return self.respond(503, b"", echoed + statement + list(worker.refusal.items()))
         if worker.brittle is not None:
             common.append(("Server-Brittle", str(worker.brittle)))
         if worker.room is not None:
--- a/tests/routing/RequestHoldTest.cpp
+++ b/tests/routing/RequestHoldTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(TestPauses);
   CPPUNIT_TEST(TestPausesOverlap);
   CPPUNIT_TEST(TestTrialRequest);
+  CPPUNIT_TEST(TestTrialOfAnEarlierPause);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,22 @@
     CPPUNIT_ASSERT(!hold.OnSent());
   }
 
+  // The answer to a request that was sent before an endpoint asked for a pause ended that pause.
+  void TestTrialOfAnEarlierPause()
+  {
+    RequestHold hold;
+    hold.Begin(Millis(100), mNow, 0);
+    const auto end = mNow + Millis(100);
+    CPPUNIT_ASSERT(hold.OnSent());
+    hold.Begin(Millis(3'000), end, 0);
+    hold.OnTrialAnswered();
+    hold.OnTrialEnded();
+    CPPUNIT_ASSERT(!hold.AllowsRequest(end + Millis(2'999)));
+    CPPUNIT_ASSERT(hold.AllowsRequest(end + Millis(3'000)));
+    CPPUNIT_ASSERT_MESSAGE("a trial first", hold.OnSent());
+    CPPUNIT_ASSERT(!hold.AllowsRequest(end + Millis(3'000)));
+  }
+
 private:
   TimePoint mNow{ std::chrono::hours(1) };
 };
