BUDGET: a pause is not lost when an endpoint's entry lapses while a request is under way

What callers saw: nothing by itself; endpoints that had asked for a pause got requests in it.

Cause: an entry that was removed and listed again got a copy of what was known of the endpoint. Requests under way noted the endpoint's refusal in the record before the copy, where nobody looks any more (knowledge that outlives its holder, copied instead of shared). The same held for a rate limit and for leaving. Besides, a pause longer than 60 s was forgotten with the removed entry.

Change: the registry keeps the record itself and lists it again if the same process comes back, and keeps it until its pause ends.

--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -89,8 +89,8 @@
   /// service.
   static constexpr Millis kRenewalGracePeriod{ 2'000 };
 
-  /// Time for which removed entries are remembered, longer than a copy of the key-value service is
-  /// old when the service comes back from it.
+  /// Time for which removed endpoints are remembered, and until their pauses end; longer than a
+  /// copy of the key-value service is old when the service comes back from it.
   static constexpr Millis kRemovedEntryRetention{ 60'000 };
 
   /// @brief Sets a function that is called with the address of a process when it is known to be
@@ -160,25 +160,21 @@
 private:
   void RemoveRecord(std::map<std::string, Ptr, std::less<>>::iterator aEndpoint, TimePoint aNow);
 
-  /// The last entry of an endpoint that was removed.
-  struct RemovedEntry
+  /// An endpoint that was removed. Requests in flight still note here what it says.
+  struct RemovedEndpoint
   {
-    EndpointEntry mEntry;
-    bool mHasAnnouncedLeaving = false;
-    RequestHold mHold;
-    StatedRateLimit mRateLimit;
-    RefusalWindow mWindow;
+    Ptr mEndpoint;
     TimePoint mRemovedAt{};
   };
 
   /// Whether an endpoint of a service states that too many refusals would end it.
   bool IsBrittle(std::string_view aService) const;
 
-  /// Creates the record of a process that was not known, or continues one that was removed.
+  /// Creates the record of a process that was not known, or returns the one that was removed.
   Ptr AddRecord(const EndpointEntry& aEntry);
 
   std::map<std::string, Ptr, std::less<>> mEndpoints;
-  std::map<std::string, RemovedEntry, std::less<>> mRemoved;
+  std::map<std::string, RemovedEndpoint, std::less<>> mRemoved;
   std::function<void(const std::string&)> mOnNewProcess;
 };
 
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -35,36 +35,32 @@
 
 bool EndpointRegistry::IsBrittle(std::string_view aService) const
 {
-  const auto isBrittle = [&](const EndpointEntry& aEntry, const RefusalWindow& aWindow) {
-    return aEntry.mService == aService && aWindow.IsBrittle();
+  const auto isBrittle = [&](const Ptr& aEndpoint) {
+    return aEndpoint && aEndpoint->mEntry.mService == aService && aEndpoint->mWindow.IsBrittle();
   };
   return std::any_of(mEndpoints.begin(),
                      mEndpoints.end(),
-                     [&](const auto& it) {
-                       return it.second && isBrittle(it.second->mEntry, it.second->mWindow);
-                     }) ||
+                     [&](const auto& it) { return isBrittle(it.second); }) ||
          std::any_of(mRemoved.begin(), mRemoved.end(), [&](const auto& it) {
-           return isBrittle(it.second.mEntry, it.second.mWindow);
+           return isBrittle(it.second.mEndpoint);
          });
 }
 
 EndpointRegistry::Ptr EndpointRegistry::AddRecord(const EndpointEntry& aEntry)
 {
-  auto out = std::make_shared<Endpoint>();
-  out->mHash = StableHash(aEntry.mId);
-  out->mWindow.OnStated(IsBrittle(aEntry.mService), 0);
+  const bool isBrittle = IsBrittle(aEntry.mService);
   const auto removed = mRemoved.find(aEntry.mId);
-  const bool isContinued =
-    removed != mRemoved.end() && IsSameProcess(removed->second.mEntry, aEntry);
-  if (isContinued) {
-    out->mHasAnnouncedLeaving = removed->second.mHasAnnouncedLeaving;
-    out->mHold = removed->second.mHold;
-    out->mRateLimit = removed->second.mRateLimit;
-    out->mHold.OnTrialEnded(); // a trial request in flight ends with the old record
-  } else if (mOnNewProcess) {
+  const auto known = removed == mRemoved.end() ? nullptr : removed->second.mEndpoint;
+  mRemoved.erase(aEntry.mId);
+  if (known && IsSameProcess(known->mEntry, aEntry)) {
+    return known;
+  }
+  if (mOnNewProcess) {
     mOnNewProcess(aEntry.mAddress);
   }
-  mRemoved.erase(aEntry.mId);
+  auto out = std::make_shared<Endpoint>();
+  out->mHash = StableHash(aEntry.mId);
+  out->mWindow.OnStated(isBrittle, 0);
   return out;
 }
 
@@ -109,7 +105,7 @@
   };
   std::erase_if(aEntries, [&](const EndpointEntry& aEntry) {
     const auto it = mRemoved.find(aEntry.mId);
-    return it != mRemoved.end() && age(aEntry) <= age(it->second.mEntry);
+    return it != mRemoved.end() && age(aEntry) <= age(it->second.mEndpoint->mEntry);
   });
   for (auto& it : aEntries) {
     const auto known = mEndpoints.find(it.mId);
@@ -159,8 +155,10 @@
 
 void EndpointRegistry::RemoveExpired(TimePoint aNow)
 {
-  std::erase_if(
-    mRemoved, [&](const auto& it) { return aNow - it.second.mRemovedAt > kRemovedEntryRetention; });
+  std::erase_if(mRemoved, [&](const auto& it) {
+    return aNow - it.second.mRemovedAt > kRemovedEntryRetention &&
+           !it.second.mEndpoint->mHold.IsPaused(aNow);
+  });
   for (auto it = mEndpoints.begin(); it != mEndpoints.end();) {
     const auto& endpoint = *it->second;
     const auto next = std::next(it);
@@ -215,10 +213,7 @@
 {
   // Requests in flight still refer to the record and must see that it was removed.
   aEndpoint->second->mState = EntryState::Removed;
-  const auto& endpoint = *aEndpoint->second;
-  mRemoved[aEndpoint->first] = { endpoint.mEntry,  endpoint.mHasAnnouncedLeaving,
-                                 endpoint.mHold,   endpoint.mRateLimit,
-                                 endpoint.mWindow, aNow };
+  mRemoved[aEndpoint->first] = { aEndpoint->second, aNow };
   mEndpoints.erase(aEndpoint);
 }
 
