BUDGET: the answer to an earlier trial does not end a later pause

What callers saw: nothing by itself; an endpoint that had asked for a pause while the trial request of an earlier pause was under way got requests as before.

Cause: RequestHold remembered that the endpoint had answered, not whether the request that it answered was sent before or after the pause began, and allowed requests after an answer without looking at the time.

Change: a pause outdates the trial that is under way; its answer then ends nothing, and a trial follows the pause.

--- a/include/gentianloom/routing/RequestHold.h
+++ b/include/gentianloom/routing/RequestHold.h
@@ -41,7 +41,8 @@
   /// @brief Notes that a request is sent. @return whether it is the trial request after a pause
   bool OnSent();
 
-  /// @brief Notes that the endpoint answered the trial request without asking for another pause.
+  /// @brief Notes that the endpoint answered the trial request without asking for another pause. If
+  /// a pause has begun since the trial was sent, another trial has to follow it.
   void OnTrialAnswered();
 
   /// @brief Notes the end of the trial request, whatever its outcome; without an answer before,
@@ -51,6 +52,7 @@
 private:
   bool mIsAnswered = true; ///< no pause began since the endpoint last accepted a request
   bool mIsTrialInFlight = false;
+  bool mIsTrialOutdated = false; ///< it was sent before the last pause began
   TimePoint mUntil{};
 };
 
--- a/src/routing/RequestHold.cpp
+++ b/src/routing/RequestHold.cpp
@@ -15,6 +15,7 @@
   const auto until = aNow + pause + std::chrono::duration_cast<Micros>(maxDelay * aJitter);
   mUntil = std::max(mUntil, until);
   mIsAnswered = false;
+  mIsTrialOutdated = true;
 }
 
 bool RequestHold::AllowsRequest(TimePoint aNow) const
@@ -33,12 +34,13 @@
     return false;
   }
   mIsTrialInFlight = true;
+  mIsTrialOutdated = false;
   return true;
 }
 
 void RequestHold::OnTrialAnswered()
 {
-  mIsAnswered = true;
+  mIsAnswered = mIsAnswered || !mIsTrialOutdated;
 }
 
 } // namespace gentianloom
