BUDGET: a refusal without a request id asks for a pause as well

What callers saw: 502 for each request in place of the other endpoints, and an endpoint that had asked for a pause got every request that was placed there.

Cause: whatever an endpoint says of itself was ignored in a response that does not state the id of the request, because it may answer an earlier one. For a pause that does not matter: the connection leads to this endpoint only.

Evidence: process-retry-after, test_refusal_without_an_id: 7 requests in the pause (2 allowed).

Change: a Retry-After counts unless the response states another request's id. How the attempt ends does not change: without the id nothing proves that this request did not run.

--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -108,8 +108,13 @@
   void OnPeerResponseHead();
   /// Whether a response that need not state a request's id certainly answers this request.
   bool IsResponseToThisRequest() const;
-  /// Remembers what the endpoint wants: that it is leaving, or no requests for some time.
+  /// Remembers what the endpoint says of itself.
   void ObserveEndpointState();
+  void ObserveLeaving();
+  /// Notes whether the endpoint had room for the request.
+  void ObserveRoom();
+  /// Notes that the endpoint wants no requests for some time, or has answered a trial.
+  void ObservePause();
   /// Notes the rate limit that the endpoint states, or that it states none.
   void ObserveRateLimit();
   /// Whether the endpoint still takes the request after the connection was opened.
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -371,26 +371,47 @@
 
 void EndpointAttempt::ObserveEndpointState()
 {
-  if (!IsResponseToThisRequest()) {
+  if (IsResponseToThisRequest()) {
+    ObserveRateLimit();
+    ObserveLeaving();
+    ObserveRoom();
+  }
+  // Without an id it may answer an earlier request, but it comes from this endpoint all the same.
+  if (mResponse.mRequestId != ResponseRequestId::Other) {
+    ObservePause();
+  }
+}
+
+void EndpointAttempt::ObserveLeaving()
+{
+  if (!mResponse.mIsLeaving || mEndpoint->mHasAnnouncedLeaving) {
     return;
   }
-  ObserveRateLimit();
-  const auto now = mContext.mClock.Now();
-  const bool isFull = mResponse.mIsBrittle && mResponse.mDidNotRun && mContext.mPermits != nullptr;
-  mEndpoint->mWindow.OnStated(mResponse.mIsBrittle, mEndpoint->mLoad.InFlight());
-  if (!isFull) {
-    mEndpoint->mWindow.OnServed(mEndpoint->mLoad.InFlight());
-  }
-  if (mResponse.mIsLeaving && !mEndpoint->mHasAnnouncedLeaving) {
-    mEndpoint->mHasAnnouncedLeaving = true;
-    LogChange(
-      LogLevel::Info,
-      "endpoints",
-      "an endpoint stated in a response that it is leaving",
-      { { "endpoint", mEndpoint->mEntry.mId }, { "request", mRequest.mCallerRequest.mId } });
+  mEndpoint->mHasAnnouncedLeaving = true;
+  LogChange(LogLevel::Info,
+            "endpoints",
+            "an endpoint stated in a response that it is leaving",
+            { { "endpoint", mEndpoint->mEntry.mId }, { "request", mRequest.mCallerRequest.mId } });
+}
+
+void EndpointAttempt::ObserveRoom()
+{
+  const auto inFlight = mEndpoint->mLoad.InFlight();
+  mEndpoint->mWindow.OnStated(mResponse.mIsBrittle, inFlight);
+  if (!mResponse.mDidNotRun) {
+    mEndpoint->mWindow.OnServed(inFlight);
+  } else if (mResponse.mIsBrittle && mContext.mPermits != nullptr) {
+    mContext.mPermits->OnFull(mEndpoint);
+  }
+}
+
+void EndpointAttempt::ObservePause()
+{
+  if (mResponse.mIsRetryAfterInvalid) {
+    CountPause("invalid");
   }
   if (mResponse.mRetryAfter) {
-    mEndpoint->mHold.Begin(*mResponse.mRetryAfter, now, Jitter());
+    mEndpoint->mHold.Begin(*mResponse.mRetryAfter, mContext.mClock.Now(), Jitter());
     CountPause("asked");
     LogChange(LogLevel::Info,
               "endpoints",
@@ -398,16 +419,7 @@
               { { "endpoint", mEndpoint->mEntry.mId },
                 { "request", mRequest.mCallerRequest.mId },
                 { "pause_ms", std::to_string(mResponse.mRetryAfter->count()) } });
-    return;
-  }
-  if (isFull) {
-    mContext.mPermits->OnFull(mEndpoint);
-    return;
-  }
-  if (mResponse.mIsRetryAfterInvalid) {
-    CountPause("invalid");
-  }
-  if (mIsTrial) {
+  } else if (mIsTrial && IsResponseToThisRequest()) {
     mEndpoint->mHold.OnTrialAnswered();
   }
 }
