ORDER: an instance that is out of step looks at the recorded versions before it resumes a stream

Cause: an instance that does not know what began a stream took the only version of its own history, which may be up to 2.6 s old. A version that joined in that time, and streams that others began at it, were unknown to it.

Evidence: process-stream-version, OutOfStepTest: the store's connections of one gateway hang, an endpoint of v2 joins, and a resume is served at v1; failed before.

Change: since streams begin at recorded versions only, the record is read once more (shared by the requests of 50 ms) before the only known version is used; if it cannot be read, the resume is refused (503, not run).

Not covered: a version that this instance saw more than 60 s ago and that came back while it was out of step.

--- a/include/gentianloom/gateway/SoftwareVersionRecord.h
+++ b/include/gentianloom/gateway/SoftwareVersionRecord.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/external/AsyncStore.h"
 #include "gentianloom/net/Signal.h"
+#include "gentianloom/relay/RecordedVersions.h"
 #include "gentianloom/routing/SoftwareVersionHistory.h"
 
 #include <span>
@@ -37,7 +38,7 @@
  * All instances share one record, which is read and written only when a version appears or is no
  * longer needed.
  */
-class SoftwareVersionRecord
+class SoftwareVersionRecord final : public RecordedVersions
 {
 public:
   SoftwareVersionRecord(net::Loop& aLoop,
@@ -48,10 +49,15 @@
   /// @brief Starts to read and update the record. Call it once.
   void Start();
 
+  net::Task<bool> Refresh() override;
+
   /// @brief Whether the record has been read.
   bool HasRead() const { return mHasRead; }
 
 private:
+  /// A result of Refresh() is shared by requests that arrive within this time.
+  static constexpr Millis kRefreshInterval{ 50 };
+
   net::Task<void> Run();
   /// Reads the record and adds it to the history. @return whether the store responded
   net::Task<bool> Read();
@@ -68,6 +74,7 @@
   Revision mRevision = 0; ///< of the record when it was last read; 0: there was none
   SoftwareVersions mRecorded;
   bool mHasRead = false;
+  TimePoint mRefreshedAt{}; ///< begin of the last read by Refresh() that succeeded
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -6,6 +6,7 @@
 #include "gentianloom/outcome/RetryPolicy.h"
 #include "gentianloom/relay/ConnectionPool.h"
 #include "gentianloom/relay/PeerInstances.h"
+#include "gentianloom/relay/RecordedVersions.h"
 #include "gentianloom/relay/RequestCodec.h"
 #include "gentianloom/relay/RequestGuard.h"
 #include "gentianloom/relay/RequestPermits.h"
@@ -38,10 +39,11 @@
   TokenReservations& mReservations;
   RetryBudgets mRetryBudgets;
   SoftwareVersionHistory mVersionHistory{};
-  StreamOrigins* mStreamOrigins = nullptr; ///< null: no origin is known
-  RequestGuard* mGuard = nullptr;          ///< null: no request is blocked
-  RequestPermits* mPermits = nullptr;      ///< null: rate limits of endpoints are not kept
-  PeerInstances* mPeers = nullptr;         ///< null: no other instance can serve a request
+  RecordedVersions* mRecordedVersions = nullptr; ///< null: the history alone decides
+  StreamOrigins* mStreamOrigins = nullptr;       ///< null: no origin is known
+  RequestGuard* mGuard = nullptr;                ///< null: no request is blocked
+  RequestPermits* mPermits = nullptr;            ///< null: rate limits of endpoints are not kept
+  PeerInstances* mPeers = nullptr;               ///< null: no other instance can serve a request
   EndpointContacts mContacts{};
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -40,7 +40,9 @@
   /// Finds out what began the stream that the request resumes, if it does. @return false if that is
   /// not known or not allowed any more; the request was rejected then
   net::Task<bool> FindStreamOrigin();
-  /// The origin of any stream on the route, if only one can have begun it.
+  /// As SoleOrigin(), after a look at what is recorded now.
+  net::Task<std::optional<StreamOrigin>> FindSoleOrigin();
+  /// The origin of any stream on the route, if only one can have begun it by what is known here.
   std::optional<StreamOrigin> SoleOrigin() const;
   void RejectResume(std::string_view aReason);
   StreamKey Stream() const;
--- a/include/gentianloom/routing/SoftwareVersionHistory.h
+++ b/include/gentianloom/routing/SoftwareVersionHistory.h
@@ -32,6 +32,9 @@
   /// @brief Notes that a version serves now, or may have served until now.
   void Observe(std::string_view aService, std::string_view aVersion, TimePoint aNow);
 
+  /// @brief As Observe(), for a version that was never observed; others keep their time.
+  void ObserveUnknown(std::string_view aService, std::string_view aVersion, TimePoint aNow);
+
   /// @brief States that from a time on, all versions of the last kMaxStreamAge were observed.
   void SetCompleteFrom(TimePoint aTime) { mCompleteFrom = aTime; }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -207,6 +207,7 @@
                 mMetrics)
 {
   mRelay.mStreamOrigins = &mStreamOrigins;
+  mRelay.mRecordedVersions = &mVersionRecord;
   mRelay.mGuard = &mCrashReports;
   mRelay.mPermits = &mEndpointLimits;
   mRelay.mPeers = mSettings.mPeerAddress.empty() ? nullptr : &mForwardingPeers;
--- a/src/gateway/SoftwareVersionRecord.cpp
+++ b/src/gateway/SoftwareVersionRecord.cpp
@@ -135,6 +135,26 @@
   co_return true;
 }
 
+net::Task<bool> SoftwareVersionRecord::Refresh()
+{
+  const auto begin = mClock.Now();
+  if (begin - mRefreshedAt < kRefreshInterval) {
+    co_return true;
+  }
+  const auto answer = co_await mStore.Range(std::string(kSoftwareVersionKey));
+  if (!answer) {
+    co_return false;
+  }
+  const bool isValid = Load(answer.value().mEntries);
+  for (const auto& [service, versions] : mRecorded) {
+    for (const auto& it : versions) {
+      mHistory.ObserveUnknown(service, it, mClock.Now());
+    }
+  }
+  mRefreshedAt = begin;
+  co_return isValid;
+}
+
 net::Task<void> SoftwareVersionRecord::Update()
 {
   const auto answer = co_await mStore.Range(std::string(kSoftwareVersionKey));
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -202,7 +202,7 @@
     mProgress.mOrigin = co_await mContext.mStreamOrigins->Find(Stream());
   }
   if (!mProgress.mOrigin) {
-    mProgress.mOrigin = SoleOrigin();
+    mProgress.mOrigin = co_await FindSoleOrigin();
   }
   if (!mProgress.mOrigin) {
     RejectResume("the software version that began this stream is not known");
@@ -220,6 +220,22 @@
   co_return true;
 }
 
+net::Task<std::optional<StreamOrigin>> RequestExchange::FindSoleOrigin()
+{
+  if (!SoleOrigin()) {
+    co_return std::nullopt;
+  }
+  if (mContext.mRecordedVersions != nullptr) {
+    // Streams begin at recorded versions only, so a record that is read now names all that can have
+    // begun this one, also those that this instance has not heard of.
+    const bool isRead = co_await mContext.mRecordedVersions->Refresh();
+    if (!isRead) {
+      co_return std::nullopt;
+    }
+  }
+  co_return SoleOrigin();
+}
+
 std::optional<StreamOrigin> RequestExchange::SoleOrigin() const
 {
   if (mRoute->mServices.size() != 1) {
--- a/src/routing/SoftwareVersionHistory.cpp
+++ b/src/routing/SoftwareVersionHistory.cpp
@@ -9,6 +9,13 @@
   mObservedAt[std::string(aService)][std::string(aVersion)] = aNow;
 }
 
+void SoftwareVersionHistory::ObserveUnknown(std::string_view aService,
+                                            std::string_view aVersion,
+                                            TimePoint aNow)
+{
+  mObservedAt[std::string(aService)].try_emplace(std::string(aVersion), aNow);
+}
+
 std::optional<std::string> SoftwareVersionHistory::SoleVersion(std::string_view aService,
                                                                TimePoint aNow) const
 {
--- a/tests/platform/stream_version_test.py
+++ b/tests/platform/stream_version_test.py
@@ -9,9 +9,11 @@
 import time
 import unittest
 
+from endpoint_links import HANG, Link
 from gateway_environment import Environment, Platform, configuration
 
 VERSIONS = {"w1": "v1", "w2": "v2", "w3": "v1", "w4": "v2"}
+VERSION_KEY = "/gentianloom/software-versions"
 STREAMS = 8
 # A resume that can't go on is answered within this time.
 MAX_REFUSAL_S = 0.5
@@ -226,9 +228,8 @@
                 self.assertEqual(services[began], services[resumed])
 
     def wait_for_recorded_versions(self, expected):
-        key = "/gentianloom/software-versions"
         self.first.wait(lambda: set(json.loads(
-            self.platform.send_command()["items"].get(key, "{}")).get("pool", [])) == expected)
+            self.platform.send_command()["items"].get(VERSION_KEY, "{}")).get("pool", [])) == expected)
 
 
 class SoleVersionTest(unittest.TestCase):
@@ -276,5 +277,35 @@
         gateway.wait(lambda: gateway.call("/resume/x", "after", fields).status == 200)
 
 
+class OutOfStepTest(unittest.TestCase):
+    # A gateway that had not heard of a version that joined took the one it knew for the only one.
+    def test_stream_of_a_version_that_joined_meanwhile(self):
+        platform = Platform({"w1": "v1", "w2": "v2"})
+        self.addCleanup(platform.close)
+        platform.send_command(remove="servers/w2")
+        link = Link(platform.addresses["store"])
+        self.addCleanup(link.close)
+        gateways = []
+        for name, store in (("g1", platform.addresses["store"]), ("g2", "%s:%d" % link.address)):
+            # An availability zone each, so that none learns from the other's watch.
+            gateways.append(Environment(platform=platform, name=name, availability_zone=name,
+                                        store_address=store))
+            self.addCleanup(gateways[-1].close)
+        first, second = gateways
+        fields = {"Last-Event-Id": "2"}
+        second.wait(lambda: second.call("/resume/x", f"sole{time.monotonic()}", fields).status == 200)
+        first.wait(lambda: "v1" in platform.send_command()["items"].get(VERSION_KEY, ""))
+        link.cut(HANG)
+        platform.list_endpoint("w2")
+        first.wait(lambda: "v2" in platform.send_command()["items"].get(VERSION_KEY, ""))
+        response = second.call("/resume/x", "joined", fields)
+        ran = [name for name, requests in platform.send_command()["executed"].items()
+               if any(it["headers"]["X-Attempt-Id"] == "joined" for it in requests)]
+        self.assertEqual((503, []), (response.status, ran))
+        link.restore()
+        second.wait_for_log_line(lambda it: it.get("endpoint") == "w2" or it["change"] == "read the list of endpoints")
+        second.wait(lambda: second.call("/resume/x", f"new{time.monotonic()}").status == 200)
+
+
 if __name__ == "__main__":
     unittest.main()
