Test: a refusal that is written once more proves nothing for the next request

It does not happen here: the refusal states another request's id, or none on a kept connection, so the attempt ends as interrupted (502 for work that must not repeat, no second endpoint). 16 rows: status 408, 421, 429 and 503, with and without ids, streams and plain requests; no code changed.

--- a/tests/platform/misdirected_response_test.py
+++ b/tests/platform/misdirected_response_test.py
@@ -60,5 +60,31 @@
                 self.env = env
 
 
+class RepeatedRefusalTest(unittest.TestCase):
+    # A refusal that was written once more was taken for that of the next request, which ran.
+    def test_earlier_refusal_proves_nothing(self):
+        for status in (408, 421, 429, 503):
+            for echoes_id in (True, False):
+                for path in ("/send/x", "/chat/x"):
+                    with self.subTest(status=status, echoes_id=echoes_id, path=path):
+                        self.check_at_most_once(path, status, echoes_id)
+
+    def check_at_most_once(self, path, status, echoes_id):
+        env = Environment()
+        self.addCleanup(env.close)
+        env.configure_workers(mode="refuses-again", refusal_status=status, echoes_id=echoes_id)
+        repeated = 0  # refusals before the response to a request that ran
+        for n in range(12):
+            response = env.call(path, f"r{n}", {"X-Prompt-Prefix": f"{n + 1:x}:60,bb:40"})
+            runs = [it for it in env.executed_requests() if it["headers"]["X-Attempt-Id"] == f"r{n}"]
+            self.assertLessEqual(len(runs), 1, n)
+            if response.status in (408, 421, 429, 503):
+                self.assertEqual([], runs, n)
+            repeated += len(runs) == 1 and response.status == 502
+        # Without an id, or after a 421, the connection or the endpoint is not used again.
+        if echoes_id and status != 421:
+            self.assertGreater(repeated, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -236,6 +236,9 @@
     Mode "full" refuses each request, with the headers `refusal` and the statement that it did not run
     if `states_not_run`, after `refuse_after_s`; with `echoes_id` unset, a refusal has no request id. `arrived` lists the requests that were run or refused.
 
+    In mode "refuses-again", it refuses the first request of a connection, and writes this refusal once more
+    before its response to each later one; without `echoes_id`, the refusals have no request id.
+
     With `room`, it runs so many requests at a time and refuses others. With `brittle` too, it says so, and ends
     once it has refused more than that in a second; `falls` lists when.
     """
@@ -270,6 +273,7 @@
         self.states_not_run = True
         self.refuse_after_s = 0
         self.echoes_id = True
+        self.refusal_status = 503
         self.arrived = []
         self.room = None
         self.brittle = None
@@ -333,6 +337,8 @@
 
 
 class WorkerHandler(Handler):
+    first_refusal = None  # headers of the first refusal of this connection
+
     def serve(self):
         worker = self.server.state
         body = self.body()
@@ -349,6 +355,8 @@
             time.sleep(worker.refuse_after_s)
             echoed = common if worker.echoes_id else common[1:]
             return self.respond(503, b"", echoed + statement + list(worker.refusal.items()))
+        if worker.mode == "refuses-again" and self.refuse_again(worker, common):
+            return None
         if worker.brittle is not None:
             common.append(("Server-Brittle", str(worker.brittle)))
         if worker.room is not None:
@@ -365,6 +373,15 @@
                 with worker.changed:
                     worker.running -= 1
 
+    def refuse_again(self, worker, common):
+        """Writes the first refusal of the connection; returns whether it is meant for this request."""
+        is_first = self.first_refusal is None
+        if is_first:
+            echoed = common if worker.echoes_id else common[1:]
+            self.first_refusal = echoed + [("X-Not-Executed", "1")]
+        self.respond(worker.refusal_status, b"", self.first_refusal)
+        return is_first
+
     def run(self, worker, body, attempt, common):
         if self.server.has_crashed.is_set():
             self.close_connection = True
