--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -2,15 +2,12 @@
 
 #include "gentianloom/base/Log.h"
 #include "gentianloom/net/HttpService.h"
+#include "gentianloom/net/HttpStatus.h"
 
 namespace gentianloom {
 
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kBodyTooLarge = 413;
-constexpr int kHeadTooLarge = 431;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 /// Delay before closing after a rejection. Closing while the caller still sends would reset the
 /// connection, and the response could be lost.
@@ -20,13 +17,13 @@
 {
   switch (aFault) {
     case net::ParseFault::HeadTooLarge:
-      return kHeadTooLarge;
+      return net::kHeadTooLarge;
     case net::ParseFault::BodyTooLarge:
-      return kBodyTooLarge;
+      return net::kBodyTooLarge;
     case net::ParseFault::Malformed:
       break;
   }
-  return kBadRequest;
+  return net::kBadRequest;
 }
 
 void RespondAndClose(net::Channel& aChannel, int aStatus)
@@ -102,7 +99,7 @@
     }
     if (timeLeft <= Micros(0)) {
       if (hasStarted) {
-        RespondAndClose(aChannel, kRequestTimeout);
+        RespondAndClose(aChannel, net::kRequestTimeout);
       } else {
         aChannel.CloseAfterSending();
       }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include "gentianloom/net/ConnectionProbe.h"
 #include "gentianloom/net/HttpClient.h"
 #include "gentianloom/net/HttpService.h"
+#include "gentianloom/net/HttpStatus.h"
 
 #include <algorithm>
 #include <array>
@@ -14,9 +15,6 @@
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-
 /// Share of the key-value service's write capacity that budget rights may use.
 constexpr double kRightsWriteShare = 0.6;
 /// Maximum wait of one watch. A silent connection is detected after this time and the margin of the
@@ -246,105 +244,6 @@
   return out;
 }
 
-PrefixWatchHandlers Gateway::MakeConfigurationHandlers()
-{
-  PrefixWatchHandlers out;
-  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability) {
-    for (const auto& it : aEntries) {
-      ApplyConfiguration(it);
-    }
-  };
-  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability) {
-    for (const auto& it : aEvents) {
-      if (!it.mIsDeleted) {
-        ApplyConfiguration(it.mEntry);
-      }
-    }
-  };
-  return out;
-}
-
-PrefixWatchHandlers Gateway::MakeEndpointHandlers()
-{
-  PrefixWatchHandlers out;
-  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability aAvailability) {
-    std::vector<EndpointEntry> records;
-    const auto prefix = mProtocol.EndpointPrefix().size();
-    for (const auto& it : aEntries) {
-      auto entry = mProtocol.DecodeEndpoint(it.mKey.substr(prefix), it.mValue);
-      if (entry) {
-        records.push_back(std::move(entry.value()));
-      }
-    }
-    LogChange(LogLevel::Info,
-              "endpoints",
-              "read the list of endpoints",
-              { { "entries", std::to_string(aEntries.size()) },
-                { "usable", std::to_string(records.size()) } });
-    const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
-    if (aAvailability == StoreAvailability::RestoredFromCopy) {
-      mRelay.mEndpoints.DropOutdated(records);
-    }
-    mRelay.mEndpoints.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
-    ObserveSoftwareVersions();
-  };
-  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
-    for (const auto& it : aEvents) {
-      if (!it.mIsDeleted) {
-        UpdateEndpoint(it.mEntry);
-        continue;
-      }
-      const auto id = it.mEntry.mKey.substr(mProtocol.EndpointPrefix().size());
-      LogChange(LogLevel::Info,
-                "endpoints",
-                "the entry of an endpoint was deleted",
-                { { "endpoint", id } });
-      mRelay.mEndpoints.Remove(
-        id, aAvailability == StoreAvailability::RecentlyUnavailable, mClock.Now());
-    }
-  };
-  return out;
-}
-
-PrefixWatchHandlers Gateway::MakeInstanceHandlers()
-{
-  PrefixWatchHandlers out;
-  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability aAvailability) {
-    std::vector<InstanceRecord> records;
-    std::vector<KeyValue> blockedRequests;
-    for (const auto& it : aEntries) {
-      if (it.mKey.starts_with(kBlockedRequestPrefix)) {
-        blockedRequests.push_back(it);
-        continue;
-      }
-      auto record = ParseInstanceRecord(it.mValue);
-      if (record) {
-        records.push_back(std::move(record.value()));
-      }
-    }
-    const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
-    mInstances.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
-    mCrashReports.Blocked().OnRecords(blockedRequests);
-  };
-  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
-    for (const auto& it : aEvents) {
-      if (it.mEntry.mKey.starts_with(kBlockedRequestPrefix)) {
-        it.mIsDeleted ? mCrashReports.Blocked().OnRecordDeleted(it.mEntry.mKey)
-                      : mCrashReports.Blocked().OnRecord(it.mEntry);
-        continue;
-      }
-      if (!it.mIsDeleted) {
-        UpdateInstance(it.mEntry);
-        continue;
-      }
-      mInstances.Remove(it.mEntry.mKey.substr(kInstancePrefix.size()),
-                        aAvailability == StoreAvailability::RecentlyUnavailable,
-                        mClock.Now());
-    }
-  };
-  return out;
-}
-
 Result<void> Gateway::Start()
 {
   mStartedAt = mClock.Now();
@@ -403,7 +302,7 @@
                       [this](const auto& it) { return HandleAddressQuery(it); } },
     AuxiliaryService{ mSettings.mMetricsAddress,
                       [this](const auto&) {
-                        return net::ServiceReply{ kOk, "text/plain", mMetrics.Render() };
+                        return net::ServiceReply{ net::kOk, "text/plain", mMetrics.Render() };
                       } }
   };
   for (const auto& it : services) {
@@ -419,88 +318,6 @@
   return success();
 }
 
-void Gateway::ApplyConfiguration(const KeyValue& aEntry)
-{
-  auto decoded = mProtocol.DecodeConfiguration(aEntry.mValue);
-  if (!decoded) {
-    LogChange(LogLevel::Error,
-              "configuration",
-              "the stored configuration is invalid; keeping the active one",
-              { { "error", ToString(decoded.error()) } });
-    return;
-  }
-  const auto version = decoded.value().mVersion;
-  const auto currentVersion = mRelay.mRoutes ? mRelay.mRoutes->Version() : -1;
-  if (version <= currentVersion) {
-    LogChange(LogLevel::Warning,
-              "configuration",
-              "ignored a version that is not newer than the active one",
-              { { "version", std::to_string(version) },
-                { "active_version", std::to_string(currentVersion) } });
-    return;
-  }
-  mRelay.mRoutes = RouteTable::Create(std::move(decoded.value()));
-  mMetrics.GaugeOf("gentianloom_configuration_version").Set(version);
-  mRights.Wake();
-  LogChange(LogLevel::Info,
-            "configuration",
-            "activated a new version",
-            { { "version", std::to_string(version) },
-              { "previous_version", std::to_string(currentVersion) },
-              { "revision", std::to_string(aEntry.mModRevision) } });
-}
-
-void Gateway::UpdateEndpoint(const KeyValue& aEntry)
-{
-  const auto id = aEntry.mKey.substr(mProtocol.EndpointPrefix().size());
-  auto entry = mProtocol.DecodeEndpoint(id, aEntry.mValue);
-  if (!entry) {
-    LogChange(LogLevel::Warning,
-              "endpoints",
-              "ignored an invalid endpoint entry",
-              { { "endpoint", id }, { "error", ToString(entry.error()) } });
-    mRelay.mEndpoints.Remove(id, false, mClock.Now());
-    return;
-  }
-  LogChange(LogLevel::Info,
-            "endpoints",
-            "the entry of an endpoint changed",
-            { { "endpoint", id },
-              { "service", entry.value().mService },
-              { "software_version", entry.value().mSoftwareVersion },
-              { "started_at", std::to_string(entry.value().mStartedAt) },
-              { "leaving", entry.value().mIsLeaving ? "yes" : "no" } });
-  mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now());
-  ObserveSoftwareVersions();
-}
-
-void Gateway::ObserveSoftwareVersions()
-{
-  for (const auto& [id, it] : mRelay.mEndpoints.All()) {
-    const auto& entry = it->mEntry;
-    mRelay.mVersionHistory.Observe(entry.mService, entry.mSoftwareVersion, mClock.Now());
-  }
-  mRelay.mVersionHistory.ConfirmUntil(mEndpointWatcher.ConfirmedUntil());
-}
-
-void Gateway::UpdateInstance(const KeyValue& aEntry)
-{
-  auto record = ParseInstanceRecord(aEntry.mValue);
-  if (!record) {
-    LogChange(LogLevel::Warning,
-              "instances",
-              "ignored an invalid instance record",
-              { { "key", aEntry.mKey }, { "error", ToString(record.error()) } });
-    return;
-  }
-  LogChange(LogLevel::Info,
-            "instances",
-            "the record of an instance changed",
-            { { "instance", record.value().mName },
-              { "leaving", record.value().mIsLeaving ? "yes" : "no" } });
-  mInstances.Put(std::move(record.value()));
-}
-
 net::Task<bool> Gateway::ProbeEndpoint(std::string aAddress)
 {
   const bool isAlive = co_await net::KeepsConnectionOpen(mLoop, aAddress, kProbeTimeout);
@@ -523,8 +340,8 @@
 
 net::ServiceReply Gateway::HandleReadinessCheck() const
 {
-  return IsReady() ? net::ServiceReply{ kOk, "text/plain", "ready\n" }
-                   : net::ServiceReply{ kUnavailable, "text/plain", "not ready\n" };
+  return IsReady() ? net::ServiceReply{ net::kOk, "text/plain", "ready\n" }
+                   : net::ServiceReply{ net::kUnavailable, "text/plain", "not ready\n" };
 }
 
 net::ServiceReply Gateway::HandleAddressQuery(const net::ServiceRequest& aRequest) const
@@ -536,9 +353,11 @@
   const auto zone = mProtocol.DecodeRequestedZone(aRequest.mHead.mTarget);
   const auto addresses = mInstances.SelectAddresses(self, zone, aRequest.mPeerHost, mClock.Now());
   if (addresses.empty()) {
-    return { kUnavailable, "text/plain", "no instance is ready\n" };
+    return { net::kUnavailable, "text/plain", "no instance is ready\n" };
   }
-  return { kOk, "application/json", mProtocol.EncodeAddresses(addresses, mSettings.mAddressTtl) };
+  return { net::kOk,
+           "application/json",
+           mProtocol.EncodeAddresses(addresses, mSettings.mAddressTtl) };
 }
 
 net::Task<void> Gateway::RunHousekeeping()
--- /dev/null
+++ b/src/gateway/GatewayWatches.cpp
@@ -0,0 +1,187 @@
+#include "gentianloom/base/Log.h"
+#include "gentianloom/gateway/Gateway.h"
+
+namespace gentianloom {
+
+PrefixWatchHandlers Gateway::MakeConfigurationHandlers()
+{
+  PrefixWatchHandlers out;
+  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability) {
+    for (const auto& it : aEntries) {
+      ApplyConfiguration(it);
+    }
+  };
+  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability) {
+    for (const auto& it : aEvents) {
+      if (!it.mIsDeleted) {
+        ApplyConfiguration(it.mEntry);
+      }
+    }
+  };
+  return out;
+}
+
+PrefixWatchHandlers Gateway::MakeEndpointHandlers()
+{
+  PrefixWatchHandlers out;
+  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability aAvailability) {
+    std::vector<EndpointEntry> records;
+    const auto prefix = mProtocol.EndpointPrefix().size();
+    for (const auto& it : aEntries) {
+      auto entry = mProtocol.DecodeEndpoint(it.mKey.substr(prefix), it.mValue);
+      if (entry) {
+        records.push_back(std::move(entry.value()));
+      }
+    }
+    LogChange(LogLevel::Info,
+              "endpoints",
+              "read the list of endpoints",
+              { { "entries", std::to_string(aEntries.size()) },
+                { "usable", std::to_string(records.size()) } });
+    const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
+    if (aAvailability == StoreAvailability::RestoredFromCopy) {
+      mRelay.mEndpoints.DropOutdated(records);
+    }
+    mRelay.mEndpoints.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
+    ObserveSoftwareVersions();
+  };
+  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
+    for (const auto& it : aEvents) {
+      if (!it.mIsDeleted) {
+        UpdateEndpoint(it.mEntry);
+        continue;
+      }
+      const auto id = it.mEntry.mKey.substr(mProtocol.EndpointPrefix().size());
+      LogChange(LogLevel::Info,
+                "endpoints",
+                "the entry of an endpoint was deleted",
+                { { "endpoint", id } });
+      mRelay.mEndpoints.Remove(
+        id, aAvailability == StoreAvailability::RecentlyUnavailable, mClock.Now());
+    }
+  };
+  return out;
+}
+
+PrefixWatchHandlers Gateway::MakeInstanceHandlers()
+{
+  PrefixWatchHandlers out;
+  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability aAvailability) {
+    std::vector<InstanceRecord> records;
+    std::vector<KeyValue> blockedRequests;
+    for (const auto& it : aEntries) {
+      if (it.mKey.starts_with(kBlockedRequestPrefix)) {
+        blockedRequests.push_back(it);
+        continue;
+      }
+      auto record = ParseInstanceRecord(it.mValue);
+      if (record) {
+        records.push_back(std::move(record.value()));
+      }
+    }
+    const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
+    mInstances.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
+    mCrashReports.Blocked().OnRecords(blockedRequests);
+  };
+  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
+    for (const auto& it : aEvents) {
+      if (it.mEntry.mKey.starts_with(kBlockedRequestPrefix)) {
+        it.mIsDeleted ? mCrashReports.Blocked().OnRecordDeleted(it.mEntry.mKey)
+                      : mCrashReports.Blocked().OnRecord(it.mEntry);
+        continue;
+      }
+      if (!it.mIsDeleted) {
+        UpdateInstance(it.mEntry);
+        continue;
+      }
+      mInstances.Remove(it.mEntry.mKey.substr(kInstancePrefix.size()),
+                        aAvailability == StoreAvailability::RecentlyUnavailable,
+                        mClock.Now());
+    }
+  };
+  return out;
+}
+
+void Gateway::ApplyConfiguration(const KeyValue& aEntry)
+{
+  auto decoded = mProtocol.DecodeConfiguration(aEntry.mValue);
+  if (!decoded) {
+    LogChange(LogLevel::Error,
+              "configuration",
+              "the stored configuration is invalid; keeping the active one",
+              { { "error", ToString(decoded.error()) } });
+    return;
+  }
+  const auto version = decoded.value().mVersion;
+  const auto currentVersion = mRelay.mRoutes ? mRelay.mRoutes->Version() : -1;
+  if (version <= currentVersion) {
+    LogChange(LogLevel::Warning,
+              "configuration",
+              "ignored a version that is not newer than the active one",
+              { { "version", std::to_string(version) },
+                { "active_version", std::to_string(currentVersion) } });
+    return;
+  }
+  mRelay.mRoutes = RouteTable::Create(std::move(decoded.value()));
+  mMetrics.GaugeOf("gentianloom_configuration_version").Set(version);
+  mRights.Wake();
+  LogChange(LogLevel::Info,
+            "configuration",
+            "activated a new version",
+            { { "version", std::to_string(version) },
+              { "previous_version", std::to_string(currentVersion) },
+              { "revision", std::to_string(aEntry.mModRevision) } });
+}
+
+void Gateway::UpdateEndpoint(const KeyValue& aEntry)
+{
+  const auto id = aEntry.mKey.substr(mProtocol.EndpointPrefix().size());
+  auto entry = mProtocol.DecodeEndpoint(id, aEntry.mValue);
+  if (!entry) {
+    LogChange(LogLevel::Warning,
+              "endpoints",
+              "ignored an invalid endpoint entry",
+              { { "endpoint", id }, { "error", ToString(entry.error()) } });
+    mRelay.mEndpoints.Remove(id, false, mClock.Now());
+    return;
+  }
+  LogChange(LogLevel::Info,
+            "endpoints",
+            "the entry of an endpoint changed",
+            { { "endpoint", id },
+              { "service", entry.value().mService },
+              { "software_version", entry.value().mSoftwareVersion },
+              { "started_at", std::to_string(entry.value().mStartedAt) },
+              { "leaving", entry.value().mIsLeaving ? "yes" : "no" } });
+  mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now());
+  ObserveSoftwareVersions();
+}
+
+void Gateway::ObserveSoftwareVersions()
+{
+  for (const auto& [id, it] : mRelay.mEndpoints.All()) {
+    const auto& entry = it->mEntry;
+    mRelay.mVersionHistory.Observe(entry.mService, entry.mSoftwareVersion, mClock.Now());
+  }
+  mRelay.mVersionHistory.ConfirmUntil(mEndpointWatcher.ConfirmedUntil());
+}
+
+void Gateway::UpdateInstance(const KeyValue& aEntry)
+{
+  auto record = ParseInstanceRecord(aEntry.mValue);
+  if (!record) {
+    LogChange(LogLevel::Warning,
+              "instances",
+              "ignored an invalid instance record",
+              { { "key", aEntry.mKey }, { "error", ToString(record.error()) } });
+    return;
+  }
+  LogChange(LogLevel::Info,
+            "instances",
+            "the record of an instance changed",
+            { { "instance", record.value().mName },
+              { "leaving", record.value().mIsLeaving ? "yes" : "no" } });
+  mInstances.Put(std::move(record.value()));
+}
+
+} // namespace gentianloom
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -3,6 +3,7 @@
 #include "gentianloom/base/Jitter.h"
 #include "gentianloom/base/Log.h"
 #include "gentianloom/net/HttpClient.h"
+#include "gentianloom/net/HttpStatus.h"
 
 #include <algorithm>
 #include <array>
@@ -40,12 +41,10 @@
 /// limit still reaches the caller.
 constexpr Millis kDeadlineGrace{ 60 };
 /// Statuses that promise the caller that the request did not run and never will.
-constexpr std::array kNotRunStatuses = { 408, 421, 429, 503 };
-
-bool IsSuccess(int aStatus)
-{
-  return aStatus >= 200 && aStatus < 300;
-}
+constexpr std::array<int, 4> kNotRunStatuses = { net::kRequestTimeout,
+                                                 net::kMisdirectedRequest,
+                                                 net::kTooManyRequests,
+                                                 net::kUnavailable };
 
 } // namespace
 
@@ -100,37 +99,6 @@
   model.AddSample(mTokensToPrefill, latency.count());
 }
 
-void EndpointAttempt::RecordOrigin()
-{
-  if (mHasForwardedEvent || IsAtPeer()) {
-    return;
-  }
-  if (!mProgress.mOrigin) {
-    mProgress.mOrigin =
-      StreamOrigin{ mEndpoint->mEntry.mService, mEndpoint->mEntry.mSoftwareVersion };
-  }
-  if (mRequest.mRoute.mIsResumable && mContext.mStreamOrigins != nullptr) {
-    mContext.mStreamOrigins->Record(mRequest.mStream, *mProgress.mOrigin);
-  }
-}
-
-void EndpointAttempt::ReportSurvivedBegin()
-{
-  const bool isSurvived =
-    mFirstEventAt && mContext.mClock.Now() - *mFirstEventAt >= RequestGuard::kBeginOfResponse;
-  if (isSurvived && !mHasReportedSurvival && !IsAtPeer() && mContext.mGuard != nullptr) {
-    mHasReportedSurvival = true;
-    mContext.mGuard->OnSurvived(mRequest.mPartKeys, mRequestSentAt);
-  }
-}
-
-void EndpointAttempt::NotifyPendingTokensChanged() const
-{
-  if (mContext.mOnPendingTokensChanged && IsStream()) {
-    mContext.mOnPendingTokensChanged();
-  }
-}
-
 net::Task<AttemptResult> EndpointAttempt::Run()
 {
   const bool isOpen = co_await OpenConnection();
@@ -194,13 +162,6 @@
   co_return true;
 }
 
-void EndpointAttempt::ReportNotConnected()
-{
-  if (mContact != nullptr) {
-    mContact->OnNotConnected();
-  }
-}
-
 bool EndpointAttempt::AcceptsRequest() const
 {
   const bool isWithinLimit = mHasPermit || !mEndpoint->mRateLimit.IsLimited();
@@ -344,7 +305,7 @@
              " did not run");
     return;
   }
-  if (IsSuccess(status) && !mResponse.mHasSignature) {
+  if (net::IsSuccess(status) && !mResponse.mHasSignature) {
     Finish(AttemptOutcome::Interrupted, false, "success status without the endpoint's signature");
   }
 }
@@ -364,85 +325,11 @@
   if (mResponse.mIsLeaving) {
     mContext.mEndpoints.OnLeaving(mResponse.mPeerEndpoint);
   }
-  if (IsSuccess(mParser.Head().mStatus) && !mResponse.mHasSignature) {
+  if (net::IsSuccess(mParser.Head().mStatus) && !mResponse.mHasSignature) {
     Finish(AttemptOutcome::Interrupted, false, "success status without the endpoint's signature");
   }
 }
 
-void EndpointAttempt::ObserveEndpointState()
-{
-  if (IsResponseToThisRequest()) {
-    ObserveRateLimit();
-    ObserveLeaving();
-    ObserveRoom();
-  }
-  // Without an id it may answer an earlier request, but it comes from this endpoint all the same.
-  if (mResponse.mRequestId != ResponseRequestId::Other) {
-    ObservePause();
-  }
-}
-
-void EndpointAttempt::ObserveLeaving()
-{
-  if (!mResponse.mIsLeaving || mEndpoint->mHasAnnouncedLeaving) {
-    return;
-  }
-  mEndpoint->mHasAnnouncedLeaving = true;
-  LogChange(LogLevel::Info,
-            "endpoints",
-            "an endpoint stated in a response that it is leaving",
-            { { "endpoint", mEndpoint->mEntry.mId }, { "request", mRequest.mCallerRequest.mId } });
-}
-
-void EndpointAttempt::ObserveRoom()
-{
-  const auto inFlight = mEndpoint->mLoad.InFlight();
-  mEndpoint->mWindow.OnStated(mResponse.mIsBrittle, inFlight);
-  if (!mResponse.mDidNotRun) {
-    mEndpoint->mWindow.OnServed(inFlight);
-  } else if (mResponse.mIsBrittle && mContext.mPermits != nullptr) {
-    mContext.mPermits->OnFull(mEndpoint);
-  }
-}
-
-void EndpointAttempt::ObservePause()
-{
-  if (mResponse.mIsRetryAfterInvalid) {
-    CountPause("invalid");
-  }
-  if (mResponse.mRetryAfter) {
-    mEndpoint->mHold.Begin(*mResponse.mRetryAfter, mContext.mClock.Now(), Jitter());
-    CountPause("asked");
-    LogChange(LogLevel::Info,
-              "endpoints",
-              "an endpoint asked for a pause",
-              { { "endpoint", mEndpoint->mEntry.mId },
-                { "request", mRequest.mCallerRequest.mId },
-                { "pause_ms", std::to_string(mResponse.mRetryAfter->count()) } });
-  } else if (mIsTrial && IsResponseToThisRequest()) {
-    mEndpoint->mHold.OnTrialAnswered();
-  }
-}
-
-void EndpointAttempt::ObserveRateLimit()
-{
-  if (mResponse.mIsRateLimitInvalid) {
-    mContext.mMetrics.CounterOf("gentianloom_endpoint_limits_invalid_total").Add();
-    return;
-  }
-  const bool isCertain = mResponse.mRequestId == ResponseRequestId::Same;
-  if (isCertain && mContext.mPermits != nullptr) {
-    mContext.mPermits->OnStated(mEndpoint, mResponse.mRateLimit);
-  }
-}
-
-void EndpointAttempt::CountPause(std::string_view aKind) const
-{
-  mContext.mMetrics
-    .CounterOf("gentianloom_endpoint_pauses_total", "kind=\"" + std::string(aKind) + "\"")
-    .Add();
-}
-
 bool EndpointAttempt::IsUnprovedRefusal() const
 {
   const auto& statuses = kNotRunStatuses;
@@ -473,7 +360,7 @@
 
 void EndpointAttempt::OnResponseBody()
 {
-  if (!IsStream() || !IsSuccess(mParser.Head().mStatus)) {
+  if (!IsStream() || !net::IsSuccess(mParser.Head().mStatus)) {
     mContext.mBufferedBytes += mUnforwardedBody.size() - mCountedBytes;
     mCountedBytes = mUnforwardedBody.size();
     const bool isTooMuchTogether =
@@ -541,7 +428,7 @@
 void EndpointAttempt::OnResponseComplete()
 {
   const int status = mParser.Head().mStatus;
-  if (IsStream() && IsSuccess(status)) {
+  if (IsStream() && net::IsSuccess(status)) {
     if (IsStreamTruncated()) {
       Finish(AttemptOutcome::Interrupted, false, "the stream ended before its last event");
       return;
@@ -581,7 +468,8 @@
   const bool hasFailed =
     aOutcome == AttemptOutcome::Interrupted || aOutcome == AttemptOutcome::NotReached;
   if (hasFailed || aOutcome == AttemptOutcome::Done) {
-    const bool isServerError = aOutcome == AttemptOutcome::Done && mParser.Head().mStatus >= 500;
+    const bool isServerError =
+      aOutcome == AttemptOutcome::Done && mParser.Head().mStatus >= net::kFirstServerError;
     mEndpoint->mLoad.OnOutcome(hasFailed || isServerError, now);
   }
 }
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/relay/RequestExchange.h"
 
 #include "gentianloom/base/Ids.h"
+#include "gentianloom/net/HttpStatus.h"
 #include "gentianloom/outcome/RetryAfter.h"
 #include "gentianloom/relay/RequestFingerprint.h"
 
@@ -26,24 +27,12 @@
 /// is needed to serve it.
 constexpr int kMaxReserveWaitDivisor = 3;
 
-/// Other instances that are asked to serve a request, one after the other.
-constexpr int kMaxPeerAttempts = 3;
 /// Requests that this instance serves for others at a time, on top of those of its own callers.
 constexpr int kMaxPeerRequests = 96;
 
 /// Endpoints with a rate limit that may turn a request away; after them it goes to one without.
 constexpr int kMaxDenials = 3;
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kPaymentRequired = 402;
-constexpr int kNotFound = 404;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 std::string ToSecondsText(Millis aTime)
 {
   std::array<char, 32> buf{};
@@ -118,7 +107,7 @@
 {
   auto request = mContext.mCodec.Decode(mHead);
   if (!request) {
-    SendError(kBadRequest, request.error());
+    SendError(net::kBadRequest, request.error());
     return false;
   }
   mRequest = std::move(request.value());
@@ -128,7 +117,7 @@
                            "peer",
                            "this instance serves no further requests of other instances");
     error.mRetryAfter = kRetryAfter;
-    SendError(kUnavailable, error);
+    SendError(net::kUnavailable, error);
     return false;
   }
   if (mContext.mRejectsNewRequests) {
@@ -138,7 +127,7 @@
       "self",
       "this instance is shutting down; the request did not run; retry on another instance");
     error.mRetryAfter = Millis(0);
-    SendError(kUnavailable, error);
+    SendError(net::kUnavailable, error);
     return false;
   }
   mRoutes = mContext.mRoutes;
@@ -148,12 +137,12 @@
                            "self",
                            "no configuration has been loaded yet; the request did not run");
     error.mRetryAfter = kRetryAfter;
-    SendError(kUnavailable, error);
+    SendError(net::kUnavailable, error);
     return false;
   }
   mRoute = mRoutes->Find(mRequest.mHost, mRequest.mPath);
   if (mRoute == nullptr) {
-    SendError(kNotFound,
+    SendError(net::kNotFound,
               MakeError(ErrorCode::UnknownPath,
                         Step::RequestAccept,
                         "caller",
@@ -165,7 +154,7 @@
   if (mRoutes->HasAccounts()) {
     mAccount = mRoutes->AccountByKey(mRequest.mApiKey);
     if (mAccount == nullptr && !mRoute->mAllowsAnonymous) {
-      SendError(kUnauthorized,
+      SendError(net::kUnauthorized,
                 MakeError(ErrorCode::NotAuthenticated,
                           Step::RequestAuthenticate,
                           "caller",
@@ -255,7 +244,7 @@
                          mService,
                          std::string(aReason) + "; the request did not run");
   error.mRetryAfter = kRetryAfter;
-  SendError(kUnavailable, error);
+  SendError(net::kUnavailable, error);
 }
 
 net::Task<bool> RequestExchange::ReserveTokens()
@@ -266,7 +255,7 @@
   }
   const auto maxTokens = mRequest.MaxTokens();
   if (!maxTokens) {
-    SendError(kBadRequest,
+    SendError(net::kBadRequest,
               MakeError(ErrorCode::MalformedRequest,
                         Step::RequestReserve,
                         "caller",
@@ -297,7 +286,7 @@
     return;
   }
   if (mReservation.mOutcome == ReservationOutcome::Exhausted) {
-    SendError(kPaymentRequired,
+    SendError(net::kPaymentRequired,
               MakeError(ErrorCode::BudgetExhausted,
                         Step::RequestReserve,
                         mAccount->mName,
@@ -310,7 +299,7 @@
                          mAccount->mName,
                          "tokens cannot be reserved at the moment; the request did not run");
   error.mRetryAfter = EstimateRetryAfter(mReservation.mOutage);
-  SendError(kUnavailable, error);
+  SendError(net::kUnavailable, error);
 }
 
 net::Task<void> RequestExchange::Place()
@@ -395,52 +384,6 @@
   return attempts < mRoute->mMaxAttempts && mContext.mRetryBudgets.Of(mService).TryTake();
 }
 
-bool RequestExchange::IsContactLost() const
-{
-  const auto it = mContext.mContacts.find(mService);
-  return it != mContext.mContacts.end() && it->second.IsLost();
-}
-
-bool RequestExchange::WasNoEndpointReached() const
-{
-  return !mRequestMayHaveRun && !mTriedEndpoints.empty() &&
-         mNotReachedAttempts == mTriedEndpoints.size();
-}
-
-bool RequestExchange::MayAskPeers() const
-{
-  return mContext.mPeers != nullptr && mSource == RequestSource::Caller && WasNoEndpointReached() &&
-         !mWriter.IsCallerDisconnected() && TimeLeft() > Micros(0);
-}
-
-net::Task<void> RequestExchange::RunAtPeers()
-{
-  SettleTokens(); // the instance that serves the request reserves them for itself
-  const bool isCallers = mContext.mPeers != nullptr && mSource == RequestSource::Caller;
-  for (int n = 0; isCallers && n < kMaxPeerAttempts && TimeLeft() > Micros(0); ++n) {
-    mPlacement = {};
-    mPlacement.mEndpoint = mContext.mPeers->Choose(mService, mTriedPeers);
-    if (!mPlacement.mEndpoint) {
-      break;
-    }
-    co_await RunAttempt();
-    mTriedPeers.push_back(mPlacement.mEndpoint->mEntry.mId);
-    if (mLastAttempt.mOutcome == AttemptOutcome::Done ||
-        mLastAttempt.mOutcome == AttemptOutcome::CallerDisconnected) {
-      co_return;
-    }
-    const bool mayTryNext = mLastAttempt.mOutcome == AttemptOutcome::NotReached;
-    LogFailedAttempt(mayTryNext);
-    if (!mayTryNext) {
-      break;
-    }
-  }
-  if (!mRequestMayHaveRun) {
-    mFailureReason = "no endpoint of " + mService + " can be reached";
-  }
-  ReportFailedAttempts();
-}
-
 net::Task<void> RequestExchange::RunAttempt()
 {
   const AttemptRequest request{ mHead,
@@ -524,11 +467,11 @@
                            mService,
                            "no endpoint accepted the request; it did not run");
     error.mRetryAfter = RetryAfterRefusal();
-    SendError(kUnavailable, error);
+    SendError(net::kUnavailable, error);
     return;
   }
   const bool isTimedOut = mLastAttempt.mOutcome == AttemptOutcome::TimedOut;
-  SendError(isTimedOut ? kGatewayTimeout : kBadGateway,
+  SendError(isTimedOut ? net::kGatewayTimeout : net::kBadGateway,
             MakeError(isTimedOut ? ErrorCode::DeadlineExceeded : ErrorCode::EndpointFailed,
                       Step::RequestRelay,
                       mTriedPeers.empty() ? mTriedEndpoints.back() : mTriedPeers.back(),
@@ -552,70 +495,6 @@
                        "{\"error\":\"" + std::string(ToString(aError.mCode)) + "\"}");
 }
 
-std::string RequestExchange::Fingerprint() const
-{
-  return mCrashKeys.empty() ? std::string() : mCrashKeys.front();
-}
-
-std::span<const std::string> RequestExchange::PartKeys() const
-{
-  return std::span(mCrashKeys).subspan(1);
-}
-
-std::optional<Millis> RequestExchange::BlockedFor() const
-{
-  return mContext.mGuard == nullptr ? std::nullopt : mContext.mGuard->BlockedFor(mCrashKeys);
-}
-
-void RequestExchange::RejectBlocked(Millis aTime)
-{
-  auto error = MakeError(ErrorCode::RequestCrashesEndpoints,
-                         Step::RequestPlace,
-                         mService,
-                         "endpoints ended one after the other under this request or under others "
-                         "that share a part of its prompt; it did not run");
-  error.mRetryAfter = aTime;
-  SendError(kUnavailable, error);
-}
-
-net::Task<bool> RequestExchange::PassGuard()
-{
-  if (!BlockedFor()) {
-    co_return true;
-  }
-  mIsTrial = co_await mContext.mGuard->TakeTrial(mCrashKeys);
-  if (mIsTrial) {
-    co_return true;
-  }
-  const auto blockedFor = BlockedFor();
-  if (blockedFor) {
-    RejectBlocked(*blockedFor);
-  }
-  co_return !blockedFor;
-}
-
-void RequestExchange::ReportToGuard()
-{
-  const auto& end = mLastAttempt.mResponseEnd;
-  if (mContext.mGuard == nullptr || !end.mAfterSending) {
-    return;
-  }
-  const auto sentAt = mContext.mClock.Now() - *end.mAfterSending;
-  const std::span<const std::string> keys = mCrashKeys;
-  if (mLastAttempt.mOutcome == AttemptOutcome::Done) {
-    // An error response shows nothing of the prompt: it may come before the endpoint reads it.
-    const bool isSuccess = mWriter.Status() >= kOk && mWriter.Status() < kMultipleChoices;
-    mContext.mGuard->OnSurvived(isSuccess ? keys : keys.first(1), sentAt);
-    return;
-  }
-  const bool isWriting =
-    end.mSinceFirstEvent && *end.mSinceFirstEvent >= RequestGuard::kBeginOfResponse;
-  if (mLastAttempt.mOutcome == AttemptOutcome::Interrupted &&
-      end.mConnection != net::ChannelState::Open && !isWriting) {
-    mContext.mGuard->OnInterrupted(mCrashKeys, sentAt, mPlacement.mEndpoint->mEntry.mAddress);
-  }
-}
-
 void RequestExchange::SettleTokens()
 {
   if (mReservation.mTokens == 0) {
--- /dev/null
+++ b/src/relay/RequestExchangePeers.cpp
@@ -0,0 +1,58 @@
+#include "gentianloom/relay/RequestExchange.h"
+
+namespace gentianloom {
+
+namespace {
+
+/// Other instances that are asked to serve a request, one after the other.
+constexpr int kMaxPeerAttempts = 3;
+
+} // namespace
+
+bool RequestExchange::IsContactLost() const
+{
+  const auto it = mContext.mContacts.find(mService);
+  return it != mContext.mContacts.end() && it->second.IsLost();
+}
+
+bool RequestExchange::WasNoEndpointReached() const
+{
+  return !mRequestMayHaveRun && !mTriedEndpoints.empty() &&
+         mNotReachedAttempts == mTriedEndpoints.size();
+}
+
+bool RequestExchange::MayAskPeers() const
+{
+  return mContext.mPeers != nullptr && mSource == RequestSource::Caller && WasNoEndpointReached() &&
+         !mWriter.IsCallerDisconnected() && TimeLeft() > Micros(0);
+}
+
+net::Task<void> RequestExchange::RunAtPeers()
+{
+  SettleTokens(); // the instance that serves the request reserves them for itself
+  const bool isCallers = mContext.mPeers != nullptr && mSource == RequestSource::Caller;
+  for (int n = 0; isCallers && n < kMaxPeerAttempts && TimeLeft() > Micros(0); ++n) {
+    mPlacement = {};
+    mPlacement.mEndpoint = mContext.mPeers->Choose(mService, mTriedPeers);
+    if (!mPlacement.mEndpoint) {
+      break;
+    }
+    co_await RunAttempt();
+    mTriedPeers.push_back(mPlacement.mEndpoint->mEntry.mId);
+    if (mLastAttempt.mOutcome == AttemptOutcome::Done ||
+        mLastAttempt.mOutcome == AttemptOutcome::CallerDisconnected) {
+      co_return;
+    }
+    const bool mayTryNext = mLastAttempt.mOutcome == AttemptOutcome::NotReached;
+    LogFailedAttempt(mayTryNext);
+    if (!mayTryNext) {
+      break;
+    }
+  }
+  if (!mRequestMayHaveRun) {
+    mFailureReason = "no endpoint of " + mService + " can be reached";
+  }
+  ReportFailedAttempts();
+}
+
+} // namespace gentianloom
--- a/src/relay/ResponseWriter.cpp
+++ b/src/relay/ResponseWriter.cpp
@@ -1,12 +1,11 @@
 #include "gentianloom/relay/ResponseWriter.h"
 
+#include "gentianloom/net/HttpStatus.h"
+
 namespace gentianloom {
 
 namespace {
 
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-
 } // namespace
 
 void ResponseWriter::AddConnectionHeader(net::ResponseHead& aHead) const
@@ -19,7 +18,7 @@
 {
   AddConnectionHeader(aHead);
   mStatus = aHead.mStatus;
-  const bool hasNoBody = aHead.mStatus == kNoContent || aHead.mStatus == kNotModified;
+  const bool hasNoBody = aHead.mStatus == net::kNoContent || aHead.mStatus == net::kNotModified;
   const auto framing = hasNoBody ? net::Framing::None : net::Framing::Length;
   mChannel.Send(net::SerializeResponseHead(aHead, framing, aBody.size()).append(aBody));
   mState = ResponseState::Complete;
