--- a/include/gentianloom/net/HttpStatus.h
+++ b/include/gentianloom/net/HttpStatus.h
@@ -3,29 +3,26 @@
 
 namespace gentianloom::net {
 
-/// Status codes of HTTP responses that this system sends or tells apart.
-enum HttpStatus : int
-{
-  kOk = 200,
-  kNoContent = 204,
-  kMultipleChoices = 300,
-  kNotModified = 304,
-  kBadRequest = 400,
-  kUnauthorized = 401,
-  kPaymentRequired = 402,
-  kNotFound = 404,
-  kRequestTimeout = 408,
-  kGone = 410,
-  kPreconditionFailed = 412,
-  kBodyTooLarge = 413,
-  kMisdirectedRequest = 421,
-  kTooManyRequests = 429,
-  kHeadTooLarge = 431,
-  kFirstServerError = 500,
-  kBadGateway = 502,
-  kUnavailable = 503,
-  kGatewayTimeout = 504
-};
+// Status codes of HTTP responses that this system sends or tells apart.
+inline constexpr int kOk = 200;
+inline constexpr int kNoContent = 204;
+inline constexpr int kMultipleChoices = 300;
+inline constexpr int kNotModified = 304;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kPaymentRequired = 402;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kGone = 410;
+inline constexpr int kPreconditionFailed = 412;
+inline constexpr int kBodyTooLarge = 413;
+inline constexpr int kMisdirectedRequest = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kHeadTooLarge = 431;
+inline constexpr int kFirstServerError = 500;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
 
 /// @brief Whether a status is that of a success.
 constexpr bool IsSuccess(int aStatus)
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -50,7 +50,7 @@
 {
   const bool isBrittle = IsBrittle(aEntry.mService);
   const auto removed = mRemoved.find(aEntry.mId);
-  const auto known = removed == mRemoved.end() ? nullptr : removed->second.mEndpoint;
+  auto known = removed == mRemoved.end() ? nullptr : removed->second.mEndpoint;
   mRemoved.erase(aEntry.mId);
   if (known && IsSameProcess(known->mEntry, aEntry)) {
     return known;
--- a/tests/gateway/ForwardingPeersTest.cpp
+++ b/tests/gateway/ForwardingPeersTest.cpp
@@ -66,6 +66,7 @@
   static std::vector<std::string> All()
   {
     std::vector<std::string> out;
+    out.reserve(kInstances);
     for (int n = 0; n < kInstances; ++n) {
       out.push_back("a" + std::to_string(n));
     }
