--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -460,12 +460,13 @@
     return;
   }
   if (!mRequestMayHaveRun) {
-    const bool mayPeerReachOne =
-      mSource != RequestSource::Caller && (WasNoEndpointReached() || IsContactLost());
-    auto error = MakeError(mayPeerReachOne ? ErrorCode::NoEndpoint : ErrorCode::Overloaded,
+    const bool isNoneReached = WasNoEndpointReached() || IsContactLost();
+    const bool mayAnotherReachOne = isNoneReached && mSource != RequestSource::Caller;
+    auto error = MakeError(mayAnotherReachOne ? ErrorCode::NoEndpoint : ErrorCode::Overloaded,
                            Step::RequestDispatch,
                            mService,
-                           "no endpoint accepted the request; it did not run");
+                           isNoneReached ? "no endpoint can be reached; the request did not run"
+                                         : "no endpoint accepted the request; it did not run");
     error.mRetryAfter = RetryAfterRefusal();
     SendError(net::kUnavailable, error);
     return;
--- a/src/relay/RequestExchangePeers.cpp
+++ b/src/relay/RequestExchangePeers.cpp
@@ -30,8 +30,8 @@
 net::Task<void> RequestExchange::RunAtPeers()
 {
   SettleTokens(); // the instance that serves the request reserves them for itself
-  const bool isCallers = mContext.mPeers != nullptr && mSource == RequestSource::Caller;
-  for (int n = 0; isCallers && n < kMaxPeerAttempts && TimeLeft() > Micros(0); ++n) {
+  const bool mayAskOthers = mContext.mPeers != nullptr && mSource == RequestSource::Caller;
+  for (int n = 0; mayAskOthers && n < kMaxPeerAttempts && TimeLeft() > Micros(0); ++n) {
     mPlacement = {};
     mPlacement.mEndpoint = mContext.mPeers->Choose(mService, mTriedPeers);
     if (!mPlacement.mEndpoint) {
@@ -49,9 +49,6 @@
       break;
     }
   }
-  if (!mRequestMayHaveRun) {
-    mFailureReason = "no endpoint of " + mService + " can be reached";
-  }
   ReportFailedAttempts();
 }
 
