Test: the pause of a lapsed entry counts from the refusal

It took the end of all its calls for the time of the refusal; a call tries the other endpoint after the refusal, so up to 0.8 s later, and the pause of 1.5 s ended within the window of the test. It now counts from the endpoint's last refusal, as the rule does.

--- a/tests/platform/retry_after_test.py
+++ b/tests/platform/retry_after_test.py
@@ -13,6 +13,7 @@
 AFTER_S = 0.5  # after the refusal; later requests count
 MAX_REQUESTS = 2  # that may reach the endpoint from then until the end of the time
 PROMPT_S = 0.5
+SLOW_S = 0.8  # from the arrival of a request until its refusal
 
 
 class RetryAfterTest(unittest.TestCase):
@@ -66,7 +67,7 @@
 
     # The pause was noted for an entry that had been replaced while the request was under way.
     def test_entry_lapses_while_a_request_is_refused(self):
-        slow = {"mode": "full", "refusal": {"Retry-After": str(HOLD_S)}, "refuse_after_s": 0.8}
+        slow = {"mode": "full", "refusal": {"Retry-After": str(HOLD_S)}, "refuse_after_s": SLOW_S}
         self.env.configure_workers(**slow)
         with concurrent.futures.ThreadPoolExecutor(8) as pool:
             calls = [pool.submit(self.env.call, "/send/x", f"lapse{n}") for n in range(8)]
@@ -76,7 +77,7 @@
             self.env.platform.list_endpoint(BUSY)
             for it in calls:
                 it.result()
-        refused_at = time.monotonic()
+        refused_at = self.arrivals()[-1] + SLOW_S
         self.env.configure_workers(mode="good", refuse_after_s=0)
         self.check_pause_is_kept(refused_at)
 
