ORDER: an instance reads the record of versions before it takes all for unrecorded

Cause: which versions are recorded is known to the instance that wrote the record; the others read it up to 0.75 s later. One that knew of no recorded version began streams at any.

Change: before a stream begins at an endpoint of an unrecorded version, the record is read once more (shared for 50 ms; after a failed read not for 1 s).

--- a/include/gentianloom/gateway/SoftwareVersionRecord.h
+++ b/include/gentianloom/gateway/SoftwareVersionRecord.h
@@ -57,6 +57,8 @@
 private:
   /// A result of Refresh() is shared by requests that arrive within this time.
   static constexpr Millis kRefreshInterval{ 50 };
+  /// Time after a failed Refresh() for which requests do not wait for another one.
+  static constexpr Millis kFailedRefreshPause{ 1'000 };
 
   net::Task<void> Run();
   /// Reads the record and adds it to the history. @return whether the store responded
@@ -74,6 +76,7 @@
   Revision mRevision = 0; ///< of the record when it was last read; 0: there was none
   SoftwareVersions mRecorded;
   bool mHasRead = false;
+  TimePoint mNoRefreshUntil{};
   TimePoint mRefreshedAt{}; ///< begin of the last read by Refresh() that succeeded
 };
 
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -65,7 +65,7 @@
   PlacementChoice ChooseEndpoint(bool aOnlyUnlimited);
   /// Leaves out endpoints whose software version a restarted instance would not know, unless there
   /// are no others.
-  void KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints) const;
+  void KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints);
   bool MayRetry(const AttemptResult& aResult);
   /// When an endpoint may accept a request that none accepted now.
   Millis RetryAfterRefusal() const;
@@ -111,6 +111,7 @@
   std::vector<std::string> mTriedPeers;     ///< addresses of other instances, one for each attempt
   AttemptResult mLastAttempt;
   PlacementChoice mPlacement;
+  bool mIsNoneRecorded = false; ///< the last placement knew no endpoint of a recorded version
   Micros mReserveDuration{ 0 }; ///< from the start of the request until its tokens were reserved
   std::string mFailureReason;   ///< set if the request was rejected or no attempt succeeded
 };
--- a/src/gateway/SoftwareVersionRecord.cpp
+++ b/src/gateway/SoftwareVersionRecord.cpp
@@ -141,8 +141,12 @@
   if (begin - mRefreshedAt < kRefreshInterval) {
     co_return true;
   }
+  if (begin < mNoRefreshUntil) {
+    co_return false;
+  }
   const auto answer = co_await mStore.Range(std::string(kSoftwareVersionKey));
   if (!answer) {
+    mNoRefreshUntil = mClock.Now() + kFailedRefreshPause;
     co_return false;
   }
   const bool isValid = Load(answer.value().mEntries);
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -306,6 +306,11 @@
 {
   for (int denials = 0;; ++denials) {
     mPlacement = ChooseEndpoint(denials >= kMaxDenials);
+    if (mIsNoneRecorded && mContext.mRecordedVersions != nullptr) {
+      // Another instance may have recorded one that this instance has not read yet.
+      co_await mContext.mRecordedVersions->Refresh();
+      mPlacement = ChooseEndpoint(denials >= kMaxDenials);
+    }
     const bool needsPermit = mPlacement.mEndpoint && mContext.mPermits != nullptr &&
                              mPlacement.mEndpoint->mRateLimit.IsLimited();
     if (!needsPermit) {
@@ -351,14 +356,15 @@
   return ChoosePlainEndpoint(request, usable, now);
 }
 
-void RequestExchange::KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints) const
+void RequestExchange::KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints)
 {
   const auto firstUnrecorded =
     std::stable_partition(aEndpoints.begin(), aEndpoints.end(), [this](const auto& it) {
       return mContext.mVersionHistory.IsRecorded(mService, it->mEntry.mSoftwareVersion);
     });
   // An endpoint of an unrecorded version is better than none.
-  if (firstUnrecorded != aEndpoints.begin()) {
+  mIsNoneRecorded = firstUnrecorded == aEndpoints.begin() && !aEndpoints.empty();
+  if (!mIsNoneRecorded) {
     aEndpoints.erase(firstUnrecorded, aEndpoints.end());
   }
 }
--- a/tests/platform/stream_version_test.py
+++ b/tests/platform/stream_version_test.py
@@ -184,6 +184,19 @@
                 self.assertIn(response.status, (200, 503))
                 self.assertLessEqual(joined, {VERSIONS[name]})
 
+    # An instance that had not read the record yet took all versions for unrecorded, and began at any.
+    def test_version_that_another_instance_recorded_a_moment_ago(self):
+        self.stop_prepaying()
+        self.kill_all()
+        self.platform.send_command(remove=VERSION_KEY)
+        self.platform.send_command(store_mode="read-only")
+        self.first.start()
+        self.platform.send_command(put=VERSION_KEY, value={"pool": ["v1"]})
+        for number in range(4):
+            self.begin(self.first, f"moment{number}", number)
+        begun = {VERSIONS[it] for n in range(4) for it in self.endpoints_of(f"moment{n}")}
+        self.assertEqual({"v1"}, begun)
+
     def stop_prepaying(self):
         """Lets requests be served while the store takes no transactions."""
         free = configuration(8)
