An instance that reaches no endpoint reports no prompts that wait there

What callers saw: nothing by itself; other instances placed prompts elsewhere than they would have.

Cause: an instance reports the prompt tokens that it has sent and that wait at each endpoint.

Change: endpoints of services whose contact is lost are left out of the report; the next report clears what was reported before.

--- a/include/gentianloom/gateway/PeerLoadExchange.h
+++ b/include/gentianloom/gateway/PeerLoadExchange.h
@@ -5,6 +5,7 @@
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/gateway/PeerSocket.h"
 #include "gentianloom/net/Signal.h"
+#include "gentianloom/routing/EndpointContact.h"
 #include "gentianloom/routing/EndpointRegistry.h"
 
 #include <functional>
@@ -59,12 +60,15 @@
    * @param aIncarnation unique ID of this run of the process
    * @param aPeerAddresses returns the current addresses of the other instances, IP:PORT
    * @param aEndpoints source of the load to send, and target of the load received
+   * @param aContacts tells which services this instance reaches; of the others it reports nothing,
+   *        since what it sent there may never have arrived
    */
   PeerLoadExchange(net::Loop& aLoop,
                    PeerSocket& aSocket,
                    std::string aIncarnation,
                    std::function<std::vector<std::string>()> aPeerAddresses,
                    EndpointRegistry& aEndpoints,
+                   const EndpointContacts& aContacts,
                    const Clock& aClock,
                    Metrics& aMetrics);
 
@@ -85,6 +89,7 @@
   std::string mIncarnation;
   std::function<std::vector<std::string>()> mPeerAddresses;
   EndpointRegistry& mEndpoints;
+  const EndpointContacts& mContacts;
   const Clock& mClock;
   Metrics& mMetrics;
   net::Signal mSendSignal;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -112,6 +112,7 @@
       mSelf.mIncarnation,
       [this] { return mInstances.PeerAddresses(mSelf.mName); },
       mRelay.mEndpoints,
+      mRelay.mContacts,
       aClock,
       mMetrics)
   , mStreamOrigins(
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -82,6 +82,7 @@
                                    std::string aIncarnation,
                                    std::function<std::vector<std::string>()> aPeerAddresses,
                                    EndpointRegistry& aEndpoints,
+                                   const EndpointContacts& aContacts,
                                    const Clock& aClock,
                                    Metrics& aMetrics)
   : mLoop(aLoop)
@@ -89,6 +90,7 @@
   , mIncarnation(std::move(aIncarnation))
   , mPeerAddresses(std::move(aPeerAddresses))
   , mEndpoints(aEndpoints)
+  , mContacts(aContacts)
   , mClock(aClock)
   , mMetrics(aMetrics)
   , mSendSignal(aLoop)
@@ -125,7 +127,9 @@
   std::size_t sentBytes = 0;
   PeerLoadMessage message{ mIncarnation, ++mSequence, {} };
   for (const auto& [id, it] : mEndpoints.All()) {
-    const auto tokens = it->mLoad.PendingPrefillTokens();
+    const auto contact = mContacts.find(it->mEntry.mService);
+    const bool isLost = contact != mContacts.end() && contact->second.IsLost();
+    const auto tokens = isLost ? 0 : it->mLoad.PendingPrefillTokens();
     if (tokens >= kMinReportedTokens && message.mPending.size() < kMaxReportedEndpoints) {
       message.mPending.push_back({ it->mHash, tokens });
     }
--- a/tests/gateway/PeerLoadExchangeTest.cpp
+++ b/tests/gateway/PeerLoadExchangeTest.cpp
@@ -18,7 +18,7 @@
   CPPUNIT_TEST(TestMalformedDatagrams);
   CPPUNIT_TEST(TestTokensOutOfRange);
   CPPUNIT_TEST(TestTrafficOfLargeFleet);
-  CPPUNIT_TEST(TestShortPrompts);
+  CPPUNIT_TEST(TestReportedPrompts);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,8 +101,9 @@
     std::vector<std::string> peers(kPeers, address);
     PeerSocket socket(loop, metrics);
     CPPUNIT_ASSERT(socket.Start("127.0.0.1:" + std::to_string(FreeUdpPort(loop))));
+    const EndpointContacts contacts;
     PeerLoadExchange exchange(
-      loop, socket, "run-1", [&] { return peers; }, registry, clock, metrics);
+      loop, socket, "run-1", [&] { return peers; }, registry, contacts, clock, metrics);
     exchange.Start();
     const auto start = clock.Now();
     CPPUNIT_ASSERT(testing::RunUntil(loop, [&] {
@@ -119,21 +120,31 @@
   }
 
   // Most prompts are short. With a message to every peer when each of them is sent and read, 195
-  // instances exchanged more bytes than they forwarded for callers.
-  void TestShortPrompts()
+  // instances exchanged more bytes than they forwarded for callers. An instance that reaches no
+  // endpoint reported prompts that had never arrived.
+  void TestReportedPrompts()
   {
     struct Row
     {
       std::int64_t mTokens;
+      bool mIsContactLost;
       bool mIsReported;
     };
-    for (const auto& row : { Row{ 600, false }, Row{ 1'800, false }, Row{ 6'000, true } }) {
+    const Row rows[] = {
+      { 600, false, false }, { 1'800, false, false }, { 6'000, false, true }, { 6'000, true, false }
+    };
+    for (const auto& row : rows) {
+      EndpointContacts contacts;
+      if (row.mIsContactLost) {
+        contacts["pool"].OnNoneReached(0, TimePoint{});
+      }
       net::Loop loop(1);
       const SystemClock clock;
       Metrics metrics;
       EndpointRegistry registry;
       EndpointEntry entry;
       entry.mId = "e";
+      entry.mService = "pool";
       registry.Put(entry, clock.Now());
       auto& load = registry.All().at("e")->mLoad;
       boost::asio::ip::udp::socket peer(loop, { boost::asio::ip::address_v4::loopback(), 0 });
@@ -141,7 +152,14 @@
       PeerSocket socket(loop, metrics);
       CPPUNIT_ASSERT(socket.Start("127.0.0.1:" + std::to_string(FreeUdpPort(loop))));
       PeerLoadExchange exchange(
-        loop, socket, "run-1", [&] { return std::vector{ address }; }, registry, clock, metrics);
+        loop,
+        socket,
+        "run-1",
+        [&] { return std::vector{ address }; },
+        registry,
+        contacts,
+        clock,
+        metrics);
       exchange.Start();
       const auto notify = [&] {
         exchange.NotifyChange();
