RECOVER: requests that hang when contact is lost are given to another instance

What callers saw: requests on kept connections that fell silent with a cut waited for their deadline.

Cause: what an instance learned about its contact was used for requests that came later only.

Change: when contact is lost and no endpoint has sent anything meanwhile, requests that may run more than once and have no response yet end their attempt and go to another instance, as a retry (retry budget, max-attempts, guard). Where kept connections still work, nothing is told. A request whose first attempt was interrupted and that then reaches nobody goes there too. The first instance holds its reservation until the other one has served the request, so tokens are charged once.

Tests added for what already held: deadline and log lines of both instances, a caller that leaves, the serving instance killed (502 or 200, at most one run) and stopped (all served).

--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -71,7 +71,7 @@
  * response with no bytes after it. Otherwise it is closed, so that the endpoint cancels the
  * request.
  */
-class EndpointAttempt
+class EndpointAttempt final : private EndpointContact::Listener
 {
 public:
   /// @param aSignal is notified when data arrives on a connection or its state changes
@@ -81,7 +81,7 @@
                   ResponseWriter& aWriter,
                   StreamProgress& aProgress,
                   std::shared_ptr<net::Signal> aSignal);
-  ~EndpointAttempt();
+  ~EndpointAttempt() override;
   EndpointAttempt(const EndpointAttempt&) = delete;
   EndpointAttempt& operator=(const EndpointAttempt&) = delete;
 
@@ -94,6 +94,7 @@
   net::Task<AttemptResult> Run();
 
 private:
+  void OnContactLost() override;
   net::Task<bool> OpenConnection();
   net::Task<void> ReceiveResponse();
   void SendRequest();
@@ -159,6 +160,7 @@
   net::Channel::Ptr mChannel;
   std::size_t mBytesSentBefore = 0; ///< bytes that earlier requests sent on the connection
   bool mIsRequestSent = false;
+  bool mIsContactLost = false; ///< see EndpointContact::Listener
   TimePoint mRequestSentAt{};
   net::ResponseParser mParser;
   bool mIsHeadReceived = false;
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -49,13 +49,14 @@
   net::Task<bool> ReserveTokens();
   void OnTokensNotReserved(Tokens aTokens); ///< responds by mReservation
   net::Task<void> RunAttempts();
-  /// Lets other instances serve the request. No endpoint has received it yet.
+  /// Lets other instances serve the request.
   net::Task<void> RunAtPeers();
   /// Makes one attempt at the endpoint or instance of mPlacement.
   net::Task<void> RunAttempt();
   /// Whether this instance reaches no endpoint of the request's service.
   bool IsContactLost() const;
-  /// Whether the request may be given to another instance, because no endpoint was reached.
+  /// Whether another instance may serve the request: nothing was sent to the caller, and it has not
+  /// run or may run again.
   bool MayAskPeers() const;
   /// Whether endpoints were tried and none of them accepted a connection.
   bool WasNoEndpointReached() const;
@@ -72,12 +73,16 @@
   void ReportFailedAttempts(); ///< aborts a started stream, otherwise sends an error response
   void SendError(int aStatus, const Error& aError);
   void SettleTokens();
+  /// Gives the reserved tokens back unused.
+  void ReleaseTokens();
   /// The same for all repetitions of the request; empty if it was not admitted.
   std::string Fingerprint() const;
   /// Keys of the shared parts of the prompt.
   std::span<const std::string> PartKeys() const;
   /// For how long no endpoint may get the request, because of what it does to them.
   std::optional<Millis> BlockedFor() const;
+  /// Whether endpoints ended under the request, so that it is not sent again.
+  bool IsSuspect() const;
   void RejectBlocked(Millis aTime);
   /// Responds if the request is blocked and no trial can be taken. @return whether it may be sent
   net::Task<bool> PassGuard();
--- a/src/gateway/EndpointContactMonitor.cpp
+++ b/src/gateway/EndpointContactMonitor.cpp
@@ -106,7 +106,7 @@
   }
   const auto spread = (1 - kTrialSpread / 2 + kTrialSpread * Jitter()) * kTrialInterval;
   mNextTrialAt[aService] = mClock.Now() + std::chrono::duration_cast<Micros>(spread);
-  if (contact.OnNoneReached(connectionsBefore)) {
+  if (contact.OnNoneReached(connectionsBefore, mClock.Now())) {
     OnLost(aService);
   }
   co_return !contact.IsLost();
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -71,6 +71,9 @@
 
 EndpointAttempt::~EndpointAttempt()
 {
+  if (mContact != nullptr) {
+    mContact->RemoveListener(*this);
+  }
   mEndpoint->mLoad.OnEnded(mLoadHandle);
   if (mIsTrial) {
     mEndpoint->mHold.OnTrialEnded();
@@ -198,6 +201,7 @@
   mRequestSentAt = mContext.mClock.Now();
   if (mContact != nullptr) {
     mContact->OnRequestSent(mRequestSentAt);
+    mContact->AddListener(*this);
   }
   mEndpoint->mLoad.Cache().Touch(mRequest.mCallerRequest.mPromptParts);
   NotifyPendingTokensChanged();
@@ -211,6 +215,11 @@
       Finish(AttemptOutcome::CallerDisconnected, false, "the caller disconnected");
       break;
     }
+    // Only what may run twice is given to another instance; the rest may be running here.
+    if (mIsContactLost && !mIsHeadReceived && mRequest.mRoute.IsRepeatable()) {
+      Finish(AttemptOutcome::Interrupted, false, "contact with all endpoints was lost");
+      break;
+    }
     const bool isCallerSlow = mWriter.UnsentBytes() > kMaxUnsentBytes;
     if (!isCallerSlow && ProcessReceived()) {
       continue;
--- a/src/relay/EndpointAttemptState.cpp
+++ b/src/relay/EndpointAttemptState.cpp
@@ -109,6 +109,12 @@
   }
 }
 
+void EndpointAttempt::OnContactLost()
+{
+  mIsContactLost = true;
+  mSignal->Notify();
+}
+
 void EndpointAttempt::ReportNotConnected()
 {
   if (mContact != nullptr) {
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -377,9 +377,7 @@
   const bool isResumable = mRoute->mIsResumable && mProgress.mLastEventId;
   const bool isRetrySafe =
     aResult.mRequestDidNotRun || (mRoute->IsRepeatable() && (!isResponseStarted || isResumable));
-  const bool isSuspect =
-    mContext.mGuard != nullptr && (BlockedFor() || !mContext.mGuard->MayRetry(Fingerprint()));
-  if (!isRetrySafe || isSuspect || mWriter.IsCallerDisconnected() ||
+  if (!isRetrySafe || IsSuspect() || mWriter.IsCallerDisconnected() ||
       aResult.mOutcome == AttemptOutcome::TimedOut ||
       aResult.mOutcome == AttemptOutcome::CallerDisconnected || TimeLeft() <= Micros(0)) {
     return false;
@@ -418,8 +416,9 @@
     if (!isAllowed) {
       co_return;
     }
-    if (MayAskPeers() && IsContactLost()) {
-      break;
+    if (!mTriedEndpoints.empty() && IsContactLost() && MayAskPeers()) {
+      co_await RunAtPeers();
+      co_return;
     }
     co_await Place();
     if (mWriter.IsCallerDisconnected()) {
@@ -443,7 +442,9 @@
     willRetry = MayRetry(mLastAttempt);
     LogFailedAttempt(willRetry);
   }
-  if (MayAskPeers()) {
+  const bool isNotReached =
+    !mTriedEndpoints.empty() && mLastAttempt.mOutcome == AttemptOutcome::NotReached;
+  if (isNotReached && MayAskPeers() && !IsSuspect()) {
     co_await RunAtPeers();
     co_return;
   }
@@ -520,4 +521,12 @@
   mReservation.mTokens = 0;
 }
 
+void RequestExchange::ReleaseTokens()
+{
+  if (mReservation.mTokens > 0) {
+    mContext.mReservations.Settle(mReservation, 0);
+    mReservation.mTokens = 0;
+  }
+}
+
 } // namespace gentianloom
--- a/src/relay/RequestExchangeGuard.cpp
+++ b/src/relay/RequestExchangeGuard.cpp
@@ -18,6 +18,11 @@
   return mContext.mGuard == nullptr ? std::nullopt : mContext.mGuard->BlockedFor(mCrashKeys);
 }
 
+bool RequestExchange::IsSuspect() const
+{
+  return mContext.mGuard != nullptr && (BlockedFor() || !mContext.mGuard->MayRetry(Fingerprint()));
+}
+
 void RequestExchange::RejectBlocked(Millis aTime)
 {
   auto error = MakeError(ErrorCode::RequestCrashesEndpoints,
--- a/src/relay/RequestExchangePeers.cpp
+++ b/src/relay/RequestExchangePeers.cpp
@@ -1,3 +1,4 @@
+#include "gentianloom/net/HttpStatus.h"
 #include "gentianloom/relay/RequestExchange.h"
 
 namespace gentianloom {
@@ -23,15 +24,18 @@
 
 bool RequestExchange::MayAskPeers() const
 {
-  return mContext.mPeers != nullptr && mSource == RequestSource::Caller && WasNoEndpointReached() &&
+  const bool isAllowed = mContext.mPeers != nullptr && mSource == RequestSource::Caller;
+  const bool isSafe = !mRequestMayHaveRun || mRoute->IsRepeatable();
+  return isAllowed && isSafe && mWriter.State() == ResponseState::NotStarted &&
          !mWriter.IsCallerDisconnected() && TimeLeft() > Micros(0);
 }
 
 net::Task<void> RequestExchange::RunAtPeers()
 {
-  SettleTokens(); // the instance that serves the request reserves them for itself
-  const bool mayAskOthers = mContext.mPeers != nullptr && mSource == RequestSource::Caller;
-  for (int n = 0; mayAskOthers && n < kMaxPeerAttempts && TimeLeft() > Micros(0); ++n) {
+  if (!mRequestMayHaveRun) {
+    SettleTokens(); // the instance that serves the request reserves them for itself
+  }
+  for (int n = 0; n < kMaxPeerAttempts && MayAskPeers(); ++n) {
     mPlacement = {};
     mPlacement.mEndpoint = mContext.mPeers->Choose(mService, mTriedPeers);
     if (!mPlacement.mEndpoint) {
@@ -39,8 +43,13 @@
     }
     co_await RunAttempt();
     mTriedPeers.push_back(mPlacement.mEndpoint->mEntry.mId);
-    if (mLastAttempt.mOutcome == AttemptOutcome::Done ||
-        mLastAttempt.mOutcome == AttemptOutcome::CallerDisconnected) {
+    if (mLastAttempt.mOutcome == AttemptOutcome::Done) {
+      if (net::IsSuccess(mWriter.Status())) {
+        ReleaseTokens(); // charged by the instance that served the request
+      }
+      co_return;
+    }
+    if (mLastAttempt.mOutcome == AttemptOutcome::CallerDisconnected) {
       co_return;
     }
     const bool mayTryNext = mLastAttempt.mOutcome == AttemptOutcome::NotReached;
--- a/tests/platform/instance_without_endpoints_test.py
+++ b/tests/platform/instance_without_endpoints_test.py
@@ -12,7 +12,7 @@
 import unittest
 
 from endpoint_links import HANG, REFUSE_NEW, RESET, Links
-from gateway_environment import Environment, Platform, Response, configuration
+from gateway_environment import ROUTES, Environment, Platform, Response, configuration
 
 ENDPOINTS = ["w1", "w2", "w3"]
 CONTACT_S = 3
@@ -25,6 +25,8 @@
 USAGE, MAX_TOKENS = "1000,50", 1050
 NEVER_RUN = (408, 421, 429, 503)
 PROMPT_S = 0.5
+GONE_S = 0.5
+HANDED_OVER_S = 2  # silence that calls for a check, the check, and the run at another instance
 RESTORED_S = 2  # after the cut, until requests go over the gateway's own connections again
 
 
@@ -155,6 +157,87 @@
         # The stand-in delivers 3 of the 50 events that a request allows.
         self.assertTrue(9 <= served <= 11, statuses)
 
+    def start_cut_off(self, gateways=2, **workers):
+        """A fleet without callers whose first gateway knows that it reaches no endpoint."""
+        fleet = self.start(gateways, senders=0)
+        fleet.platform.configure_workers(**workers)
+        fleet.links[0].cut(RESET)
+        fleet.call(0, "/read/x", "begin")
+        fleet.gateways[0].wait_for_log_line(lambda it: it["change"].startswith("no endpoint of a"))
+        return fleet
+
+    # An endpoint that got more time than is left would work for nobody, and an id has to lead to its cause.
+    def test_deadline_and_log_lines_of_both_instances(self):
+        fleet = self.start_cut_off()
+        self.assertEqual(200, fleet.call(0, "/send/x", "timed", {"X-Deadline-Ms": "700"})[0])
+        ran, = [it for it in fleet.platform.executed_requests()
+                if it["headers"]["X-Attempt-Id"] == "timed"]
+        self.assertLessEqual(int(ran["headers"]["X-Deadline-Ms"]), 700)
+        self.assertNotIn("X-Credential", ran["headers"])
+        lines = [[it for it in gateway.log_lines() if it.get("request") == "timed"
+                  and it["change"] == "request ended"] for gateway in fleet.gateways]
+        self.assertEqual([1, 1], [len(it) for it in lines])
+        self.assertEqual(f"127.0.0.1:{fleet.gateways[1].peer}", lines[0][0]["forwarded_to"])
+        self.assertEqual("instance", lines[1][0]["source"])
+
+    # Work went on for callers that had left, since a second instance did not see it.
+    def test_caller_that_leaves_ends_the_work(self):
+        head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: s\r\n" \
+               "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        fleet = self.start_cut_off()
+        fleet.platform.configure_workers(mode="raw", raw=head, raw_end="endless",
+                                         raw_repeat="d\r\ndata: token\n\n\r\n")
+        response = fleet.gateways[0].open_call("/resume/x", "left", {"X-Token-Usage": "1000,1000000"})
+        response.read1()
+        response.close()
+        at = time.monotonic()
+        fleet.gateways[0].wait(lambda: sum(
+            closed for _, closed in fleet.platform.send_command()["endless"].values()) > 0)
+        self.assertLess(time.monotonic() - at, GONE_S)
+
+    # A request that may have run at an instance that ended must not run again, nor be called "not run".
+    def test_instance_that_serves_is_killed(self):
+        fleet = self.start_cut_off(3, run_s=0.5)
+        with concurrent.futures.ThreadPoolExecutor(16) as pool:
+            calls = [pool.submit(fleet.call, 0, "/send/x", f"killed{n}") for n in range(16)]
+            fleet.gateways[0].wait(lambda: len(fleet.platform.executed_requests()) >= 8)
+            fleet.gateways[1].kill()
+            statuses = [it.result()[0] for it in calls]
+        self.assertIn(502, statuses)
+        self.assertIn(200, statuses)
+        self.check_runs(fleet)
+
+    # A planned stop of the instance that serves cut requests of others that it had accepted.
+    def test_instance_that_serves_is_stopped(self):
+        fleet = self.start_cut_off(2, run_s=0.5)
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            calls = [pool.submit(fleet.call, 0, "/send/x", f"stopped{n}") for n in range(8)]
+            fleet.gateways[0].wait(lambda: len(fleet.platform.executed_requests()) >= 8)
+            fleet.gateways[1].gateway.terminate()
+            self.assertEqual({200}, {it.result()[0] for it in calls})
+
+    # Requests on kept connections that fell silent waited for their deadline.
+    def test_requests_that_hang_at_the_cut(self):
+        fleet = self.start(2, senders=0)
+        fleet.platform.configure_workers(run_s=0.3, event_s=0)
+        patient = [it | {"timeout-ms": 4000} for it in ROUTES]
+        fleet.platform.send_command(put="op/config", value=configuration(9, PREPAID, routes=patient))
+        for it in fleet.gateways:
+            it.wait_for_log_line(lambda line: line.get("version") == "9")
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            for path in ("/read/x", "/resume/x"):
+                with self.subTest(path):
+                    for it in [pool.submit(fleet.call, 0, path, f"kept{path}{n}") for n in range(8)]:
+                        it.result()
+                    calls = [pool.submit(fleet.call, 0, path, f"hung{path}{n}") for n in range(8)]
+                    time.sleep(0.1)
+                    fleet.links[0].cut(HANG)
+                    results = [it.result() for it in calls]
+                    fleet.links[0].restore()
+                    self.assertEqual({200}, {status for status, _, _ in results})
+                    self.assertLess(max(duration for _, duration, _ in results), HANDED_OVER_S)
+                    time.sleep(RESTORED_S)
+
     # Any host could have requests served without the bounds that hold for callers.
     def test_requests_of_hosts_that_are_no_instances(self):
         fleet = self.start(1, senders=0)
--- a/tests/routing/EndpointContactTest.cpp
+++ b/tests/routing/EndpointContactTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(TestSilenceCallsForACheck);
   CPPUNIT_TEST(TestOneFailureIsNoLoss);
   CPPUNIT_TEST(TestOutdatedCheck);
+  CPPUNIT_TEST(TestRequestsAreToldOfSilenceOnly);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,9 +34,9 @@
     contact.OnNotConnected();
     CPPUNIT_ASSERT(contact.NeedsCheck(mNow));
     CPPUNIT_ASSERT(!contact.IsLost());
-    CPPUNIT_ASSERT(contact.OnNoneReached(contact.Connections()));
+    CPPUNIT_ASSERT(contact.OnNoneReached(contact.Connections(), mNow));
     CPPUNIT_ASSERT(contact.IsLost());
-    CPPUNIT_ASSERT(!contact.OnNoneReached(contact.Connections()));
+    CPPUNIT_ASSERT(!contact.OnNoneReached(contact.Connections(), mNow));
     contact.OnConnected();
     CPPUNIT_ASSERT(!contact.IsLost());
     CPPUNIT_ASSERT(!contact.NeedsCheck(mNow + Millis(10'000)));
@@ -47,10 +48,37 @@
     EndpointContact contact;
     const auto before = contact.Connections();
     contact.OnConnected();
-    CPPUNIT_ASSERT(!contact.OnNoneReached(before));
+    CPPUNIT_ASSERT(!contact.OnNoneReached(before, mNow));
     CPPUNIT_ASSERT(!contact.IsLost());
   }
 
+  // Requests on kept connections that still work would be sent again.
+  void TestRequestsAreToldOfSilenceOnly()
+  {
+    struct Request final : EndpointContact::Listener
+    {
+      void OnContactLost() override { ++mTold; }
+      int mTold = 0;
+    };
+    for (const bool isSilent : { false, true }) {
+      EndpointContact contact;
+      Request waiting;
+      Request ended;
+      contact.AddListener(waiting);
+      contact.AddListener(ended);
+      contact.RemoveListener(ended);
+      contact.OnRequestSent(mNow);
+      contact.OnNotConnected();
+      if (!isSilent) {
+        contact.OnBytesReceived();
+      }
+      contact.OnNoneReached(contact.Connections(), mNow + EndpointContact::kMaxSilence);
+      CPPUNIT_ASSERT(contact.IsLost());
+      CPPUNIT_ASSERT_EQUAL(isSilent ? 1 : 0, waiting.mTold);
+      CPPUNIT_ASSERT_EQUAL(0, ended.mTold);
+    }
+  }
+
 private:
   TimePoint mNow{ Millis(1'000) };
 };
