--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -74,12 +74,16 @@
             self.revision += 1
             self.history.append({"key": key, "rev": self.revision, "deleted": True})
 
+    def end_lease(self, lease):
+        """Ends a lease, and removes its keys."""
+        if self.leases.pop(lease, None):
+            for key in [k for k, it in self.items.items() if it["lease"] == lease]:
+                self.remove(key)
+
     def expire_leases(self):
         now = time.monotonic()
         for lease in [it for it, (_, end) in self.leases.items() if end < now]:
-            del self.leases[lease]
-            for key in [k for k, it in self.items.items() if it["lease"] == lease]:
-                self.remove(key)
+            self.end_lease(lease)
 
     def commit(self, body):
         for row in body["expected-rev"]:
@@ -186,7 +190,8 @@
             store.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
             return 200, {"ttl-ms": ttl}
         if path.startswith("/kv-lease-end/"):
-            store.leases.pop(int(path.rsplit("/", 1)[1]), None)
+            store.end_lease(int(path.rsplit("/", 1)[1]))
+            store.changed.notify_all()
             return 200, {}
         return 404, {"method": method}
 
