An instance publishes at once that it is leaving

What callers saw: address answers of other instances named an instance for up to a second longer than it had known that it was leaving, so some came to it when it took no more requests.

Cause: the record of an instance was looked at once a second while it was up to date.

Change: the shutdown wakes the registration.

--- a/include/gentianloom/gateway/InstanceRegistration.h
+++ b/include/gentianloom/gateway/InstanceRegistration.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/external/AsyncStore.h"
 #include "gentianloom/membership/InstanceDirectory.h"
+#include "gentianloom/net/Signal.h"
 
 #include <functional>
 
@@ -29,6 +30,9 @@
   /// @brief Starts keeping the record. Call it once.
   void Start();
 
+  /// @brief Writes the record at once if it has changed.
+  void Wake() { mWake.Notify(); }
+
   /// @brief Revokes the lease, which deletes the record. A failure is logged.
   net::Task<void> Revoke();
 
@@ -43,6 +47,7 @@
   AsyncStore& mStore;
   const InstanceRecord& mSelf;
   std::function<bool()> mMayBeListed;
+  net::Signal mWake;
   std::int64_t mEra = 0; ///< of the store, when the record was last written or checked
   LeaseId mLease = 0;    ///< 0 if there is none
 };
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -391,6 +391,7 @@
   if (!mSelf.mIsLeaving) {
     mSelf.mIsLeaving = true;
     mRelay.mIsLeaving = true;
+    mRegistration.Wake();
     net::Start(mLoop, "shutdown", RunShutdown());
   }
 }
--- a/src/gateway/InstanceRegistration.cpp
+++ b/src/gateway/InstanceRegistration.cpp
@@ -26,6 +26,7 @@
   , mStore(aStore)
   , mSelf(aSelf)
   , mMayBeListed(std::move(aMayBeListed))
+  , mWake(aLoop)
 {
 }
 
@@ -99,7 +100,7 @@
     }
     const bool isUpToDate = isWritten && isLeavingPublished == mSelf.mIsLeaving;
     const auto pause = isUpToDate && !mSelf.mIsLeaving ? kRenewalInterval : kCheckInterval;
-    co_await net::Signal::Sleep(mLoop, pause);
+    co_await mWake.WaitFor(pause);
   }
 }
 
--- a/tests/platform/request_limits_test.py
+++ b/tests/platform/request_limits_test.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Sentences of the users' rules about single requests, each of which had no test that fails without it."""
 import http.client
+import json
 import threading
 import time
 import unittest
@@ -136,6 +137,22 @@
         line, = [it for it in env.log_lines() if it.get("request") == "outlives"]
         self.assertEqual("done", line["end"])
 
+    # Callers were sent to an instance that was about to end.
+    def test_instance_that_leaves_is_not_offered(self):
+        first = self.start()
+        second = self.start_gateway("g2")
+
+        def offered():
+            return json.loads(second.get(second.directory, "/resolve?zone=a").body)["addresses"]
+
+        address = f"127.0.0.1:{first.caller}"
+        second.wait(lambda: address in offered())
+        first.gateway.terminate()
+        begin = time.monotonic()
+        second.wait(lambda: address not in offered())
+        self.assertLess(time.monotonic() - begin, 1)
+        self.assertIsNone(first.gateway.poll(), "it still serves those that have its address")
+
 
 if __name__ == "__main__":
     unittest.main()
