LIMIT: callers are not refused when an endpoint first says how many refusals it bears

Cause: a window began with what was in flight at the first statement, so with one request where the statement came early, although nothing had been refused. What the window did not allow was refused.

Change: the window begins with the endpoint's slots, or what is in flight if that is more. A refusal leaves half of what is in flight, not half of a window that may be hardly used. An endpoint of a service whose endpoints say so still begins with one request.

--- a/include/gentianloom/routing/RefusalWindow.h
+++ b/include/gentianloom/routing/RefusalWindow.h
@@ -10,23 +10,24 @@
  * No clock or I/O.
  *
  * Load pattern: an endpoint that ended is back and empty, and all instances send what waited for
- * it at once. The window begins with a single request, grows by one for each window of requests
- * that are served, and is halved by a refusal.
+ * it at once. Its window then begins with a single request. It grows by one for each window of
+ * requests that are served; a refusal leaves half of what is in flight.
  */
 class RefusalWindow
 {
 public:
   /// @brief Applies what a response says of the endpoint.
   /// @param aIsBrittle whether too many refusals would end it
-  /// @param aInFlight requests in flight there, with which the window begins
-  void OnStated(bool aIsBrittle, std::int64_t aInFlight);
+  /// @param aFirstSize requests, with which the window begins
+  void OnStated(bool aIsBrittle, std::int64_t aFirstSize);
 
   /// @brief Notes a response to a request that the endpoint had room for.
   /// @param aInFlight requests in flight there, with this one
   void OnServed(std::int64_t aInFlight);
 
-  /// @brief Notes that the endpoint refused a request for want of room.
-  void OnRefused();
+  /// @brief Notes that the endpoint refused a request for want of room, of any instance.
+  /// @param aInFlight requests in flight there from this instance
+  void OnRefused(std::int64_t aInFlight);
 
   /// @brief Whether one more request may be sent.
   bool AllowsRequest(std::int64_t aInFlight) const
--- a/src/gateway/EndpointLimitExchange.cpp
+++ b/src/gateway/EndpointLimitExchange.cpp
@@ -224,7 +224,7 @@
     return; // the others were told under the request that was refused before
   }
   aEndpoint->mHold.Begin(kFullPause, now, Jitter());
-  aEndpoint->mWindow.OnRefused();
+  aEndpoint->mWindow.OnRefused(aEndpoint->mLoad.InFlight());
   auto message = MessageAbout(*aEndpoint, PeerMessageKind::EndpointFull);
   message.mWait = kFullPause;
   const auto bytes = EncodeEndpointLimit(message);
@@ -312,7 +312,7 @@
     const auto endpoint = ListedEndpoint(it);
     if (endpoint) {
       endpoint->mHold.Begin(std::min(it.mWait, kFullPause), mClock.Now(), Jitter());
-      endpoint->mWindow.OnRefused();
+      endpoint->mWindow.OnRefused(endpoint->mLoad.InFlight());
     }
     return;
   }
--- a/src/relay/EndpointAttemptState.cpp
+++ b/src/relay/EndpointAttemptState.cpp
@@ -2,6 +2,8 @@
 #include "gentianloom/base/Log.h"
 #include "gentianloom/relay/EndpointAttempt.h"
 
+#include <algorithm>
+
 namespace gentianloom {
 
 void EndpointAttempt::ObserveEndpointState()
@@ -32,7 +34,8 @@
 void EndpointAttempt::ObserveRoom()
 {
   const auto inFlight = mEndpoint->mLoad.InFlight();
-  mEndpoint->mWindow.OnStated(mResponse.mIsBrittle, inFlight);
+  // As long as nothing was refused, nothing shows that there is less room than stated.
+  mEndpoint->mWindow.OnStated(mResponse.mIsBrittle, std::max(inFlight, mEndpoint->mEntry.mSlots));
   if (!mResponse.mDidNotRun) {
     mEndpoint->mWindow.OnServed(inFlight);
   } else if (mResponse.mIsBrittle && mContext.mPermits != nullptr) {
--- a/src/routing/RefusalWindow.cpp
+++ b/src/routing/RefusalWindow.cpp
@@ -4,10 +4,10 @@
 
 namespace gentianloom {
 
-void RefusalWindow::OnStated(bool aIsBrittle, std::int64_t aInFlight)
+void RefusalWindow::OnStated(bool aIsBrittle, std::int64_t aFirstSize)
 {
   if (aIsBrittle && !mIsBrittle) {
-    mSize = std::max(kMinSize, static_cast<double>(aInFlight));
+    mSize = std::max(kMinSize, static_cast<double>(aFirstSize));
   }
   mIsBrittle = aIsBrittle;
 }
@@ -20,9 +20,9 @@
   }
 }
 
-void RefusalWindow::OnRefused()
+void RefusalWindow::OnRefused(std::int64_t aInFlight)
 {
-  mSize = std::max(kMinSize, mSize / 2);
+  mSize = std::max(kMinSize, std::min(mSize, static_cast<double>(aInFlight)) / 2);
 }
 
 } // namespace gentianloom
--- a/tests/platform/brittle_endpoint_test.py
+++ b/tests/platform/brittle_endpoint_test.py
@@ -18,6 +18,7 @@
 PATHS = ["/send/x", "/read/x"]
 ROOM, RUN_S = 3, 0.2
 BRITTLE = 5
+BURST = 15  # within the slots of the endpoints
 CONTACT_S = 3
 DURATION_S = 6
 MIN_USED_SHARE = 0.4  # of the requests that the endpoints have room for
@@ -69,6 +70,16 @@
         served = sum(status == 200 and at > begin for at, status in calls)
         self.assertGreaterEqual(served, MIN_USED_SHARE * len(ENDPOINTS) * ROOM / RUN_S * DURATION_S)
 
+    # The first statements came while little was in flight, and all above that was refused at once.
+    def test_burst_after_the_first_statement_is_served(self):
+        self.platform.configure_workers(run_s=RUN_S, brittle=BRITTLE)
+        gateway = self.gateways[0]
+        with concurrent.futures.ThreadPoolExecutor(BURST) as pool:
+            for n in range(3 * len(ENDPOINTS)):
+                self.assertEqual(200, gateway.call(PATHS[0], f"first{n}").status)
+            burst = pool.map(lambda n: gateway.call(PATHS[0], f"burst{n}").status, range(BURST))
+            self.assertEqual([200] * BURST, list(burst))
+
     # A value that is no number of requests must not keep requests from endpoints with room.
     def test_values_that_are_no_number(self):
         for it in ("-1", "nan", "1e99", "5,5", "", "9" * 400):
--- a/tests/routing/RefusalWindowTest.cpp
+++ b/tests/routing/RefusalWindowTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(TestSoundEndpointIsNotBounded);
   CPPUNIT_TEST(TestNewProcessGetsFewRequests);
   CPPUNIT_TEST(TestUnusedWindowDoesNotGrow);
+  CPPUNIT_TEST(TestRefusalBoundsAnUnusedWindow);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,7 +36,7 @@
     window.OnServed(1);
     CPPUNIT_ASSERT(window.AllowsRequest(1));
     CPPUNIT_ASSERT(!window.AllowsRequest(2));
-    window.OnRefused();
+    window.OnRefused(2);
     CPPUNIT_ASSERT(window.AllowsRequest(0));
     CPPUNIT_ASSERT(!window.AllowsRequest(1));
   }
@@ -50,6 +51,16 @@
     }
     CPPUNIT_ASSERT(!window.AllowsRequest(8));
   }
+
+  // Half of a window that was hardly used is still more than the endpoint has room for.
+  void TestRefusalBoundsAnUnusedWindow()
+  {
+    RefusalWindow window;
+    window.OnStated(true, 8);
+    window.OnRefused(4);
+    CPPUNIT_ASSERT(window.AllowsRequest(1));
+    CPPUNIT_ASSERT(!window.AllowsRequest(2));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RefusalWindowTest);
