--- a/tests/platform/crashing_request_test.py
+++ b/tests/platform/crashing_request_test.py
@@ -35,7 +35,7 @@
     events: int  # that a stream sends before its endpoint ends
     late_start: str  # "new": another gateway starts; "again": one is killed and started again
     new_id: bool  # of endpoints that come back
-    listener: str = "refuse"  # what an address does while its endpoint is gone, see standin.py
+    listener: str = "refuse"  # what an address does while its endpoint is gone, see standin_worker.py
 
 
 ROWS = [
