LOST: a planned stop sends what is queued for callers before the process ends

Cause: a request counts as open until its response is queued, and the process ended with open requests.

Change: the shutdown also waits, within its grace period, while a connection of a caller or of another instance has bytes that the system has not taken. Only the shutdown asks; nothing changes on the way of a request.

--- a/include/gentianloom/gateway/CallerServer.h
+++ b/include/gentianloom/gateway/CallerServer.h
@@ -5,7 +5,9 @@
 #include "gentianloom/relay/RequestExchange.h"
 
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace gentianloom {
 
@@ -37,7 +39,14 @@
   /// @brief Starts listening. @return ErrorCode::BadSettings if the address cannot be bound
   Result<void> Start(const net::Channel::Address& aAddress);
 
+  /// @brief Whether a part of a response is queued that the system has not taken yet.
+  bool HasUnsentBytes() const;
+
 private:
+  static constexpr std::size_t kMinPruneSize = 16;
+
+  /// Keeps a reference to a channel as long as it is in use.
+  void AddChannel(const net::Channel::Ptr& aChannel);
   net::Task<void> Serve(net::Channel::Ptr aChannel);
   /// Reads one request. Returns false if the connection ended or the request was rejected.
   net::Task<bool> ReadRequest(net::Channel& aChannel,
@@ -49,6 +58,8 @@
 
   RelayContext& mRelay;
   SourceOf mSourceOf;
+  std::vector<std::weak_ptr<net::Channel>> mChannels; ///< that were accepted
+  std::size_t mPruneSize = kMinPruneSize; ///< of mChannels, at which those that ended are removed
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -77,6 +77,8 @@
   net::ServiceReply HandleReadinessCheck() const;
   net::ServiceReply HandleAddressQuery(const net::ServiceRequest& aRequest) const;
   net::Task<void> RunHousekeeping();
+  /// Whether a request is open, or a response is not sent yet, here or for another instance.
+  bool HasOpenWork() const;
   net::Task<void> RunShutdown();
 
   net::Loop& mLoop;
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -4,6 +4,8 @@
 #include "gentianloom/net/HttpService.h"
 #include "gentianloom/net/HttpStatus.h"
 
+#include <algorithm>
+
 namespace gentianloom {
 
 namespace {
@@ -39,10 +41,28 @@
 Result<void> CallerServer::Start(const net::Channel::Address& aAddress)
 {
   return net::Listen(mRelay.mLoop, aAddress, [this](net::Channel::Ptr aChannel) {
+    AddChannel(aChannel);
     net::Start(mRelay.mLoop, "caller", Serve(std::move(aChannel)));
   });
 }
 
+void CallerServer::AddChannel(const net::Channel::Ptr& aChannel)
+{
+  if (mChannels.size() >= mPruneSize) {
+    std::erase_if(mChannels, [](const auto& it) { return it.expired(); });
+    mPruneSize = std::max(kMinPruneSize, 2 * mChannels.size());
+  }
+  mChannels.push_back(aChannel);
+}
+
+bool CallerServer::HasUnsentBytes() const
+{
+  return std::any_of(mChannels.begin(), mChannels.end(), [](const auto& it) {
+    const auto channel = it.lock();
+    return channel && channel->State() != net::ChannelState::Closed && channel->Unsent() > 0;
+  });
+}
+
 CallerLimits CallerServer::Limits() const
 {
   return mRelay.mRoutes ? mRelay.mRoutes->Limits() : CallerLimits{};
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -396,6 +396,12 @@
   }
 }
 
+bool Gateway::HasOpenWork() const
+{
+  return mRelay.mOpenRequests > 0 || mBudgetExchange.OpenRemoteReservations() > 0 ||
+         mCallerServer.HasUnsentBytes() || mPeerServer.HasUnsentBytes();
+}
+
 net::Task<void> Gateway::RunShutdown()
 {
   const auto shutdownStart = mClock.Now();
@@ -412,8 +418,7 @@
     co_await net::Signal::Sleep(mLoop, kShutdownPollInterval);
   }
   mRelay.mRejectsNewRequests = true;
-  while (mClock.Now() < serveUntil &&
-         (mRelay.mOpenRequests > 0 || mBudgetExchange.OpenRemoteReservations() > 0)) {
+  while (mClock.Now() < serveUntil && HasOpenWork()) {
     co_await net::Signal::Sleep(mLoop, kShutdownPollInterval);
   }
   mBudgetExchange.SettleRemoteReservations();
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -59,6 +59,7 @@
                                for k, it in platform["workers"].items()},
                    "crashes": [it for w in platform["workers"].values() for it in w.crashes],
                    "falls": {k: it.falls for k, it in platform["workers"].items()},
+                   "connections": {k: it.server.accepted for k, it in platform["workers"].items()},
                    "calls": store.calls,
                    "store": added,
                    "items": {k: base64.b64decode(it["value"]).decode(errors="replace")
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -48,11 +48,13 @@
         self.has_crashed = threading.Event()
         self.queues_connections = False  # after a crash; otherwise it closes them
         self.connections = set()
+        self.accepted = 0  # connections so far
         super().__init__(*arguments, **named)
 
     def get_request(self):
         connection, address = super().get_request()
         self.connections.add(connection)
+        self.accepted += 1
         if self.has_crashed.is_set():
             connection.shutdown(socket.SHUT_RD)
         return connection, address
--- a/tests/platform/standin_worker.py
+++ b/tests/platform/standin_worker.py
@@ -62,6 +62,7 @@
         self.events = 5
         self.event_s = 0  # pause after each event of a stream
         self.is_leaving = False  # says so in each response
+        self.idle_timeout_s = None  # after which it says that it closes an idle connection
         self.rate_limits = []  # stated in each response, in one header each
         self.refusal = {}
         self.states_not_run = True
@@ -143,6 +144,8 @@
         worker.arrived.append({"path": self.path, "attempt": attempt, "at": time.monotonic()})
         if worker.is_leaving:
             common.append(("Server-Leaving", "1"))
+        if worker.idle_timeout_s is not None:
+            common.append(("Keep-Alive", f"timeout={worker.idle_timeout_s}"))
         common += [("Server-Limit", it) for it in worker.rate_limits]
         if worker.mode == "full":
             statement = [("X-Not-Executed", "1")] if worker.states_not_run else []
