--- a/tests/platform/instance_rules_test.py
+++ b/tests/platform/instance_rules_test.py
@@ -74,10 +74,10 @@
         self.assertEqual(b"HTTP/1.1 408", received[:12])
         self.assertLess(duration_s, HEADER_TIMEOUT_S + MARGIN_S)
 
-    def connections_after_a_pause(self, path, pause_s):
+    def connections_after_a_pause(self, path, idle_timeout_s, pause_s):
         """Number of connections that two requests with a pause between them take."""
         env = self.start({"w1": "v1"})
-        self.platform.configure_workers(idle_timeout_s=self.idle_timeout_s)
+        self.platform.configure_workers(idle_timeout_s=idle_timeout_s)
         self.assertEqual(200, env.call(path, "first").status)
         time.sleep(pause_s)
         self.assertEqual(200, env.call(path, "second").status)
@@ -87,9 +87,9 @@
     def test_idle_connections_of_endpoints(self):
         rows = [("/read/x", None, 1, 1), ("/send/x", None, 0.2, 1), ("/send/x", None, 1, 2),
                 ("/read/x", 2, 0.5, 1), ("/read/x", 2, 1.8, 2), ("/read/x", 0, 0.1, 2)]
-        for path, self.idle_timeout_s, pause_s, connections in rows:
-            with self.subTest((path, self.idle_timeout_s, pause_s)):
-                self.assertEqual(connections, self.connections_after_a_pause(path, pause_s))
+        for *row, connections in rows:
+            with self.subTest(row):
+                self.assertEqual(connections, self.connections_after_a_pause(*row))
 
     # The file may change without a signal; an instance kept its first settings.
     def test_settings_change_without_a_signal(self):
