--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -13,9 +13,8 @@
 constexpr Millis kOutageGracePeriod{ 1'500 };
 /// Interval at which an instance that follows others checks that their updates still arrive.
 constexpr Millis kFollowCheckInterval{ 100 };
-/// Maximum wait of a watch whose connection may be dead: the first one after a time without
-/// answers, and one for a missed change, which is answered at once.
-constexpr Millis kShortWait{ 200 };
+/// Maximum wait of the first watch after a time without answers: its connection may be dead.
+constexpr Millis kFirstWait{ 200 };
 /// Share of the timeout that the watches of instances with followers wait, so that one lost update
 /// is no silence.
 constexpr double kWatcherTimeoutShare = 0.6;
@@ -146,8 +145,8 @@
   const auto wait = hasFollowers
                       ? std::chrono::duration_cast<Millis>(mTiming.mTimeout * kWatcherTimeoutShare)
                       : mTiming.mTimeout;
-  const bool isAfterSilence = mClock.Now() - mAnsweredAt >= mTiming.mTimeout;
-  return mHasMissedChange || isAfterSilence ? std::min(wait, kShortWait) : wait;
+  const bool isFirst = mClock.Now() - mAnsweredAt >= mTiming.mTimeout;
+  return isFirst ? std::min(wait, kFirstWait) : wait;
 }
 
 net::Task<bool> PrefixWatcher::Watch()
