--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -81,8 +81,6 @@
   net::Task<void> Run();
   /// Reads all keys with the prefix. Returns whether the call succeeded.
   net::Task<bool> ReadSnapshot();
-  /// Time that the next watch waits for changes.
-  Millis NextWait() const;
   /// Waits once for changes. Returns whether the call succeeded.
   net::Task<bool> Watch();
   /// Waits as long as the updates of other instances are complete and recent.
@@ -132,7 +130,6 @@
   net::Signal mUpdateSignal;
   net::Backoff mBackoff;
   TimePoint mLastFailureAt{};
-  TimePoint mAnsweredAt{}; ///< time of the last answer of the key-value service
   TimePoint mConfirmedUntil{};
 };
 
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -13,8 +13,6 @@
 constexpr Millis kOutageGracePeriod{ 1'500 };
 /// Interval at which an instance that follows others checks that their updates still arrive.
 constexpr Millis kFollowCheckInterval{ 100 };
-/// Maximum wait of the first watch after a time without answers: its connection may be dead.
-constexpr Millis kFirstWait{ 200 };
 /// Share of the timeout that the watches of instances with followers wait, so that one lost update
 /// is no silence.
 constexpr double kWatcherTimeoutShare = 0.6;
@@ -90,9 +88,6 @@
   } else {
     RecordCallResult(aAnswer.has_value(), aAnswer ? "" : ToString(aAnswer.error()));
   }
-  if (aAnswer) {
-    mAnsweredAt = mClock.Now();
-  }
   return aAnswer && !isOutdated;
 }
 
@@ -139,24 +134,18 @@
   return mHasSynced;
 }
 
-Millis PrefixWatcher::NextWait() const
-{
-  const bool hasFollowers = mRelay != nullptr && mRelay->HasFollowers();
-  const auto wait = hasFollowers
-                      ? std::chrono::duration_cast<Millis>(mTiming.mTimeout * kWatcherTimeoutShare)
-                      : mTiming.mTimeout;
-  const bool isFirst = mClock.Now() - mAnsweredAt >= mTiming.mTimeout;
-  return isFirst ? std::min(wait, kFirstWait) : wait;
-}
-
 net::Task<bool> PrefixWatcher::Watch()
 {
   if (CheckEra(mStore.Era())) {
     co_return true;
   }
+  const bool hasFollowers = mRelay != nullptr && mRelay->HasFollowers();
+  const auto timeout =
+    hasFollowers ? std::chrono::duration_cast<Millis>(mTiming.mTimeout * kWatcherTimeoutShare)
+                 : mTiming.mTimeout;
   // A watcher goes by its own calls only, so that a wrong update of one does not spread.
   const auto after = mRelay != nullptr && mRelay->IsWatcher() ? mOwnRevision : mRevision;
-  const auto answer = co_await mStore.Watch(mPrefix, after, NextWait());
+  const auto answer = co_await mStore.Watch(mPrefix, after, timeout);
   if (!IsCurrent(answer)) {
     co_return false;
   }
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -27,7 +27,6 @@
   CPPUNIT_TEST(TestOwnWatchEndsAfterAnUpdate);
   CPPUNIT_TEST(TestWrongUpdate);
   CPPUNIT_TEST(TestFollowerBecomesWatcher);
-  CPPUNIT_TEST(TestFirstWatchAfterSilence);
   CPPUNIT_TEST(TestParts);
   CPPUNIT_TEST(TestMalformedDatagrams);
   CPPUNIT_TEST_SUITE_END();
@@ -299,18 +298,6 @@
     CPPUNIT_ASSERT(mStore.mWatchCalls > calls);
   }
 
-  // The connection of a follower that has called nobody for long may be dead. Its first watch
-  // waited as long as any, and with the silence before, changes came 4 s late.
-  void TestFirstWatchAfterSilence()
-  {
-    StartFollower();
-    KeepFollowing();
-    RunBriefly(kTimeout + Millis(100));
-    CPPUNIT_ASSERT_LESSEQUAL(Millis(200).count(), mStore.mLastWait.count());
-    RunBriefly(Millis(300));
-    CPPUNIT_ASSERT_EQUAL(kTimeout.count(), mStore.mLastWait.count());
-  }
-
   // A watcher that had learned more from another one than its own watch then returned told its
   // followers that it had told them of all changes, and they missed one.
   void TestOwnWatchEndsAfterAnUpdate()
--- a/tests/support/MemoryAsyncStore.h
+++ b/tests/support/MemoryAsyncStore.h
@@ -88,7 +88,6 @@
                                          Millis aWait) override
   {
     ++mWatchCalls;
-    mLastWait = aWait;
     if (mMode == StoreMode::Down) {
       co_return Failure();
     }
@@ -158,7 +157,6 @@
   int mRangeCalls = 0;   ///< number of calls so far, also of failed ones
   int mCommitCalls = 0;
   int mWatchCalls = 0;
-  Millis mLastWait{ 0 }; ///< of the last watch
 
 private:
   void NotifyWatch()
