--- a/tests/process/RequestOutcomesTest.cpp
+++ b/tests/process/RequestOutcomesTest.cpp
@@ -211,15 +211,21 @@
     aFleet.Signal("router-2", SIGSTOP);
     SendRequest(aFleet, "router-2", "left-before-dispatch"); // and closes the connection
     aFleet.Signal("router-2", SIGCONT);
-    CPPUNIT_ASSERT(WaitFor([&] { return countEnded() > endedBefore; }, Millis(8'000)));
+    const bool hasEnded = WaitFor([&] { return countEnded() > endedBefore; }, Millis(8'000));
+    CPPUNIT_ASSERT_MESSAGE(ReadMetrics(aFleet, "router-2"), hasEnded);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, JournalEntriesOf(aFleet, "left-before-dispatch").size());
   }
 
-  static int ReadMetric(const Fleet& aFleet, const std::string& aRouter, const std::string& aName)
+  static std::string ReadMetrics(const Fleet& aFleet, const std::string& aRouter)
   {
     const auto response = CallHttp(
       aFleet.Process(aRouter).mAddress, { "GET", "/metrics" }, Millis(5'000), Step::Settings);
-    const auto& text = response.value().mBody;
+    return response.value().mBody;
+  }
+
+  static int ReadMetric(const Fleet& aFleet, const std::string& aRouter, const std::string& aName)
+  {
+    const auto text = ReadMetrics(aFleet, aRouter);
     const auto at = text.find(aName + " ");
     return at == std::string::npos ? 0 : std::stoi(text.substr(at + aName.size() + 1));
   }
