LIMIT: a refusal that another instance told of is kept, whatever the endpoint states next

What callers and endpoints could see: an instance that heard of a refusal by another one, but had no response of that endpoint yet, sent as many requests as it has slots after the first response; and one response without the statement, with the next that has it, forgot all refusals. Either presses an endpoint that was just full.

Cause: the window began anew whenever the statement came after a time without it.

Change: the window begins once for each process of an endpoint, by the first statement or the first refusal, whichever comes first.

--- a/include/gentianloom/routing/RefusalWindow.h
+++ b/include/gentianloom/routing/RefusalWindow.h
@@ -2,6 +2,7 @@
 #define GENTIANLOOM_ROUTING_REFUSAL_WINDOW_H
 
 #include <cstdint>
+#include <optional>
 
 namespace gentianloom {
 
@@ -18,21 +19,23 @@
 public:
   /// @brief Applies what a response says of the endpoint.
   /// @param aIsBrittle whether too many refusals would end it
-  /// @param aFirstSize requests, with which the window begins
+  /// @param aFirstSize requests, with which the window begins, unless a refusal was
+  ///        noted before
   void OnStated(bool aIsBrittle, std::int64_t aFirstSize);
 
   /// @brief Notes a response to a request that the endpoint had room for.
   /// @param aInFlight requests in flight there, with this one
   void OnServed(std::int64_t aInFlight);
 
-  /// @brief Notes that the endpoint refused a request for want of room, of any instance.
+  /// @brief Notes that an endpoint that too many refusals would end refused a request for want of
+  /// room, of any instance.
   /// @param aInFlight requests in flight there from this instance
   void OnRefused(std::int64_t aInFlight);
 
   /// @brief Whether one more request may be sent.
   bool AllowsRequest(std::int64_t aInFlight) const
   {
-    return !mIsBrittle || static_cast<double>(aInFlight) + 1 <= mSize;
+    return !mIsBrittle || static_cast<double>(aInFlight) + 1 <= mSize.value_or(kMinSize);
   }
 
   bool IsBrittle() const { return mIsBrittle; }
@@ -41,7 +44,7 @@
   static constexpr double kMinSize = 1;
 
   bool mIsBrittle = false;
-  double mSize = kMinSize; ///< requests
+  std::optional<double> mSize; ///< requests; empty as long as nothing was stated or refused
 };
 
 } // namespace gentianloom
--- a/src/routing/RefusalWindow.cpp
+++ b/src/routing/RefusalWindow.cpp
@@ -6,7 +6,7 @@
 
 void RefusalWindow::OnStated(bool aIsBrittle, std::int64_t aFirstSize)
 {
-  if (aIsBrittle && !mIsBrittle) {
+  if (aIsBrittle && !mSize) {
     mSize = std::max(kMinSize, static_cast<double>(aFirstSize));
   }
   mIsBrittle = aIsBrittle;
@@ -15,14 +15,16 @@
 void RefusalWindow::OnServed(std::int64_t aInFlight)
 {
   // Requests that do not use the window do not show that a larger one would be served.
-  if (static_cast<double>(aInFlight) + 1 > mSize) {
-    mSize += 1 / mSize;
+  if (mSize && static_cast<double>(aInFlight) + 1 > *mSize) {
+    *mSize += 1 / *mSize;
   }
 }
 
 void RefusalWindow::OnRefused(std::int64_t aInFlight)
 {
-  mSize = std::max(kMinSize, std::min(mSize, static_cast<double>(aInFlight)) / 2);
+  const auto inFlight = static_cast<double>(aInFlight);
+  mSize = std::max(kMinSize, std::min(mSize.value_or(inFlight), inFlight) / 2);
+  mIsBrittle = true;
 }
 
 } // namespace gentianloom
--- a/tests/routing/RefusalWindowTest.cpp
+++ b/tests/routing/RefusalWindowTest.cpp
@@ -11,6 +11,8 @@
   CPPUNIT_TEST(TestNewProcessGetsFewRequests);
   CPPUNIT_TEST(TestUnusedWindowDoesNotGrow);
   CPPUNIT_TEST(TestRefusalBoundsAnUnusedWindow);
+  CPPUNIT_TEST(TestRefusalIsKnownBeforeTheFirstStatement);
+  CPPUNIT_TEST(TestStatementThatComesAndGoes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +63,31 @@
     CPPUNIT_ASSERT(window.AllowsRequest(1));
     CPPUNIT_ASSERT(!window.AllowsRequest(2));
   }
+
+  // An instance that heard of a refusal from another one sent as many requests as the endpoint has
+  // slots, as soon as the endpoint's first response came.
+  void TestRefusalIsKnownBeforeTheFirstStatement()
+  {
+    RefusalWindow window;
+    window.OnRefused(0);
+    CPPUNIT_ASSERT(window.AllowsRequest(0));
+    CPPUNIT_ASSERT(!window.AllowsRequest(1));
+    window.OnStated(true, 8);
+    CPPUNIT_ASSERT(!window.AllowsRequest(1));
+  }
+
+  // One response without the statement made the next one with it forget all refusals.
+  void TestStatementThatComesAndGoes()
+  {
+    RefusalWindow window;
+    window.OnStated(true, 8);
+    window.OnRefused(4);
+    window.OnStated(false, 8);
+    CPPUNIT_ASSERT(window.AllowsRequest(1'000));
+    window.OnStated(true, 8);
+    CPPUNIT_ASSERT(window.AllowsRequest(1));
+    CPPUNIT_ASSERT(!window.AllowsRequest(2));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RefusalWindowTest);
