--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -182,9 +182,9 @@
 class Fleet:
     """A stand-in of the platform and gateways in front of its workers."""
 
-    def __init__(self, folder, workers):
+    def __init__(self, folder, workers, platform=None):
         self.record = Record(folder)
-        self.platform = Platform(workers)
+        self.platform = (platform or Platform)(workers)
         self.ports = Ports()
         self.gateways = []
         self.numbers = itertools.count(1)
