--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,7 @@
 RATE_PER_S = 100  # of a worker that serves some 180 a second: some in a hundred are refused
 READERS = 2
 WORK_S = 0.03
-ONE_WAY_S = 0.0014
+ONE_WAY_S = 0.0009
 SLOTS = 6  # of each worker
 PHASE_S, PAUSE_S, PHASES = 5.0, 2.0, 14
 REPEAT_EACH = 34  # one in 34 answers of one of the two workers: under 0.03
@@ -43,7 +43,7 @@
                                  for n in ("w1", "w2")})
     it.platform.put("op/config", fleet.configuration(
         3, ROUTES, [{"name": "org", "api-keys": ["k1"]}],
-        [{"name": it, "max-connections": 100} for it in ("publish-desk", "read-desk")]))
+        [{"name": it, "max-connections": 96} for it in ("publish-desk", "read-desk")]))
     it.platform.put("servers/w1", it.platform.entry("w1", "publish-desk", slots=SLOTS))
     it.platform.put("servers/w2", it.platform.entry("w2", "read-desk", slots=SLOTS))
     it.start_gateways(1)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -63,7 +63,7 @@
 
 def run(it):
     it.platform.put("op/config", fleet.configuration(
-        3, [ROUTE], [{"name": "org", "api-keys": ["k1"]}], [{"name": "desk", "max-connections": 100}]))
+        3, [ROUTE], [{"name": "org", "api-keys": ["k1"]}], [{"name": "desk", "max-connections": 96}]))
     born = int(time.time() * 1000)
     for name in WORKERS:
         it.platform.put("servers/" + name, {
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -26,7 +26,7 @@
 CONTACT_S = 3.0
 DRAIN_S = 2.0
 PORTS = (12_000, 32_000)  # below the range of outgoing connections
-BOUNDS = {"grace-s": 8, "retry-budget-ratio": 0.2, "budget-slack": 54}
+BOUNDS = {"grace-s": 8, "retry-budget-ratio": 0.2, "budget-slack": 52}
 WRITES_PER_S = 400
 
 
@@ -259,7 +259,7 @@
 
 def configuration(version, routes, tenants, services=None):
     pool = {"name": "pool", "max-connections": 360,
-            "engine": {"slots": 64, "kv-capacity-tokens": 541_786, "stride": 5}}
+            "engine": {"slots": 64, "kv-capacity-tokens": 518_475, "stride": 5}}
     return {"version": version, "routes": routes, "services": services or [pool],
             "limits": {"max-header-bytes": 16_384, "max-body-bytes": 4_194_304,
                        "header-timeout-ms": 3000, "idle-timeout-ms": 15_000},
