Retries use connections of their own; entries of other writers change nothing

A retry at an endpoint that was tried before now opens a connection of its own.

An entry that lacks cold-remaining-ms or sequence, or the start that its endpoint stated before, names no endpoint now and changes nothing of what is known; it is logged once.

--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -21,6 +21,8 @@
 #include "gentianloom/net/LoopMonitor.h"
 
 #include <memory>
+#include <set>
+#include <string>
 
 namespace gentianloom {
 
@@ -68,6 +70,8 @@
   Result<void> ServeAuxiliaryHttp();
   void ApplyConfiguration(const KeyValue& aEntry);
   void UpdateEndpoint(const KeyValue& aEntry);
+  /// Logs that an entry names no endpoint, once until a valid entry follows.
+  void LogInvalidEntry(const std::string& aId, const std::string& aError);
   void UpdateInstance(const KeyValue& aEntry);
   /// Adds the software versions of the listed endpoints to the history.
   void ObserveSoftwareVersions();
@@ -111,6 +115,7 @@
   InstanceRegistration mRegistration;
   SoftwareVersionRecord mVersionRecord;
   TrafficLog mTrafficLog;
+  std::set<std::string> mInvalidEntries; ///< ids of endpoints whose last entry is invalid
   TimePoint mStartedAt{};
 };
 
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -38,6 +38,7 @@
   StreamKey mStream = 0;                  ///< of the stream that the request begins or resumes
   std::span<const std::string> mPartKeys; ///< of the shared parts of its prompt, for the guard
   TimePoint mDeadline{};                  ///< the earlier of the caller's and the route's deadlines
+  std::span<const std::string> mTriedEndpoints; ///< ids, one for each earlier attempt
 };
 
 /// How an endpoint's response was framed and where and when it ended, for the log.
@@ -96,6 +97,8 @@
 private:
   void OnContactLost() override;
   net::Task<bool> OpenConnection();
+  /// Takes an idle connection that may carry the request; null if there is none.
+  net::Channel::Ptr TakeIdleConnection();
   net::Task<void> ReceiveResponse();
   void SendRequest();
   net::RequestHead MakeForwardedRequestHead() const;
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -29,8 +29,9 @@
   std::int64_t mSlots = 0; ///< maximum number of concurrent requests; 0: not known
   /// Version of the endpoint's software; not that of its weights, nor of the configuration.
   std::string mSoftwareVersion;
-  std::int64_t mSequence = 0;  ///< rises with each write of the endpoint's process
-  std::int64_t mStartedAt = 0; ///< wall-clock milliseconds; distinguishes processes with one id
+  std::int64_t mSequence = 0; ///< rises with each write of the endpoint's process
+  /// Wall-clock milliseconds; distinguishes processes with one id. 0: not stated
+  std::int64_t mStartedAt = 0;
   bool mIsLeaving = false;
   Millis mWarmUpRemaining{ 0 }; ///< remaining warm-up time, in which the endpoint is slow
 };
@@ -102,7 +103,12 @@
 
   /// @brief Adds or updates an entry. A different start time, address, service or software version
   /// means a new process, which gets a new record.
-  void Put(EndpointEntry aEntry, TimePoint aNow);
+  /// @return false, without a change, if the entry states no start although the endpoint has stated
+  /// one before: then another program wrote it
+  bool Put(EndpointEntry aEntry, TimePoint aNow);
+
+  /// @brief The endpoint with an id; null if it is not known or was removed.
+  Ptr Find(std::string_view aId) const;
 
   /// @brief Applies the removal of an entry: removes the endpoint, or marks it as missing.
   /// @param aAfterOutage whether the endpoint may still run, because its lease may have expired
@@ -167,6 +173,9 @@
     TimePoint mRemovedAt{};
   };
 
+  /// Whether an entry without a start is about an endpoint that has stated its start.
+  bool LacksStart(const EndpointEntry& aEntry) const;
+
   /// Whether an endpoint of a service states that too many refusals would end it.
   bool IsBrittle(std::string_view aService) const;
 
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -3,6 +3,13 @@
 
 namespace gentianloom {
 
+namespace {
+
+/// Endpoints whose invalid entry is remembered, so that it is logged once.
+constexpr std::size_t kMaxInvalidEntries = 1'024;
+
+} // namespace
+
 PrefixWatchHandlers Gateway::MakeConfigurationHandlers()
 {
   PrefixWatchHandlers out;
@@ -28,9 +35,13 @@
     std::vector<EndpointEntry> records;
     const auto prefix = mProtocol.EndpointPrefix().size();
     for (const auto& it : aEntries) {
-      auto entry = mProtocol.DecodeEndpoint(it.mKey.substr(prefix), it.mValue);
+      const auto id = it.mKey.substr(prefix);
+      auto entry = mProtocol.DecodeEndpoint(id, it.mValue);
+      const auto known = mRelay.mEndpoints.Find(id);
       if (entry) {
         records.push_back(std::move(entry.value()));
+      } else if (known) {
+        records.push_back(known->mEntry);
       }
     }
     LogChange(LogLevel::Info,
@@ -138,25 +149,41 @@
   const auto id = aEntry.mKey.substr(mProtocol.EndpointPrefix().size());
   auto entry = mProtocol.DecodeEndpoint(id, aEntry.mValue);
   if (!entry) {
-    LogChange(LogLevel::Warning,
-              "endpoints",
-              "ignored an invalid endpoint entry",
-              { { "endpoint", id }, { "error", ToString(entry.error()) } });
-    mRelay.mEndpoints.Remove(id, false, mClock.Now());
+    LogInvalidEntry(id, ToString(entry.error()));
+    return;
+  }
+  const auto decoded = entry.value();
+  if (!mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now())) {
+    LogInvalidEntry(id, "it lacks the start that the endpoint has stated before");
     return;
   }
+  mInvalidEntries.erase(id);
   LogChange(LogLevel::Info,
             "endpoints",
             "the entry of an endpoint changed",
             { { "endpoint", id },
-              { "service", entry.value().mService },
-              { "software_version", entry.value().mSoftwareVersion },
-              { "started_at", std::to_string(entry.value().mStartedAt) },
-              { "leaving", entry.value().mIsLeaving ? "yes" : "no" } });
-  mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now());
+              { "service", decoded.mService },
+              { "software_version", decoded.mSoftwareVersion },
+              { "started_at", std::to_string(decoded.mStartedAt) },
+              { "leaving", decoded.mIsLeaving ? "yes" : "no" } });
   ObserveSoftwareVersions();
 }
 
+void Gateway::LogInvalidEntry(const std::string& aId, const std::string& aError)
+{
+  if (mInvalidEntries.size() >= kMaxInvalidEntries) {
+    mInvalidEntries.clear();
+  }
+  if (!mInvalidEntries.insert(aId).second) {
+    return;
+  }
+  // What is known of the endpoint holds: another program may have written the entry.
+  LogChange(LogLevel::Warning,
+            "endpoints",
+            "ignored an invalid endpoint entry",
+            { { "endpoint", aId }, { "error", aError } });
+}
+
 void Gateway::ObserveSoftwareVersions()
 {
   for (const auto& [id, it] : mRelay.mEndpoints.All()) {
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -112,11 +112,22 @@
   co_return mResult.value_or(AttemptResult{});
 }
 
+net::Channel::Ptr EndpointAttempt::TakeIdleConnection()
+{
+  const auto& id = mEndpoint->mEntry.mId;
+  const auto& tried = mRequest.mTriedEndpoints;
+  if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
+    // All attempts of a request have the same id. On a connection that carried an earlier one, a
+    // late second copy of its refusal could not be told from the response to this attempt.
+    return nullptr;
+  }
+  return mContext.mConnections.Take(id, IsAtMostOnce() ? kMaxIdleAtMostOnce : kMaxIdle);
+}
+
 net::Task<bool> EndpointAttempt::OpenConnection()
 {
   const auto& entry = mEndpoint->mEntry;
-  const auto maxIdle = IsAtMostOnce() ? kMaxIdleAtMostOnce : kMaxIdle;
-  mChannel = mContext.mConnections.Take(entry.mId, maxIdle);
+  mChannel = TakeIdleConnection();
   if (mChannel) {
     mChannel->SetListener(mSignal);
     co_return true;
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -399,7 +399,8 @@
                                 mAccount == nullptr ? std::string() : mAccount->mName,
                                 Stream(),
                                 PartKeys(),
-                                mDeadline };
+                                mDeadline,
+                                mTriedEndpoints };
   EndpointAttempt attempt(mContext, request, mPlacement, mWriter, mProgress, mSignal);
   mLastAttempt = co_await attempt.Run();
   mRequestMayHaveRun = mRequestMayHaveRun || !mLastAttempt.mRequestDidNotRun;
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -18,8 +18,24 @@
 
 } // namespace
 
-void EndpointRegistry::Put(EndpointEntry aEntry, TimePoint aNow)
+bool EndpointRegistry::LacksStart(const EndpointEntry& aEntry) const
 {
+  if (aEntry.mStartedAt != 0) {
+    return false;
+  }
+  const auto known = mEndpoints.find(aEntry.mId);
+  if (known != mEndpoints.end()) {
+    return known->second->mEntry.mStartedAt != 0;
+  }
+  const auto removed = mRemoved.find(aEntry.mId);
+  return removed != mRemoved.end() && removed->second.mEndpoint->mEntry.mStartedAt != 0;
+}
+
+bool EndpointRegistry::Put(EndpointEntry aEntry, TimePoint aNow)
+{
+  if (LacksStart(aEntry)) {
+    return false;
+  }
   const auto known = mEndpoints.find(aEntry.mId);
   if (known != mEndpoints.end() && !IsSameProcess(known->second->mEntry, aEntry)) {
     RemoveRecord(known, aNow);
@@ -31,6 +47,13 @@
   it->mEntry = std::move(aEntry);
   it->mState = EntryState::Listed;
   it->mLastSeenAt = aNow;
+  return true;
+}
+
+EndpointRegistry::Ptr EndpointRegistry::Find(std::string_view aId) const
+{
+  const auto it = mEndpoints.find(aId);
+  return it == mEndpoints.end() ? nullptr : it->second;
 }
 
 bool EndpointRegistry::IsBrittle(std::string_view aService) const
--- a/tests/platform/WireProtocolTest.cpp
+++ b/tests/platform/WireProtocolTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/WireProtocol.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 #include <string>
 
@@ -12,6 +13,7 @@
   CPPUNIT_TEST(TestConfiguration);
   CPPUNIT_TEST(TestMalformedConfigurations);
   CPPUNIT_TEST(TestEndpoints);
+  CPPUNIT_TEST(TestEndpointsWithOddFields);
   CPPUNIT_TEST(TestAddresses);
   CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +91,33 @@
     }
   }
 
+  // An entry of another program that lacks a field brought an endpoint back that was leaving.
+  void TestEndpointsWithOddFields()
+  {
+    const nlohmann::json good = { { "service", "s" }, { "address", "10.1.2.3:80" },
+                                  { "zone", "z" },    { "version", "v1" },
+                                  { "slots", 64 },    { "state", "ready" },
+                                  { "sequence", 4 },  { "cold-remaining-ms", 0 },
+                                  { "born", 99 } };
+    CPPUNIT_ASSERT(mProtocol.DecodeEndpoint("i-1", good.dump()));
+    const nlohmann::json odd[] = {
+      nullptr, true, -1, 1.5, "", nlohmann::json::array(), nlohmann::json::object()
+    };
+    for (const auto& [key, value] : good.items()) {
+      auto entry = good;
+      entry.erase(key);
+      const bool isOptional = key == "born";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        "without " + key, isOptional, mProtocol.DecodeEndpoint("i-1", entry.dump()).has_value());
+      for (const auto& it : odd) {
+        entry[key] = it;
+        const bool isText = key == "zone" && it == "";
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          entry.dump(), isText, mProtocol.DecodeEndpoint("i-1", entry.dump()).has_value());
+      }
+    }
+  }
+
   void TestAddresses()
   {
     struct Row
--- a/tests/platform/gateway_environment.py
+++ b/tests/platform/gateway_environment.py
@@ -3,6 +3,7 @@
 The gateway uses free ports below those of outgoing connections; only these processes are ended.
 """
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -83,6 +84,7 @@
     def __init__(self, versions=None):
         """`versions`: software version of each endpoint, by its name."""
         self.versions = dict(versions or {"w1": "v1", "w2": "v1"})
+        self.sequence = itertools.count(1)
         self.process = subprocess.Popen([sys.executable, str(HERE / "standin.py"), *self.versions],
                                         stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
         self.addresses = json.loads(self.process.stdout.readline())
@@ -93,7 +95,8 @@
     def list_endpoint(self, name, state="ready", **more):
         self.send_command(put="servers/" + name, value={
             "service": "pool", "address": self.addresses["workers"][name], "zone": "a", "slots": 8,
-            "state": state, "version": self.versions[name], **more})
+            "state": state, "version": self.versions[name], "cold-remaining-ms": 0,
+            "sequence": next(self.sequence), **more})
 
     def send_command(self, **command):
         with closing(http.client.HTTPConnection(self.addresses["control"], timeout=5)) as connection:
--- a/tests/platform/odd_entry_test.py
+++ b/tests/platform/odd_entry_test.py
@@ -12,7 +12,8 @@
 MAX_MEMORY_KB = 60_000  # of 88 MB machines
 VALUE_BYTES = 1_000_000
 NESTED_LEVELS = 400_000
-GOOD = {"service": "pool", "address": "127.0.0.1:9", "zone": "a", "slots": 8, "state": "ready", "version": "v1"}
+GOOD = {"service": "pool", "address": "127.0.0.1:9", "zone": "a", "slots": 8, "state": "ready", "version": "v1",
+        "cold-remaining-ms": 0, "sequence": 1}
 
 
 def changed(**fields):
@@ -41,6 +42,8 @@
     "twice": '{"service": "pool", "service": 5}',
     "unknown state": changed(state="sleeping"),
     "large": json.dumps("x" * VALUE_BYTES),
+    "no warm-up": json.dumps({k: v for k, v in GOOD.items() if k != "cold-remaining-ms"}),
+    "no sequence": json.dumps({k: v for k, v in GOOD.items() if k != "sequence"}),
 }
 PREFIXES = ("servers/", "/gentianloom/instances/", "/gentianloom/instances/blocked-requests/")
 
@@ -85,6 +88,24 @@
                     finally:
                         self.env.send_command(remove=f"{prefix}odd{n}")
 
+    # An entry that lacks fields brought a leaving endpoint back into use.
+    def test_entry_of_another_writer_for_a_leaving_endpoint(self):
+        self.env.platform.list_endpoint("w1", state="draining", born=7)
+        self.env.wait_for_log_line(lambda it: it.get("endpoint") == "w1" and it.get("leaving") == "yes")
+        address = self.env.platform.addresses["workers"]["w1"]
+        for missing in ("born", "sequence", "cold-remaining-ms", "zone"):
+            with self.subTest(missing):
+                odd = {**GOOD, "address": address, "born": 7}
+                del odd[missing]
+                self.env.send_command(put="servers/w1", value=odd)
+                # Changes of one prefix are handled in order.
+                self.env.platform.list_endpoint("w2", born=100 + len(missing))
+                self.env.wait_for_log_line(lambda it, at=str(100 + len(missing)): it.get("started_at") == at)
+                self.env.configure_workers(executed=[])
+                for n in range(6):
+                    self.env.call("/send/x", f"{missing}{n}")
+                self.assertEqual([], self.env.send_command()["executed"]["w1"])
+
     # A process that starts reads all of them at once.
     def test_start_among_odd_entries(self):
         for n, value in enumerate(ENTRIES.values()):
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(TestLeavingAndRemoved);
   CPPUNIT_TEST(TestOutage);
   CPPUNIT_TEST(TestNewProcess);
+  CPPUNIT_TEST(TestEntryWithoutStart);
   CPPUNIT_TEST(TestSoftwareVersions);
   CPPUNIT_TEST(TestOutdatedEntries);
   CPPUNIT_TEST(TestEntryThatReturned);
@@ -66,6 +67,22 @@
     CPPUNIT_ASSERT(registry.UsableEndpoints("other", mNow).empty());
   }
 
+  // Another program wrote an entry without a start under the id of an endpoint that is leaving. It
+  // counted as a new process, which got requests.
+  void TestEntryWithoutStart()
+  {
+    EndpointRegistry registry;
+    registry.Put(MakeEntry("a", 5, /*aIsLeaving=*/true), mNow);
+    CPPUNIT_ASSERT(!registry.Put(MakeEntry("a", 0), mNow));
+    CPPUNIT_ASSERT_EQUAL(std::string(), UsableIds(registry));
+    registry.Remove("a", /*aAfterOutage=*/false, mNow);
+    CPPUNIT_ASSERT(!registry.Put(MakeEntry("a", 0), mNow));
+    CPPUNIT_ASSERT_EQUAL(std::string(), UsableIds(registry));
+    CPPUNIT_ASSERT(registry.Put(MakeEntry("a", 6), mNow));
+    CPPUNIT_ASSERT(registry.Put(MakeEntry("b", 0), mNow));
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), UsableIds(registry));
+  }
+
   // Entries expire during an outage of the key-value service. An endpoint that is still running
   // renews its entry within kRenewalGracePeriod and must not be removed before.
   void TestOutage()
