Availability zones are evacuated by a key of an operator

Callers saw requests go on to the endpoints of a machine room that was being taken out of use, since only the endpoints' own entries could stop them. A key op/evacuate/ZONE now excludes the endpoints of a zone from first attempts, retries, resumes, trials, and after waits for a permit or a connection; the endpoint's record is asked last on each of these paths. The watch of the configuration became one of all keys below op/, so no call is added. After the store has come back from an older copy, a zone that the copy lacks stays evacuated for 10 s.

op/config is now matched exactly; keys that only begin with it were read as configurations before.

During a rolling replacement, updates of the other build's prefix are ignored, and each build watches for itself where its zone's watchers are of the other one (WatchRelayTest TestOtherPrefix).

--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -20,7 +20,12 @@
 #include "gentianloom/net/HttpService.h"
 #include "gentianloom/net/LoopMonitor.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace gentianloom {
 
@@ -61,12 +66,20 @@
   GrantDependencies MakeRightsLinks();
   /// The budgets that this instance keeps.
   std::vector<std::string> KeptBudgets();
-  PrefixWatchHandlers MakeConfigurationHandlers();
+  PrefixWatchHandlers MakeOperatorHandlers();
   PrefixWatchHandlers MakeEndpointHandlers();
   PrefixWatchHandlers MakeInstanceHandlers();
   /// Serves readiness checks, queries for instance addresses, and metrics.
   Result<void> ServeAuxiliaryHttp();
   void ApplyConfiguration(const KeyValue& aEntry);
+  /// Applies all keys of the operators.
+  void ReadOperatorKeys(const std::vector<KeyValue>& aEntries, StoreAvailability aAvailability);
+  /// Applies a change of one of the operators' keys.
+  void UpdateOperatorKey(const WatchEvent& aEvent);
+  /// The zone that a key of the operators evacuates, if it does; logs a malformed key.
+  std::optional<std::string> DecodeEvacuatedZone(std::string_view aKey) const;
+  /// Changes the evacuated zones and logs which ones are evacuated or used again by that.
+  void ChangeEvacuatedZones(const std::function<void(EvacuatedZones&)>& aChange);
   void UpdateEndpoint(const KeyValue& aEntry);
   void UpdateInstance(const KeyValue& aEntry);
   /// Adds the software versions of the listed endpoints to the history.
@@ -105,7 +118,7 @@
   ForwardingPeers mForwardingPeers;
   CallerServer mCallerServer;
   CallerServer mPeerServer; ///< requests of instances that reach no endpoint
-  PrefixWatcher mConfigurationWatcher;
+  PrefixWatcher mOperatorWatcher;
   PrefixWatcher mEndpointWatcher;
   PrefixWatcher mInstanceWatcher;
   InstanceRegistration mRegistration;
--- a/include/gentianloom/gateway/PlatformProtocol.h
+++ b/include/gentianloom/gateway/PlatformProtocol.h
@@ -5,6 +5,7 @@
 #include "gentianloom/routing/EndpointRegistry.h"
 #include "gentianloom/routing/RouteTable.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,9 +26,20 @@
   /// @brief Codec of the headers of requests and responses.
   virtual const RequestCodec& Codec() const = 0;
 
-  /// @brief Key of the routing configuration, which operators write.
+  /// @brief Prefix of all keys that operators write.
+  virtual std::string OperatorPrefix() const = 0;
+
+  /// @brief Key of the routing configuration, below OperatorPrefix().
   virtual std::string ConfigurationKey() const = 0;
 
+  /**
+   * @brief Extracts the availability zone from an operator's key that evacuates it.
+   * @param aKey key below OperatorPrefix()
+   * @return the zone; nothing if the key is of another kind; ErrorCode::MalformedRequest if the
+   * zone's name is empty or too long
+   */
+  virtual Result<std::optional<std::string>> DecodeEvacuatedZone(std::string_view aKey) const = 0;
+
   /// @brief Prefix of the keys under which endpoints register; the rest of a key is the endpoint's
   /// ID.
   virtual std::string EndpointPrefix() const = 0;
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/routing/EndpointLoad.h"
+#include "gentianloom/routing/EvacuatedZones.h"
 #include "gentianloom/routing/RateLimit.h"
 #include "gentianloom/routing/RefusalWindow.h"
 #include "gentianloom/routing/RequestHold.h"
@@ -61,13 +62,18 @@
   RequestHold mHold;
   StatedRateLimit mRateLimit;
   RefusalWindow mWindow;
+  std::shared_ptr<const EvacuatedZones> mEvacuatedZones; ///< null: no zone is evacuated
 
-  /// @brief Whether the endpoint is registered and does not leave.
+  /// @brief Whether the endpoint is registered, does not leave and is in no evacuated zone.
   bool AcceptsRequests() const
   {
-    return mState != EntryState::Removed && !mEntry.mIsLeaving && !mHasAnnouncedLeaving;
+    return mState != EntryState::Removed && !mEntry.mIsLeaving && !mHasAnnouncedLeaving &&
+           !IsEvacuated();
   }
 
+  /// @brief Whether an operator has evacuated the endpoint's availability zone.
+  bool IsEvacuated() const { return mEvacuatedZones && mEvacuatedZones->IsEvacuated(mEntry.mZone); }
+
   /// @brief Whether the endpoint accepts requests and no pause that it asked for holds.
   bool AcceptsRequests(TimePoint aNow) const { return AcceptsRequests() && !mHold.IsPaused(aNow); }
 };
@@ -152,6 +158,10 @@
   /// nothing.
   std::optional<Micros> TimeUntilPauseEnds(std::string_view aService, TimePoint aNow) const;
 
+  /// @brief The zones whose endpoints get no requests. A change holds at once, also for requests
+  /// that have chosen an endpoint and were not sent yet.
+  EvacuatedZones& Evacuated() { return *mEvacuatedZones; }
+
   /// @brief All endpoints by id.
   const std::map<std::string, Ptr, std::less<>>& All() const { return mEndpoints; }
 
@@ -175,6 +185,7 @@
 
   std::map<std::string, Ptr, std::less<>> mEndpoints;
   std::map<std::string, RemovedEndpoint, std::less<>> mRemoved;
+  std::shared_ptr<EvacuatedZones> mEvacuatedZones = std::make_shared<EvacuatedZones>();
   std::function<void(const std::string&)> mOnNewProcess;
 };
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -18,8 +18,9 @@
 /// Share of the key-value service's write capacity that budget rights may use.
 constexpr double kRightsWriteShare = 0.6;
 /// Maximum wait of one watch. A silent connection is detected after this time and the margin of the
-/// call (600 ms), which must be well below the 3 s after which a version has to be in force.
-constexpr PrefixWatchTiming kConfigurationWatch{ Millis(1'700) };
+/// call (600 ms), which must be well below the 3 s after which a version has to be in force, and
+/// the 5 s after which an evacuation has to be.
+constexpr PrefixWatchTiming kOperatorWatch{ Millis(1'700) };
 /// Many endpoints change at once when a service is replaced or a rack is lost.
 constexpr PrefixWatchTiming kEndpointWatch{ Millis(1'700), Millis(250) };
 /// For the list of instances, whose changes are less urgent. All of them write their records when
@@ -170,14 +171,14 @@
                   return mInstances.HasHost(aHost) ? RequestSource::Peer
                                                    : RequestSource::UnknownPeer;
                 })
-  , mConfigurationWatcher(aLoop,
-                          aStore,
-                          aProtocol.ConfigurationKey(),
-                          kConfigurationWatch,
-                          MakeConfigurationHandlers(),
-                          &mWatchRelay,
-                          aClock,
-                          mMetrics)
+  , mOperatorWatcher(aLoop,
+                     aStore,
+                     aProtocol.OperatorPrefix(),
+                     kOperatorWatch,
+                     MakeOperatorHandlers(),
+                     &mWatchRelay,
+                     aClock,
+                     mMetrics)
   , mEndpointWatcher(aLoop,
                      aStore,
                      aProtocol.EndpointPrefix(),
@@ -270,7 +271,7 @@
     mEndpointLimits.Start();
     mRelay.mOnPendingTokensChanged = [this] { mPeerLoadExchange.NotifyChange(); };
   }
-  mConfigurationWatcher.Start();
+  mOperatorWatcher.Start();
   mEndpointWatcher.Start();
   mInstanceWatcher.Start();
   mRights.Start();
@@ -366,6 +367,7 @@
   while (true) {
     ObserveSoftwareVersions();
     mRelay.mEndpoints.RemoveExpired(mClock.Now());
+    ChangeEvacuatedZones([this](EvacuatedZones& it) { it.RemoveExpired(mClock.Now()); });
     mInstances.RemoveExpired(mClock.Now());
     mRelay.mConnections.Prune();
     mRelay.mRetryBudgets.SetBurst(
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -3,24 +3,6 @@
 
 namespace gentianloom {
 
-PrefixWatchHandlers Gateway::MakeConfigurationHandlers()
-{
-  PrefixWatchHandlers out;
-  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability) {
-    for (const auto& it : aEntries) {
-      ApplyConfiguration(it);
-    }
-  };
-  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability) {
-    for (const auto& it : aEvents) {
-      if (!it.mIsDeleted) {
-        ApplyConfiguration(it.mEntry);
-      }
-    }
-  };
-  return out;
-}
-
 PrefixWatchHandlers Gateway::MakeEndpointHandlers()
 {
   PrefixWatchHandlers out;
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -61,6 +61,7 @@
   auto out = std::make_shared<Endpoint>();
   out->mHash = StableHash(aEntry.mId);
   out->mWindow.OnStated(isBrittle, 0);
+  out->mEvacuatedZones = mEvacuatedZones;
   return out;
 }
 
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(TestOwnWatchEndsAfterAnUpdate);
   CPPUNIT_TEST(TestWrongUpdate);
   CPPUNIT_TEST(TestFollowerBecomesWatcher);
+  CPPUNIT_TEST(TestOtherPrefix);
   CPPUNIT_TEST(TestParts);
   CPPUNIT_TEST(TestMalformedDatagrams);
   CPPUNIT_TEST_SUITE_END();
@@ -38,7 +39,7 @@
   /// An instance with its own socket on the loopback interface, and a store of its own choice.
   struct Instance
   {
-    Instance(WatchRelayTest& aTest, AsyncStore& aStore)
+    Instance(WatchRelayTest& aTest, AsyncStore& aStore, std::string_view aPrefix = kPrefix)
       : mSocket(aTest.mLoop, mMetrics)
       , mAddress(testing::FreeLoopbackAddress(aTest.mLoop))
       , mRelay(
@@ -53,7 +54,7 @@
           mMetrics)
       , mWatcher(aTest.mLoop,
                  aStore,
-                 std::string(kPrefix),
+                 std::string(aPrefix),
                  { kTimeout },
                  { [this](const auto& aEntries, StoreAvailability) {
                     mSeen += "snapshot" + std::to_string(aEntries.size()) + " ";
@@ -159,7 +160,7 @@
       for (std::size_t n = 0; n < kInstances; ++n) {
         mPeers.push_back(std::make_unique<Instance>(*this, mStore));
       }
-      mFollower = std::make_unique<Instance>(*this, aStore);
+      mFollower = std::make_unique<Instance>(*this, aStore, mFollowerPrefix);
     }
   }
 
@@ -203,6 +204,7 @@
   std::vector<std::unique_ptr<Instance>> mPeers;
   std::vector<std::unique_ptr<Instance>> mUnused;
   std::unique_ptr<Instance> mFollower;
+  std::string_view mFollowerPrefix = kPrefix;
 
 public:
   // With hundreds of instances, the calls of their watches were most of the store's load: 202 calls
@@ -238,6 +240,37 @@
     }
   }
 
+  // During a rolling replacement, the watchers of a zone may be of another build that watches a
+  // wider or narrower prefix. Their updates say nothing of the keys that an instance follows, so it
+  // has to ask the store itself.
+  void TestOtherPrefix()
+  {
+    for (const auto* prefix : { "p", "p/config" }) {
+      mUnused.push_back(std::move(mFollower));
+      mFollowerPrefix = prefix;
+      CreateFollower(mStore, /*aIsWatcher=*/false);
+      mStore.EnableWaiting(mLoop);
+      for (const auto& it : mPeers) {
+        it->mWatcher.Start();
+      }
+      mFollower->mWatcher.Start();
+      RunBriefly(Millis(300));
+      const auto peer = std::find_if(
+        mPeers.begin(), mPeers.end(), [](const auto& it) { return !it->mRelay.IsWatcher(); });
+      const Instance* instances[] = { mFollower.get(), peer->get() };
+      for (int n = 0; n < 3; ++n) {
+        mStore.Put("p/config", std::to_string(n));
+        RunBriefly(Millis(100));
+      }
+      mStore.Remove("p/config");
+      RunBriefly(Millis(100));
+      for (const auto* it : instances) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          prefix, std::string("snapshot0 +p/config +p/config +p/config -p/config "), it->mSeen);
+      }
+    }
+  }
+
   // A datagram that is lost, late, repeated or of another history must not hide a change or undo
   // one.
   void TestUpdates()
--- a/tests/platform/WireProtocolTest.cpp
+++ b/tests/platform/WireProtocolTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(TestConfiguration);
   CPPUNIT_TEST(TestMalformedConfigurations);
   CPPUNIT_TEST(TestEndpoints);
+  CPPUNIT_TEST(TestEvacuatedZones);
   CPPUNIT_TEST(TestAddresses);
   CPPUNIT_TEST_SUITE_END();
 
@@ -89,6 +90,34 @@
     }
   }
 
+  // A malformed key among those of the operators must evacuate nothing, and other kinds of keys are
+  // no error.
+  void TestEvacuatedZones()
+  {
+    const std::string longest(200, 'z');
+    struct Row
+    {
+      std::string mKey;
+      std::string mZone; ///< empty: the key evacuates none
+      bool mIsMalformed = false;
+    };
+    const Row rows[] = { { "op/evacuate/z-a", "z-a" },
+                         { "op/evacuate/" + longest, longest },
+                         { "op/evacuate/" + longest + "z", "", true },
+                         { "op/evacuate/", "", true },
+                         { "op/evacuate/a/b", "a/b" },
+                         { "op/evacuate", "" },
+                         { "op/config", "" },
+                         { "op/unknown/z-a", "" } };
+    for (const auto& row : rows) {
+      CPPUNIT_ASSERT_MESSAGE(row.mKey, row.mKey.starts_with(mProtocol.OperatorPrefix()));
+      const auto zone = mProtocol.DecodeEvacuatedZone(row.mKey);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mKey, row.mIsMalformed, zone.has_error());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mKey, row.mZone, zone ? zone.value().value_or("") : std::string());
+    }
+  }
+
   void TestAddresses()
   {
     struct Row
