--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -10,24 +10,6 @@
 
 } // namespace
 
-PrefixWatchHandlers Gateway::MakeConfigurationHandlers()
-{
-  PrefixWatchHandlers out;
-  out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability) {
-    for (const auto& it : aEntries) {
-      ApplyConfiguration(it);
-    }
-  };
-  out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability) {
-    for (const auto& it : aEvents) {
-      if (!it.mIsDeleted) {
-        ApplyConfiguration(it.mEntry);
-      }
-    }
-  };
-  return out;
-}
-
 PrefixWatchHandlers Gateway::MakeEndpointHandlers()
 {
   PrefixWatchHandlers out;
