gateway: endpoints that warm up need permits

Callers of services whose endpoints start often saw them crash: each instance sent a new endpoint what it liked, since the remaining warm-up time of its entry was decoded and not used.

While an endpoint warms up, requests to it need permits of its keepers, as for an endpoint that states a rate limit; the lower limit applies. Each of the two keepers gives out evenly spaced permits within half of the bound, so that the bound holds if both do. A permit ends 100 ms after its query. The limit is carried in optional last elements of the messages about limits. The bound comes from the settings; without them, or without a limit of the service, nothing changes.

--- a/include/gentianloom/gateway/EndpointLimitExchange.h
+++ b/include/gentianloom/gateway/EndpointLimitExchange.h
@@ -8,12 +8,21 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace gentianloom {
 
+/// What a message says of the warm-up of an endpoint.
+struct WarmUpStatement
+{
+  double mRequestsPerSecond = 0; ///< that the endpoint can take of all instances
+  Millis mRemaining{ 0 };
+  Micros mStatedAgo{ 0 };
+};
+
 /// Message about the rate limit of one process of an endpoint.
 struct EndpointLimitMessage
 {
@@ -27,6 +36,10 @@
   bool mIsGranted = false;                  ///< of an answer
   Millis mWait{ 0 };                        ///< of a denial: time until the next query;
                                             ///< of EndpointFull: time without requests
+  /// Nothing: the endpoint does not warm up, or the sender is of a version that keeps no such
+  /// limit.
+  std::optional<WarmUpStatement> mWarmUp{};
+  TimePoint mAskedAt{}; ///< of an answer, when its query was sent; not part of the datagram
 };
 
 /// @brief Encodes a message as MessagePack, to be sent in one datagram.
@@ -43,6 +56,9 @@
  * the second one does while the first does not answer. What a response states is told to both, and
  * a change of it by the first one to all instances. Queries state what the sender knows, so that an
  * instance that begins to give out permits need not have heard of the limit.
+ *
+ * An endpoint that warms up has a limit as well, with evenly spaced permits; the lower limit
+ * applies. Both keepers may give out these permits at the same time, see KeeperRate().
  */
 class EndpointLimitExchange final : public RequestPermits
 {
@@ -63,6 +79,15 @@
   /// Most endpoints whose limits an instance keeps for others.
   static constexpr std::size_t kMaxKept = 4'096;
 
+  /// What keeping the warm-up limit takes.
+  struct WarmUpRule
+  {
+    /// Nothing: this instance keeps no such limit.
+    std::optional<WarmUpBound> mBound;
+    /// Whether the list of peers is complete. Until then the instance gives itself no permits.
+    std::function<bool()> mKnowsPeers;
+  };
+
   /**
    * @param aSelf address of this instance, the same that its peers know
    * @param aPeers returns the addresses of the other instances
@@ -73,15 +98,20 @@
                         std::function<std::vector<std::string>()> aPeers,
                         EndpointRegistry& aEndpoints,
                         const Clock& aClock,
-                        Metrics& aMetrics);
+                        Metrics& aMetrics,
+                        WarmUpRule aWarmUpRule = {});
 
   /// @brief Starts to handle messages. Call it once.
   void Start();
 
-  net::Task<bool> Take(EndpointRegistry::Ptr aEndpoint) override;
+  /// @brief Logs which endpoints have begun or ended to warm up. Must be called periodically.
+  void ReportWarmUps();
+
+  net::Task<std::optional<TimePoint>> Take(EndpointRegistry::Ptr aEndpoint) override;
   void OnFull(const EndpointRegistry::Ptr& aEndpoint) override;
   void OnStated(const EndpointRegistry::Ptr& aEndpoint,
                 std::optional<double> aRequestsPerSecond) override;
+  void OnWarmUpStated(const EndpointRegistry::Ptr& aEndpoint, Millis aRemaining) override;
 
 private:
   /// The limit of one process of an endpoint, for which this instance gives out permits.
@@ -89,6 +119,7 @@
   {
     StatedRateLimit mLimit;
     PermitBucket mPermits;
+    PermitTurns mTurns;
     TimePoint mUsedAt{};
   };
 
@@ -104,6 +135,18 @@
   /// Asks a keeper. @return its answer, or nothing if it does not answer in time
   net::Task<std::optional<EndpointLimitMessage>> Ask(std::string aKeeper,
                                                      EndpointLimitMessage aQuery);
+  /// Asks the keepers in turn. @return the first answer that keeps the limits of the query
+  net::Task<std::optional<EndpointLimitMessage>> AskKeepers(EndpointLimitMessage aQuery);
+  /// The warm-up limit for a query, as this keeper or the sender knows it.
+  std::optional<WarmUpStatement> WarmUpFor(const EndpointLimitMessage& aQuery) const;
+  std::optional<WarmUpStatement> WarmUpOf(const Endpoint& aEndpoint) const;
+  void OnAnswer(Endpoint& aEndpoint, const EndpointLimitMessage& aAnswer);
+  /// Longest wait of a denied instance for a permit of its own.
+  Millis DenialTime() const;
+  void Count(const char* aOutcome, const EndpointLimitMessage& aQuery);
+  void SendToAll(const EndpointLimitMessage& aMessage);
+  /// Takes over the warm-up that another instance states, and tells all as a keeper.
+  void ApplyWarmUp(const EndpointLimitMessage& aStatement);
   /// Answers a query of this or another instance.
   EndpointLimitMessage Answer(const EndpointLimitMessage& aQuery);
   /// Takes over a statement that this instance keeps. @return whether it changes the limit
@@ -124,6 +167,8 @@
   EndpointRegistry& mEndpoints;
   const Clock& mClock;
   Metrics& mMetrics;
+  WarmUpRule mWarmUpRule;
+  std::set<std::string> mWarmingUp;  ///< endpoints that were reported to warm up
   std::map<std::string, Kept> mKept; ///< by endpoint and its process
   std::map<std::uint64_t, Query> mQueries;
   std::map<std::string, TimePoint> mUnresponsiveUntil; ///< by instance
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -61,6 +61,8 @@
   GrantDependencies MakeRightsLinks();
   /// The budgets that this instance keeps.
   std::vector<std::string> KeptBudgets();
+  /// Whether the instances that started together with this one are listed.
+  bool AreInstancesListed() const;
   PrefixWatchHandlers MakeConfigurationHandlers();
   PrefixWatchHandlers MakeEndpointHandlers();
   PrefixWatchHandlers MakeInstanceHandlers();
--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -3,7 +3,9 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
+#include "gentianloom/routing/WarmUp.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +35,8 @@
   Millis mRightsDemandWindow{ 10'000 };
   /// Retries allowed per window in addition to mRetryShare, over the whole fleet.
   double mRetrySlack = 20;
+  /// Bound on the requests to endpoints that warm up; unset: none.
+  std::optional<WarmUpBound> mWarmUpBound;
 };
 
 /// Result of parsing a settings file: the valid settings and one error for each invalid key.
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -118,6 +118,7 @@
   void ObservePause();
   /// Notes the rate limit that the endpoint states, or that it states none.
   void ObserveRateLimit();
+  void ObserveWarmUp();
   /// Whether the endpoint still takes the request after the connection was opened.
   bool AcceptsRequest() const;
   /// Counts a Retry-After: "asked" for a pause, or "invalid".
@@ -155,8 +156,8 @@
   double mTokensToPrefill; ///< uncached prompt tokens of this request and those pending at the
                            ///< endpoint before it
   EndpointLoad::RequestHandle mLoadHandle;
-  bool mHasPermit; ///< of an endpoint with a rate limit
-  bool mIsTrial;   ///< the first request after a pause that the endpoint asked for
+  std::optional<TimePoint> mPermitUntil; ///< end of the permit of an endpoint that needs one
+  bool mIsTrial; ///< the first request after a pause that the endpoint asked for
   net::Channel::Ptr mChannel;
   std::size_t mBytesSentBefore = 0; ///< bytes that earlier requests sent on the connection
   bool mIsRequestSent = false;
--- a/include/gentianloom/relay/RequestCodec.h
+++ b/include/gentianloom/relay/RequestCodec.h
@@ -72,6 +72,8 @@
   bool mIsRetryAfterInvalid = false; ///< a refusal states no such time in its place
   std::optional<double> mRateLimit;  ///< requests a second that the endpoint takes of all instances
   bool mIsRateLimitInvalid = false;  ///< it states something else in its place
+  std::optional<Millis> mWarmUpRemaining; ///< of the endpoint; 0: it has warmed up
+  bool mIsWarmUpInvalid = false;          ///< it states something else in its place
   bool mIsBrittle = false; ///< the endpoint states that too many refusals in a second end it
   std::optional<ReportedLoad> mLoad;
   bool mIsDeclined = false;           ///< by another instance, see RequestCodec::AddDeclined()
--- a/include/gentianloom/routing/EndpointChooser.h
+++ b/include/gentianloom/routing/EndpointChooser.h
@@ -25,11 +25,11 @@
 /// The chosen endpoint with the estimates behind the choice, which are logged.
 struct PlacementChoice
 {
-  EndpointRegistry::Ptr mEndpoint; ///< null: no endpoint is usable
-  bool mHasPermit = false;         ///< of an endpoint with a rate limit
-  std::int64_t mCachedTokens = 0;  ///< prompt tokens that the endpoint probably has cached
-  std::int64_t mPrefillTokens = 0; ///< prompt tokens that the endpoint has to process
-  std::int64_t mPendingTokens = 0; ///< prompt tokens of requests ahead on the endpoint
+  EndpointRegistry::Ptr mEndpoint;       ///< null: no endpoint is usable
+  std::optional<TimePoint> mPermitUntil; ///< end of the permit of an endpoint that needs one
+  std::int64_t mCachedTokens = 0;        ///< prompt tokens that the endpoint probably has cached
+  std::int64_t mPrefillTokens = 0;       ///< prompt tokens that the endpoint has to process
+  std::int64_t mPendingTokens = 0;       ///< prompt tokens of requests ahead on the endpoint
   double mRunning = 0;     ///< estimated requests on the endpoint, see EndpointLoad::Running()
   double mPredictedMs = 0; ///< predicted time to the first event; engines only
   /// minimized value, with all penalties: milliseconds for engines, load per slot for plain
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -6,6 +6,7 @@
 #include "gentianloom/routing/RateLimit.h"
 #include "gentianloom/routing/RefusalWindow.h"
 #include "gentianloom/routing/RequestHold.h"
+#include "gentianloom/routing/WarmUp.h"
 
 #include <cstdint>
 #include <functional>
@@ -32,7 +33,7 @@
   std::int64_t mSequence = 0;  ///< rises with each write of the endpoint's process
   std::int64_t mStartedAt = 0; ///< wall-clock milliseconds; distinguishes processes with one id
   bool mIsLeaving = false;
-  Millis mWarmUpRemaining{ 0 }; ///< remaining warm-up time, in which the endpoint is slow
+  std::optional<Millis> mWarmUpRemaining; ///< at the time of writing; nothing: not stated
 };
 
 /// State of an entry in the registry.
@@ -60,6 +61,7 @@
   EndpointLoad mLoad;
   RequestHold mHold;
   StatedRateLimit mRateLimit;
+  WarmUp mWarmUp;
   RefusalWindow mWindow;
 
   /// @brief Whether the endpoint is registered and does not leave.
@@ -70,6 +72,21 @@
 
   /// @brief Whether the endpoint accepts requests and no pause that it asked for holds.
   bool AcceptsRequests(TimePoint aNow) const { return AcceptsRequests() && !mHold.IsPaused(aNow); }
+
+  /// @brief Whether a request needs a permit, see RequestPermits.
+  bool NeedsPermit(TimePoint aNow) const
+  {
+    return mRateLimit.IsLimited() || mWarmUp.IsLimited(aNow);
+  }
+
+  /// @brief Whether a request needs no permit, or a permit may be asked for.
+  bool AllowsQuery(TimePoint aNow) const
+  {
+    return !NeedsPermit(aNow) || aNow >= mRateLimit.DeniedUntil();
+  }
+
+  /// @brief Time until AllowsQuery(); zero if it does.
+  Micros TimeUntilQuery(TimePoint aNow) const;
 };
 
 /**
@@ -100,6 +117,10 @@
     mOnNewProcess = std::move(aHandler);
   }
 
+  /// @brief Sets the requests per second that the endpoints of services can take of all instances
+  /// while they warm up. Services that are not named have no such limit.
+  void SetWarmUpLimits(std::map<std::string, double, std::less<>> aLimits);
+
   /// @brief Adds or updates an entry. A different start time, address, service or software version
   /// means a new process, which gets a new record.
   void Put(EndpointEntry aEntry, TimePoint aNow);
@@ -170,12 +191,15 @@
   /// Whether an endpoint of a service states that too many refusals would end it.
   bool IsBrittle(std::string_view aService) const;
 
+  std::optional<double> WarmUpLimitOf(std::string_view aService) const;
+
   /// Creates the record of a process that was not known, or returns the one that was removed.
   Ptr AddRecord(const EndpointEntry& aEntry);
 
   std::map<std::string, Ptr, std::less<>> mEndpoints;
   std::map<std::string, RemovedEndpoint, std::less<>> mRemoved;
   std::function<void(const std::string&)> mOnNewProcess;
+  std::map<std::string, double, std::less<>> mWarmUpLimits; ///< by service
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/routing/RateLimit.h
+++ b/include/gentianloom/routing/RateLimit.h
@@ -32,12 +32,13 @@
     return std::exchange(mRequestsPerSecond, aRequestsPerSecond) != aRequestsPerSecond;
   }
 
-  /// @brief Notes that no request may be sent until a time.
+  /// @brief Notes that no request may be sent until a time while a permit is needed.
   void OnDenied(TimePoint aUntil) { mDeniedUntil = aUntil; }
 
   bool IsLimited() const { return mRequestsPerSecond.has_value(); }
   std::optional<double> RequestsPerSecond() const { return mRequestsPerSecond; }
   TimePoint StatedAt() const { return mStatedAt; }
+  TimePoint DeniedUntil() const { return mDeniedUntil; }
 
   /// @brief Whether a request may be sent, or a permit asked for.
   bool AllowsRequest(TimePoint aNow) const { return !IsLimited() || aNow >= mDeniedUntil; }
@@ -73,11 +74,14 @@
   static constexpr double kMaxSavedSeconds = 0.5;
 
   /// @brief Takes a permit if there is one.
-  bool TryTake(double aRequestsPerSecond, TimePoint aNow)
+  /// @param aMaxSavedSeconds time whose permits are saved up at most; 0: permits are evenly spaced
+  bool TryTake(double aRequestsPerSecond,
+               TimePoint aNow,
+               double aMaxSavedSeconds = kMaxSavedSeconds)
   {
     const double rate = std::max(aRequestsPerSecond, kMinRequestsPerSecond);
     const double seconds = std::chrono::duration<double>(aNow - mUpdatedAt).count();
-    const double mostSaved = std::max(1.0, rate * kMaxSavedSeconds);
+    const double mostSaved = std::max(1.0, rate * aMaxSavedSeconds);
     mPermits = mUpdatedAt == TimePoint{} ? 0 : std::min(mostSaved, mPermits + seconds * rate);
     mUpdatedAt = aNow;
     if (mPermits < 1) {
--- a/include/gentianloom/routing/RouteTable.h
+++ b/include/gentianloom/routing/RouteTable.h
@@ -61,6 +61,9 @@
 {
   std::string mName;
   std::optional<EngineSpec> mEngine; ///< unset: a plain service
+  /// Requests per second that an endpoint can take while it warms up; unset: any number.
+  std::optional<double> mWarmUpLimit;
+  Millis mWarmUpTime{ 0 }; ///< from the start of an endpoint; 0: not known
 };
 
 /// Name and prepaid budget of an organisation.
@@ -120,6 +123,9 @@
   /// @brief Names of the organisations with a prepaid total.
   std::vector<std::string> PrepaidOrganisations() const;
 
+  /// @brief ServiceTarget::mWarmUpLimit of the services that have one, by name.
+  std::map<std::string, double, std::less<>> WarmUpLimits() const;
+
   /// @brief Service by its name; null if it is not configured.
   const ServiceTarget* Service(const std::string& aName) const;
 
--- a/src/gateway/EndpointLimitExchange.cpp
+++ b/src/gateway/EndpointLimitExchange.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+static_assert(EndpointLimitExchange::kKeepers == kWarmUpKeepers);
+
 constexpr double kMilli = 1'000;
 constexpr std::int64_t kMaxNumber = std::numeric_limits<std::int64_t>::max();
 /// Largest limit in thousandths of a request a second that a message may state.
@@ -23,12 +25,37 @@
 /// Longest age, and longest time of a denial, that a message may state.
 constexpr Micros kMaxAge{ 600'000'000 };
 constexpr Millis kMaxWait{ 10'000 };
+/// Longest remaining warm-up time that a message may state.
+constexpr Millis kMaxWarmUp{ 86'400'000 };
+/// Optional last elements of a message, which older versions neither send nor read.
+constexpr std::size_t kFirstWarmUpElement = 8;
+constexpr std::size_t kLastWarmUpElement = 10;
 
 std::string KeyOf(const EndpointLimitMessage& aMessage)
 {
   return aMessage.mEndpoint + "@" + std::to_string(aMessage.mStartedAt);
 }
 
+std::int64_t ToMillis(double aRequestsPerSecond)
+{
+  return std::min<std::int64_t>(std::llround(aRequestsPerSecond * kMilli), kMaxLimitMillis);
+}
+
+WarmUpStatement ReadWarmUp(const nlohmann::json& aArray)
+{
+  WarmUpStatement out;
+  out.mRequestsPerSecond =
+    static_cast<double>(ReadDatagramNumber(aArray, kFirstWarmUpElement, kMaxLimitMillis)) / kMilli;
+  out.mRemaining = Millis(ReadDatagramNumber(aArray, kFirstWarmUpElement + 1, kMaxWarmUp.count()));
+  out.mStatedAgo = Micros(ReadDatagramNumber(aArray, kLastWarmUpElement, kMaxAge.count()));
+  return out;
+}
+
+std::string ToText(Micros aTime)
+{
+  return std::to_string(std::chrono::ceil<Millis>(aTime).count());
+}
+
 std::string ToText(std::optional<double> aRequestsPerSecond)
 {
   return aRequestsPerSecond ? std::to_string(*aRequestsPerSecond) : "none";
@@ -40,17 +67,21 @@
 {
   nlohmann::json limit;
   if (aMessage.mRequestsPerSecond) {
-    limit =
-      std::min<std::int64_t>(std::llround(*aMessage.mRequestsPerSecond * kMilli), kMaxLimitMillis);
-  }
-  const auto json = nlohmann::json::array({ static_cast<int>(aMessage.mKind),
-                                            aMessage.mQuery,
-                                            aMessage.mEndpoint,
-                                            aMessage.mStartedAt,
-                                            limit,
-                                            std::min(aMessage.mStatedAgo, kMaxAge).count(),
-                                            aMessage.mIsGranted,
-                                            aMessage.mWait.count() });
+    limit = ToMillis(*aMessage.mRequestsPerSecond);
+  }
+  auto json = nlohmann::json::array({ static_cast<int>(aMessage.mKind),
+                                      aMessage.mQuery,
+                                      aMessage.mEndpoint,
+                                      aMessage.mStartedAt,
+                                      limit,
+                                      std::min(aMessage.mStatedAgo, kMaxAge).count(),
+                                      aMessage.mIsGranted,
+                                      aMessage.mWait.count() });
+  if (aMessage.mWarmUp) {
+    json.push_back(ToMillis(aMessage.mWarmUp->mRequestsPerSecond));
+    json.push_back(aMessage.mWarmUp->mRemaining.count());
+    json.push_back(std::min(aMessage.mWarmUp->mStatedAgo, kMaxAge).count());
+  }
   return EncodeDatagram(json);
 }
 
@@ -69,6 +100,9 @@
     out.mStatedAgo = Micros(ReadDatagramNumber(aArray, 5, kMaxAge.count()));
     out.mIsGranted = aArray.at(6).get<bool>();
     out.mWait = Millis(ReadDatagramNumber(aArray, 7, kMaxWait.count()));
+    if (aArray.size() > kLastWarmUpElement) {
+      out.mWarmUp = ReadWarmUp(aArray);
+    }
     return out;
   });
 }
@@ -79,7 +113,8 @@
                                              std::function<std::vector<std::string>()> aPeers,
                                              EndpointRegistry& aEndpoints,
                                              const Clock& aClock,
-                                             Metrics& aMetrics)
+                                             Metrics& aMetrics,
+                                             WarmUpRule aWarmUpRule)
   : mLoop(aLoop)
   , mSocket(aSocket)
   , mSelf(std::move(aSelf))
@@ -87,6 +122,7 @@
   , mEndpoints(aEndpoints)
   , mClock(aClock)
   , mMetrics(aMetrics)
+  , mWarmUpRule(std::move(aWarmUpRule))
 {
 }
 
@@ -112,6 +148,7 @@
   out.mRequestsPerSecond = aEndpoint.mRateLimit.RequestsPerSecond();
   const auto age = mClock.Now() - aEndpoint.mRateLimit.StatedAt();
   out.mStatedAgo = std::chrono::duration_cast<Micros>(age);
+  out.mWarmUp = WarmUpOf(aEndpoint);
   return out;
 }
 
@@ -122,33 +159,83 @@
   return ChooseKeepers(StableHash(aEndpoint), std::move(instances), kKeepers);
 }
 
-net::Task<bool> EndpointLimitExchange::Take(EndpointRegistry::Ptr aEndpoint)
+std::optional<WarmUpStatement> EndpointLimitExchange::WarmUpOf(const Endpoint& aEndpoint) const
+{
+  const auto now = mClock.Now();
+  const auto limit = aEndpoint.mWarmUp.Limit(now);
+  if (!limit) {
+    return std::nullopt;
+  }
+  return WarmUpStatement{ *limit,
+                          std::chrono::ceil<Millis>(aEndpoint.mWarmUp.TimeLeft(now)),
+                          now - aEndpoint.mWarmUp.StatedAt() };
+}
+
+net::Task<std::optional<TimePoint>> EndpointLimitExchange::Take(EndpointRegistry::Ptr aEndpoint)
 {
   const auto query = MessageAbout(*aEndpoint, PeerMessageKind::PermitQuery);
-  for (const auto& keeper : KeepersOf(query.mEndpoint)) {
+  const auto answer = co_await AskKeepers(query);
+  if (!answer) {
+    aEndpoint->mRateLimit.OnDenied(mClock.Now() + kNoKeeperPause);
+    Count("no answer", query);
+    co_return std::nullopt;
+  }
+  OnAnswer(*aEndpoint, *answer);
+  Count(answer->mIsGranted ? "granted" : "denied", *answer);
+  if (!answer->mIsGranted) {
+    co_return std::nullopt;
+  }
+  co_return answer->mWarmUp ? answer->mAskedAt + kWarmUpPermitLife : TimePoint::max();
+}
+
+net::Task<std::optional<EndpointLimitMessage>> EndpointLimitExchange::AskKeepers(
+  EndpointLimitMessage aQuery)
+{
+  const bool mayAskSelf = !aQuery.mWarmUp || !mWarmUpRule.mKnowsPeers || mWarmUpRule.mKnowsPeers();
+  for (const auto& keeper : KeepersOf(aQuery.mEndpoint)) {
+    if (keeper == mSelf && !mayAskSelf) {
+      continue;
+    }
+    const auto askedAt = mClock.Now();
     std::optional<EndpointLimitMessage> answer;
     if (keeper == mSelf) {
-      answer = Answer(query);
+      answer = Answer(aQuery);
     } else {
-      answer = co_await Ask(keeper, query);
-    }
-    if (!answer) {
-      continue;
+      answer = co_await Ask(keeper, aQuery);
     }
-    const auto now = mClock.Now();
-    aEndpoint->mRateLimit.OnStated(answer->mRequestsPerSecond, now - answer->mStatedAgo);
-    if (!answer->mIsGranted) {
-      aEndpoint->mRateLimit.OnDenied(now + answer->mWait);
+    // An older version grants what it knows no limit of.
+    const bool keepsLimits = answer && (!aQuery.mWarmUp || answer->mWarmUp);
+    if (keepsLimits) {
+      answer->mAskedAt = askedAt;
+      co_return answer;
     }
-    mMetrics
-      .CounterOf("gentianloom_endpoint_permits_total",
-                 answer->mIsGranted ? "outcome=\"granted\"" : "outcome=\"denied\"")
-      .Add();
-    co_return answer->mIsGranted;
   }
-  aEndpoint->mRateLimit.OnDenied(mClock.Now() + kNoKeeperPause);
-  mMetrics.CounterOf("gentianloom_endpoint_permits_total", "outcome=\"no answer\"").Add();
-  co_return false;
+  co_return std::nullopt;
+}
+
+void EndpointLimitExchange::OnAnswer(Endpoint& aEndpoint, const EndpointLimitMessage& aAnswer)
+{
+  const auto now = mClock.Now();
+  aEndpoint.mRateLimit.OnStated(aAnswer.mRequestsPerSecond, now - aAnswer.mStatedAgo);
+  if (aAnswer.mIsGranted) {
+    return;
+  }
+  auto until = now + aAnswer.mWait;
+  // Of several requests that were denied meanwhile, the first may ask when its turn comes.
+  const auto known = aEndpoint.mRateLimit.DeniedUntil();
+  if (aAnswer.mWarmUp && known > now) {
+    until = std::min<TimePoint>(until, known);
+  }
+  aEndpoint.mRateLimit.OnDenied(until);
+}
+
+void EndpointLimitExchange::Count(const char* aOutcome, const EndpointLimitMessage& aQuery)
+{
+  const auto* const reason = aQuery.mWarmUp ? "warm-up" : "stated limit";
+  mMetrics
+    .CounterOf("gentianloom_endpoint_permits_total",
+               std::string("outcome=\"") + aOutcome + "\",reason=\"" + reason + "\"")
+    .Add();
 }
 
 net::Task<std::optional<EndpointLimitMessage>> EndpointLimitExchange::Ask(
@@ -187,16 +274,43 @@
   out.mKind = PeerMessageKind::PermitAnswer;
   out.mRequestsPerSecond = kept.mLimit.RequestsPerSecond();
   out.mStatedAgo = std::chrono::duration_cast<Micros>(now - kept.mLimit.StatedAt());
-  const double rate = out.mRequestsPerSecond.value_or(0);
-  out.mIsGranted = !out.mRequestsPerSecond || kept.mPermits.TryTake(rate, now);
+  out.mWarmUp = WarmUpFor(aQuery);
+  if (!out.mWarmUp) {
+    const double rate = out.mRequestsPerSecond.value_or(0);
+    out.mIsGranted = !out.mRequestsPerSecond || kept.mPermits.TryTake(rate, now);
+    if (!out.mIsGranted) {
+      const auto untilPermit = std::chrono::ceil<Millis>(kept.mPermits.TimeUntilPermit(rate));
+      out.mWait = std::min(kMaxWait, std::max(untilPermit, DenialTime()));
+    }
+    return out;
+  }
+  const double warmUpRate = KeeperRate(out.mWarmUp->mRequestsPerSecond, *mWarmUpRule.mBound);
+  const double rate = std::max(std::min(out.mRequestsPerSecond.value_or(warmUpRate), warmUpRate),
+                               PermitBucket::kMinRequestsPerSecond);
+  out.mIsGranted = kept.mPermits.TryTake(rate, now, 0);
   if (!out.mIsGranted) {
-    const auto instances = static_cast<std::int64_t>(mPeers().size()) + 1;
-    const auto untilPermit = std::chrono::ceil<Millis>(kept.mPermits.TimeUntilPermit(rate));
-    out.mWait = std::min(kMaxWait, std::max(untilPermit, kDenialPerInstance * instances));
+    const auto wait =
+      kept.mTurns.Next(rate, kept.mPermits.TimeUntilPermit(rate), DenialTime(), now);
+    out.mWait = std::min(kMaxWait, std::chrono::ceil<Millis>(wait));
   }
   return out;
 }
 
+Millis EndpointLimitExchange::DenialTime() const
+{
+  return kDenialPerInstance * (static_cast<std::int64_t>(mPeers().size()) + 1);
+}
+
+std::optional<WarmUpStatement> EndpointLimitExchange::WarmUpFor(
+  const EndpointLimitMessage& aQuery) const
+{
+  if (!mWarmUpRule.mBound || aQuery.mWarmUp) {
+    return mWarmUpRule.mBound ? aQuery.mWarmUp : std::nullopt;
+  }
+  const auto endpoint = ListedEndpoint(aQuery);
+  return endpoint ? WarmUpOf(*endpoint) : std::nullopt;
+}
+
 bool EndpointLimitExchange::Keep(const EndpointLimitMessage& aStatement)
 {
   if (mKept.size() >= kMaxKept) {
@@ -227,10 +341,7 @@
   aEndpoint->mWindow.OnRefused(aEndpoint->mLoad.InFlight());
   auto message = MessageAbout(*aEndpoint, PeerMessageKind::EndpointFull);
   message.mWait = kFullPause;
-  const auto bytes = EncodeEndpointLimit(message);
-  for (const auto& it : mPeers()) {
-    mSocket.Send(it, bytes);
-  }
+  SendToAll(message);
   mMetrics.CounterOf("gentianloom_endpoint_full_total").Add();
 }
 
@@ -259,17 +370,85 @@
   }
 }
 
-void EndpointLimitExchange::Announce(const EndpointLimitMessage& aStatement)
+void EndpointLimitExchange::OnWarmUpStated(const EndpointRegistry::Ptr& aEndpoint,
+                                           Millis aRemaining)
 {
-  if (KeepersOf(aStatement.mEndpoint).front() != mSelf) {
+  const bool isNews = aEndpoint->mWarmUp.OnStated(aRemaining, mClock.Now());
+  const auto limit = aEndpoint->mWarmUp.Limit();
+  if (!isNews || !limit) {
     return;
   }
-  const auto bytes = EncodeEndpointLimit(aStatement);
+  auto statement = MessageAbout(*aEndpoint, PeerMessageKind::EndpointLimit);
+  statement.mWarmUp = WarmUpStatement{ *limit, aRemaining, Micros(0) };
+  for (const auto& it : KeepersOf(statement.mEndpoint)) {
+    if (it != mSelf) {
+      mSocket.Send(it, EncodeEndpointLimit(statement));
+    } else {
+      SendToAll(statement);
+    }
+  }
+}
+
+void EndpointLimitExchange::ApplyWarmUp(const EndpointLimitMessage& aStatement)
+{
+  const auto endpoint = ListedEndpoint(aStatement);
+  if (!endpoint || !aStatement.mWarmUp) {
+    return;
+  }
+  const auto& warmUp = *aStatement.mWarmUp;
+  const bool isNews =
+    endpoint->mWarmUp.OnStated(warmUp.mRemaining, mClock.Now() - warmUp.mStatedAgo);
+  const auto keepers = KeepersOf(aStatement.mEndpoint);
+  if (isNews && std::find(keepers.begin(), keepers.end(), mSelf) != keepers.end()) {
+    SendToAll(aStatement);
+  }
+}
+
+void EndpointLimitExchange::ReportWarmUps()
+{
+  const auto now = mClock.Now();
+  std::set<std::string> warmingUp;
+  for (const auto& [id, it] : mEndpoints.All()) {
+    const auto limit = it->mWarmUp.Limit(now);
+    if (!limit) {
+      continue;
+    }
+    warmingUp.insert(id);
+    if (!mWarmingUp.contains(id)) {
+      LogChange(LogLevel::Info,
+                "endpoints",
+                "an endpoint has begun to warm up",
+                { { "endpoint", id },
+                  { "requests_per_s", ToText(limit) },
+                  { "remaining_ms", ToText(it->mWarmUp.TimeLeft(now)) } });
+    }
+  }
+  for (const auto& it : mWarmingUp) {
+    if (!warmingUp.contains(it)) {
+      LogChange(
+        LogLevel::Info, "endpoints", "an endpoint no longer warms up", { { "endpoint", it } });
+    }
+  }
+  mWarmingUp = std::move(warmingUp);
+  mMetrics.GaugeOf("gentianloom_endpoints_warming_up")
+    .Set(static_cast<std::int64_t>(mWarmingUp.size()));
+}
+
+void EndpointLimitExchange::SendToAll(const EndpointLimitMessage& aMessage)
+{
+  const auto bytes = EncodeEndpointLimit(aMessage);
   for (const auto& it : mPeers()) {
     mSocket.Send(it, bytes);
   }
 }
 
+void EndpointLimitExchange::Announce(const EndpointLimitMessage& aStatement)
+{
+  if (KeepersOf(aStatement.mEndpoint).front() == mSelf) {
+    SendToAll(aStatement);
+  }
+}
+
 EndpointRegistry::Ptr EndpointLimitExchange::ListedEndpoint(
   const EndpointLimitMessage& aMessage) const
 {
@@ -303,6 +482,7 @@
   }
   if (it.mKind == PeerMessageKind::EndpointLimit) {
     Apply(it);
+    ApplyWarmUp(it);
     if (Keep(it)) {
       Announce(it);
     }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -138,14 +138,14 @@
       aStore,
       aClock,
       mMetrics)
-  , mEndpointLimits(
-      aLoop,
-      mPeerSocket,
-      mSettings.mPeerAddress,
-      [this] { return mInstances.PeerAddresses(mSelf.mName); },
-      mRelay.mEndpoints,
-      aClock,
-      mMetrics)
+  , mEndpointLimits(aLoop,
+                    mPeerSocket,
+                    mSettings.mPeerAddress,
+                    [this] { return mInstances.PeerAddresses(mSelf.mName); },
+                    mRelay.mEndpoints,
+                    aClock,
+                    mMetrics,
+                    { mSettings.mWarmUpBound, [this] { return AreInstancesListed(); } })
   , mWatchRelay(
       mPeerSocket,
       mSettings.mPeerAddress,
@@ -235,7 +235,7 @@
     return out;
   }
   // Of instances that start together, each would count as the keeper of all budgets at first.
-  const bool areInstancesListed = mClock.Now() - mStartedAt >= kInstancesListedAfter;
+  const bool areInstancesListed = AreInstancesListed();
   for (auto& it : mRelay.mRoutes->PrepaidOrganisations()) {
     const bool isInUse = mRights.Holdings().contains(it);
     if ((areInstancesListed || isInUse) && mBudgetKeepers.IsKeeper(it)) {
@@ -245,6 +245,11 @@
   return out;
 }
 
+bool Gateway::AreInstancesListed() const
+{
+  return mInstanceWatcher.HasSynced() && mClock.Now() - mStartedAt >= kInstancesListedAfter;
+}
+
 Result<void> Gateway::Start()
 {
   mStartedAt = mClock.Now();
@@ -366,6 +371,7 @@
   while (true) {
     ObserveSoftwareVersions();
     mRelay.mEndpoints.RemoveExpired(mClock.Now());
+    mEndpointLimits.ReportWarmUps();
     mInstances.RemoveExpired(mClock.Now());
     mRelay.mConnections.Prune();
     mRelay.mRetryBudgets.SetBurst(
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -93,6 +93,9 @@
 
 constexpr double kMillisPerSecond = 1'000;
 constexpr double kMaxSeconds = 3'600;
+/// Default of a number without which the platform has no rule.
+constexpr double kNotStated = -1;
+constexpr double kMaxWarmUpBound = 1e6;
 
 } // namespace
 
@@ -140,6 +143,11 @@
     reader.ReadNumber("store_writes_per_s", it.mStoreWritesPerSecond, 1, 1e9);
   it.mRetryShare = reader.ReadNumber("retry_share", it.mRetryShare, 0, 10);
   it.mRetrySlack = reader.ReadNumber("retry_slack", it.mRetrySlack, 0, 1e9);
+  const auto overage = reader.ReadNumber("cold_overage", kNotStated, 0, kMaxWarmUpBound);
+  const auto slack = reader.ReadNumber("cold_slack", kNotStated, 0, kMaxWarmUpBound);
+  if (overage != kNotStated && slack != kNotStated) {
+    it.mWarmUpBound = WarmUpBound{ overage, slack };
+  }
   return out;
 }
 
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -123,6 +123,9 @@
     return;
   }
   mRelay.mRoutes = RouteTable::Create(std::move(decoded.value()));
+  if (mSettings.mWarmUpBound) {
+    mRelay.mEndpoints.SetWarmUpLimits(mRelay.mRoutes->WarmUpLimits());
+  }
   mMetrics.GaugeOf("gentianloom_configuration_version").Set(version);
   mRights.Wake();
   LogChange(LogLevel::Info,
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -63,7 +63,7 @@
   , mSignal(std::move(aSignal))
   , mTokensToPrefill(static_cast<double>(aPlacement.mPendingTokens + aPlacement.mPrefillTokens))
   , mLoadHandle(mEndpoint->mLoad.OnSent(aPlacement.mPrefillTokens))
-  , mHasPermit(aPlacement.mHasPermit)
+  , mPermitUntil(aPlacement.mPermitUntil)
   , mIsTrial(mEndpoint->mHold.OnSent())
   , mParser(aRequest.mHead.mMethod == "HEAD")
 {
@@ -167,8 +167,9 @@
 
 bool EndpointAttempt::AcceptsRequest() const
 {
-  const bool isWithinLimit = mHasPermit || !mEndpoint->mRateLimit.IsLimited();
-  return isWithinLimit && mEndpoint->AcceptsRequests(mContext.mClock.Now());
+  const auto now = mContext.mClock.Now();
+  const bool hasPermit = mPermitUntil && now <= *mPermitUntil;
+  return (hasPermit || !mEndpoint->NeedsPermit(now)) && mEndpoint->AcceptsRequests(now);
 }
 
 net::RequestHead EndpointAttempt::MakeForwardedRequestHead() const
--- a/src/relay/EndpointAttemptState.cpp
+++ b/src/relay/EndpointAttemptState.cpp
@@ -10,6 +10,7 @@
 {
   if (IsResponseToThisRequest()) {
     ObserveRateLimit();
+    ObserveWarmUp();
     ObserveLeaving();
     ObserveRoom();
   }
@@ -74,6 +75,25 @@
   }
 }
 
+void EndpointAttempt::ObserveWarmUp()
+{
+  if (mResponse.mIsWarmUpInvalid) {
+    mContext.mMetrics.CounterOf("gentianloom_endpoint_warm_ups_invalid_total").Add();
+    if (mEndpoint->mWarmUp.OnInvalid()) {
+      LogChange(
+        LogLevel::Warning,
+        "endpoints",
+        "ignored a warm-up time that is no number in range",
+        { { "endpoint", mEndpoint->mEntry.mId }, { "request", mRequest.mCallerRequest.mId } });
+    }
+    return;
+  }
+  const bool isCertain = mResponse.mRequestId == ResponseRequestId::Same;
+  if (isCertain && mResponse.mWarmUpRemaining && mContext.mPermits != nullptr) {
+    mContext.mPermits->OnWarmUpStated(mEndpoint, *mResponse.mWarmUpRemaining);
+  }
+}
+
 void EndpointAttempt::CountPause(std::string_view aKind) const
 {
   mContext.mMetrics
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -312,13 +312,15 @@
       mPlacement = ChooseEndpoint(denials >= kMaxDenials);
     }
     const bool needsPermit = mPlacement.mEndpoint && mContext.mPermits != nullptr &&
-                             mPlacement.mEndpoint->mRateLimit.IsLimited();
+                             mPlacement.mEndpoint->NeedsPermit(mContext.mClock.Now());
     if (!needsPermit) {
       co_return;
     }
-    mPlacement.mHasPermit = co_await mContext.mPermits->Take(mPlacement.mEndpoint);
+    mPlacement.mPermitUntil = co_await mContext.mPermits->Take(mPlacement.mEndpoint);
+    const auto now = mContext.mClock.Now();
     // What the endpoint wants may have changed while the permit was asked for.
-    if (mPlacement.mHasPermit && mPlacement.mEndpoint->AcceptsRequests(mContext.mClock.Now())) {
+    if (mPlacement.mPermitUntil && now <= *mPlacement.mPermitUntil &&
+        mPlacement.mEndpoint->AcceptsRequests(now)) {
       co_return;
     }
   }
@@ -333,7 +335,7 @@
   }
   auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion);
   if (aOnlyUnlimited) {
-    std::erase_if(usable, [](const auto& it) { return it->mRateLimit.IsLimited(); });
+    std::erase_if(usable, [now](const auto& it) { return it->NeedsPermit(now); });
   }
   if (mRoute->mIsResumable && !mProgress.mOrigin) {
     KeepRecordedVersions(usable);
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -16,8 +16,39 @@
          aLeft.mService == aRight.mService && aLeft.mSoftwareVersion == aRight.mSoftwareVersion;
 }
 
+/// Whether an entry is the one that a record holds already. The time that it states has been
+/// running since it was first read.
+bool IsReadAgain(const Endpoint& aKnown, const EndpointEntry& aEntry)
+{
+  return aKnown.mEntry.mId == aEntry.mId && aKnown.mEntry.mSequence == aEntry.mSequence &&
+         aKnown.mEntry.mWarmUpRemaining == aEntry.mWarmUpRemaining;
+}
+
 } // namespace
 
+Micros Endpoint::TimeUntilQuery(TimePoint aNow) const
+{
+  if (AllowsQuery(aNow)) {
+    return Micros(0);
+  }
+  const auto denied = std::chrono::ceil<Micros>(mRateLimit.DeniedUntil() - aNow);
+  return mRateLimit.IsLimited() ? denied : std::min(denied, mWarmUp.TimeLeft(aNow));
+}
+
+void EndpointRegistry::SetWarmUpLimits(std::map<std::string, double, std::less<>> aLimits)
+{
+  mWarmUpLimits = std::move(aLimits);
+  for (const auto& [id, it] : mEndpoints) {
+    it->mWarmUp.SetLimit(WarmUpLimitOf(it->mEntry.mService));
+  }
+}
+
+std::optional<double> EndpointRegistry::WarmUpLimitOf(std::string_view aService) const
+{
+  const auto it = mWarmUpLimits.find(aService);
+  return it == mWarmUpLimits.end() ? std::nullopt : std::optional(it->second);
+}
+
 void EndpointRegistry::Put(EndpointEntry aEntry, TimePoint aNow)
 {
   const auto known = mEndpoints.find(aEntry.mId);
@@ -28,6 +59,10 @@
   if (!it) {
     it = AddRecord(aEntry);
   }
+  it->mWarmUp.SetLimit(WarmUpLimitOf(aEntry.mService));
+  if (aEntry.mWarmUpRemaining && !IsReadAgain(*it, aEntry)) {
+    it->mWarmUp.OnStated(*aEntry.mWarmUpRemaining, aNow);
+  }
   it->mEntry = std::move(aEntry);
   it->mState = EntryState::Listed;
   it->mLastSeenAt = aNow;
@@ -179,7 +214,7 @@
   std::vector<Ptr> missing;
   for (const auto& [id, it] : mEndpoints) {
     if (it->mEntry.mService != aService || !it->AcceptsRequests() ||
-        !it->mHold.AllowsRequest(aNow) || !it->mRateLimit.AllowsRequest(aNow) ||
+        !it->mHold.AllowsRequest(aNow) || !it->AllowsQuery(aNow) ||
         !it->mWindow.AllowsRequest(it->mLoad.InFlight())) {
       continue;
     }
@@ -199,10 +234,10 @@
     if (it->mEntry.mService != aService || !it->AcceptsRequests()) {
       continue;
     }
-    if (it->mHold.AllowsRequest(aNow) && it->mRateLimit.AllowsRequest(aNow)) {
+    if (it->mHold.AllowsRequest(aNow) && it->AllowsQuery(aNow)) {
       return std::nullopt;
     }
-    const auto left = std::max(it->mHold.TimeLeft(aNow), it->mRateLimit.TimeLeft(aNow));
+    const auto left = std::max(it->mHold.TimeLeft(aNow), it->TimeUntilQuery(aNow));
     out = out ? std::min(*out, left) : left;
   }
   return out;
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -61,6 +61,17 @@
   return out;
 }
 
+std::map<std::string, double, std::less<>> RouteTable::WarmUpLimits() const
+{
+  std::map<std::string, double, std::less<>> out;
+  for (const auto& [name, it] : mConfiguration.mServices) {
+    if (it.mWarmUpLimit) {
+      out[name] = *it.mWarmUpLimit;
+    }
+  }
+  return out;
+}
+
 const ServiceTarget* RouteTable::Service(const std::string& aName) const
 {
   const auto it = mConfiguration.mServices.find(aName);
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST_SUITE(GatewaySettingsTest);
   CPPUNIT_TEST(TestValidSettings);
   CPPUNIT_TEST(TestInvalidSettings);
+  CPPUNIT_TEST(TestWarmUpBound);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +79,31 @@
     CPPUNIT_ASSERT(ParseGatewaySettings("[]", "file").mErrors.front().mCode ==
                    ErrorCode::WrongType);
   }
+
+  // A deployment with one half of the rule, or none, must be served as before.
+  void TestWarmUpBound()
+  {
+    struct Row
+    {
+      std::string mOverage;
+      std::string mSlack;
+      bool mIsBound;
+    };
+    const Row rows[] = { { "1.5", "5", true },
+                         { "1", "0", true },
+                         { "", "", false },
+                         { "1.5", "", false },
+                         { "", "5", false } };
+    for (const auto& row : rows) {
+      auto json = ValidSettings();
+      json["cold_overage"] = row.mOverage;
+      json["cold_slack"] = row.mSlack;
+      const auto parsed = ParseGatewaySettings(json.dump(), "file");
+      CPPUNIT_ASSERT(parsed.mErrors.empty());
+      CPPUNIT_ASSERT_EQUAL(row.mIsBound, parsed.mSettings.mWarmUpBound.has_value());
+    }
+    CPPUNIT_ASSERT(!ParseGatewaySettings(ValidSettings().dump(), "file").mSettings.mWarmUpBound);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(TestNumbersOfResponses);
   CPPUNIT_TEST(TestWishesOfEndpoints);
   CPPUNIT_TEST(TestRateLimits);
+  CPPUNIT_TEST(TestWarmUps);
   CPPUNIT_TEST(TestRequestsAndResponsesOfPeers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -314,6 +315,37 @@
     }
   }
 
+  // A value that is no time must neither end a warm-up nor begin one.
+  void TestWarmUps()
+  {
+    struct Row
+    {
+      std::vector<std::string> mValues;
+      std::optional<Millis> mRemaining;
+    };
+    const Row rows[] = { { {}, std::nullopt },
+                         { { "0" }, Millis(0) },
+                         { { "4321" }, Millis(4'321) },
+                         { { "86400001" }, std::nullopt },
+                         { { "-1" }, std::nullopt },
+                         { { "1.5" }, std::nullopt },
+                         { { "soon" }, std::nullopt },
+                         { { "" }, std::nullopt },
+                         { { std::string(400, '9') }, std::nullopt },
+                         { { "1", "1" }, std::nullopt } };
+    for (const auto& row : rows) {
+      net::ResponseHead head{ 200, "", {}, true };
+      for (const auto& it : row.mValues) {
+        head.mHeaders.Add("X-Cold-Ms", it);
+      }
+      const auto response = mCodec.DecodeResponse(head, {});
+      const auto name = row.mValues.empty() ? std::string("none") : row.mValues.front();
+      CPPUNIT_ASSERT_MESSAGE(name, row.mRemaining == response.mWarmUpRemaining);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        name, !row.mValues.empty() && !row.mRemaining, response.mIsWarmUpInvalid);
+    }
+  }
+
 private:
   WireCodec mCodec;
 };
--- a/tests/platform/WireProtocolTest.cpp
+++ b/tests/platform/WireProtocolTest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(WireProtocolTest);
   CPPUNIT_TEST(TestConfiguration);
   CPPUNIT_TEST(TestMalformedConfigurations);
+  CPPUNIT_TEST(TestWarmUpLimits);
   CPPUNIT_TEST(TestEndpoints);
   CPPUNIT_TEST(TestAddresses);
   CPPUNIT_TEST_SUITE_END();
@@ -56,6 +57,38 @@
     }
   }
 
+  // A number that makes no sense must not keep the rest of a configuration from applying.
+  void TestWarmUpLimits()
+  {
+    struct Row
+    {
+      std::string mFields;
+      std::optional<double> mLimit;
+      Millis mTime;
+    };
+    const Row rows[] = {
+      { "", std::nullopt, Millis(0) },
+      { R"(,"cold-per-s":12,"cold-start-s":8.5)", 12, Millis(8'500) },
+      { R"(,"cold-per-s":0.5)", 0.5, Millis(0) },
+      { R"(,"cold-per-s":0,"cold-start-s":8)", std::nullopt, Millis(8'000) },
+      { R"(,"cold-per-s":-1,"cold-start-s":-1)", std::nullopt, Millis(0) },
+      { R"(,"cold-per-s":"12","cold-start-s":null)", std::nullopt, Millis(0) },
+      { R"(,"cold-per-s":1e300,"cold-start-s":1e300)", std::nullopt, Millis(0) },
+      { R"(,"cold-per-s":[12],"cold-start-s":8)", std::nullopt, Millis(8'000) }
+    };
+    for (const auto& row : rows) {
+      const auto decoded =
+        mProtocol.DecodeConfiguration(R"({"version":1,"routes":[],"services":[{"name":"s")" +
+                                      row.mFields + R"(},{"name":"t"}]})");
+      CPPUNIT_ASSERT_MESSAGE(row.mFields, decoded && decoded.value().mServices.contains("t"));
+      const auto& service = decoded.value().mServices.at("s");
+      CPPUNIT_ASSERT_MESSAGE(row.mFields, service.mWarmUpLimit == row.mLimit);
+      CPPUNIT_ASSERT_MESSAGE(row.mFields, service.mWarmUpTime == row.mTime);
+      const auto limits = RouteTable::Create(decoded.value())->WarmUpLimits();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mFields, std::size_t{ row.mLimit ? 1U : 0U }, limits.size());
+    }
+  }
+
   // Other programs write the entries. A malformed one must give an error, not an endpoint with
   // default values.
   void TestEndpoints()
@@ -70,6 +103,10 @@
       auto out = good;
       return out.replace(out.find(aFrom), aFrom.size(), aTo);
     };
+    CPPUNIT_ASSERT(entry.mWarmUpRemaining == Millis(0));
+    CPPUNIT_ASSERT(!mProtocol.DecodeEndpoint("i-1", with("cold-remaining-ms", "other"))
+                      .value()
+                      .mWarmUpRemaining);
     CPPUNIT_ASSERT(mProtocol.DecodeEndpoint("i-1", with("ready", "draining")).value().mIsLeaving);
     const std::string bad[] = { "",
                                 "\xff\xfe",
--- a/tests/platform/standin_worker.py
+++ b/tests/platform/standin_worker.py
@@ -64,6 +64,7 @@
         self.is_leaving = False  # says so in each response
         self.idle_timeout_s = None  # after which it says that it closes an idle connection
         self.rate_limits = []  # stated in each response, in one header each
+        self.cold_until = None  # monotonic time; each response until then states the rest
         self.refusal = {}
         self.states_not_run = True
         self.refuse_after_s = 0
@@ -147,6 +148,8 @@
         if worker.idle_timeout_s is not None:
             common.append(("Keep-Alive", f"timeout={worker.idle_timeout_s}"))
         common += [("Server-Limit", it) for it in worker.rate_limits]
+        if worker.cold_until is not None and worker.cold_until > time.monotonic():
+            common.append(("X-Cold-Ms", str(int((worker.cold_until - time.monotonic()) * 1000))))
         if worker.mode == "full":
             statement = [("X-Not-Executed", "1")] if worker.states_not_run else []
             time.sleep(worker.refuse_after_s)
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -45,9 +45,56 @@
   CPPUNIT_TEST(TestPauses);
   CPPUNIT_TEST(TestPauseOfEntryThatReturned);
   CPPUNIT_TEST(TestNewProcessesAreReported);
+  CPPUNIT_TEST(TestWarmUps);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // An entry that is read again, is missing in an outage or lacks the time made an endpoint warm,
+  // or cold for longer.
+  void TestWarmUps()
+  {
+    constexpr Millis kTime{ 8'000 };
+    EndpointRegistry registry;
+    registry.SetWarmUpLimits({ { "pool", 12 } });
+    const auto isLimited = [&](const std::string& aId, Millis aAt) {
+      return registry.All().find(aId)->second->mWarmUp.IsLimited(mNow + aAt);
+    };
+    const auto put = [&](std::int64_t aSequence, std::optional<Millis> aRemaining, Millis aAt) {
+      auto entry = MakeEntry("a");
+      entry.mSequence = aSequence;
+      entry.mWarmUpRemaining = aRemaining;
+      registry.Put(std::move(entry), mNow + aAt);
+    };
+    registry.Put(MakeEntry("b"), mNow);
+    CPPUNIT_ASSERT(!isLimited("b", Millis(0)));
+    put(1, kTime, Millis(0));
+    CPPUNIT_ASSERT(isLimited("a", kTime - Millis(1)));
+    registry.Remove("a", /*aAfterOutage=*/true, mNow + Millis(100));
+    CPPUNIT_ASSERT(isLimited("a", kTime - Millis(1)));
+    registry.RemoveExpired(mNow + Millis(3'000));
+    put(1, kTime, Millis(4'000));
+    CPPUNIT_ASSERT(isLimited("a", kTime - Millis(1)) && !isLimited("a", kTime));
+    put(2, std::nullopt, Millis(5'000));
+    CPPUNIT_ASSERT(isLimited("a", kTime - Millis(1)));
+    put(3, kTime, Millis(6'000));
+    CPPUNIT_ASSERT(isLimited("a", Millis(6'000) + kTime - Millis(1)));
+    put(4, Millis(0), Millis(7'000));
+    CPPUNIT_ASSERT(!isLimited("a", Millis(7'000)));
+    put(5, kTime, Millis(60'000));
+    CPPUNIT_ASSERT(isLimited("a", Millis(60'000)));
+    // All are denied: Retry-After is the time until the next permit, or until the end.
+    for (const auto& [denied, expected] :
+         { std::pair(Millis(100), Millis(100)), std::pair(Millis(20'000), kTime) }) {
+      registry.Remove("b", /*aAfterOutage=*/false, mNow);
+      const auto now = mNow + Millis(60'000);
+      registry.All().find("a")->second->mRateLimit.OnDenied(now + denied);
+      CPPUNIT_ASSERT(registry.UsableEndpoints("pool", now).empty());
+      CPPUNIT_ASSERT(registry.TimeUntilPauseEnds("pool", now) == Micros(expected));
+    }
+    registry.SetWarmUpLimits({});
+    CPPUNIT_ASSERT(!isLimited("a", Millis(60'000)));
+  }
+
   void TestLeavingAndRemoved()
   {
     EndpointRegistry registry;
