--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -68,6 +68,8 @@
   /// The budgets that this instance keeps.
   std::vector<std::string> KeptBudgets();
   PrefixWatchHandlers MakeOperatorHandlers();
+  /// Whether the instances that started together with this one are listed.
+  bool AreInstancesListed() const;
   PrefixWatchHandlers MakeEndpointHandlers();
   PrefixWatchHandlers MakeInstanceHandlers();
   /// Serves readiness checks, queries for instance addresses, and metrics.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -139,14 +139,14 @@
       aStore,
       aClock,
       mMetrics)
-  , mEndpointLimits(
-      aLoop,
-      mPeerSocket,
-      mSettings.mPeerAddress,
-      [this] { return mInstances.PeerAddresses(mSelf.mName); },
-      mRelay.mEndpoints,
-      aClock,
-      mMetrics)
+  , mEndpointLimits(aLoop,
+                    mPeerSocket,
+                    mSettings.mPeerAddress,
+                    [this] { return mInstances.PeerAddresses(mSelf.mName); },
+                    mRelay.mEndpoints,
+                    aClock,
+                    mMetrics,
+                    { mSettings.mWarmUpBound, [this] { return AreInstancesListed(); } })
   , mWatchRelay(
       mPeerSocket,
       mSettings.mPeerAddress,
@@ -236,7 +236,7 @@
     return out;
   }
   // Of instances that start together, each would count as the keeper of all budgets at first.
-  const bool areInstancesListed = mClock.Now() - mStartedAt >= kInstancesListedAfter;
+  const bool areInstancesListed = AreInstancesListed();
   for (auto& it : mRelay.mRoutes->PrepaidOrganisations()) {
     const bool isInUse = mRights.Holdings().contains(it);
     if ((areInstancesListed || isInUse) && mBudgetKeepers.IsKeeper(it)) {
@@ -246,6 +246,11 @@
   return out;
 }
 
+bool Gateway::AreInstancesListed() const
+{
+  return mInstanceWatcher.HasSynced() && mClock.Now() - mStartedAt >= kInstancesListedAfter;
+}
+
 Result<void> Gateway::Start()
 {
   mStartedAt = mClock.Now();
@@ -368,6 +373,7 @@
     ObserveSoftwareVersions();
     mRelay.mEndpoints.RemoveExpired(mClock.Now());
     ChangeEvacuatedZones([this](EvacuatedZones& it) { it.RemoveExpired(mClock.Now()); });
+    mEndpointLimits.ReportWarmUps();
     mInstances.RemoveExpired(mClock.Now());
     mRelay.mConnections.Prune();
     mRelay.mRetryBudgets.SetBurst(
