--- a/include/gentianloom/gateway/Datagram.h
+++ b/include/gentianloom/gateway/Datagram.h
@@ -30,6 +30,13 @@
                                 std::size_t aIndex,
                                 std::int64_t aMax = kMaxDatagramTokens);
 
+/**
+ * @brief Reads an id, which may be any number of 64 bits, from a decoded datagram.
+ *
+ * @throws nlohmann::json::exception if the array has no such element, or it is no such number
+ */
+std::uint64_t ReadDatagramId(const nlohmann::json& aArray, std::size_t aIndex);
+
 /**
  * @brief Decodes a datagram.
  *
--- a/include/gentianloom/gateway/PeerLoadExchange.h
+++ b/include/gentianloom/gateway/PeerLoadExchange.h
@@ -80,7 +80,7 @@
 
 private:
   net::Task<void> RunSender();
-  void OnDatagram(std::string_view aBytes);
+  void OnDatagram(std::string_view aBytes, const PeerSocket::Address& aSender);
   /// @return bytes of the datagrams, including their headers
   std::size_t SendToPeers();
 
--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Error.h"
 #include "gentianloom/base/Metrics.h"
+#include "gentianloom/gateway/MalformedSenders.h"
 #include "gentianloom/net/HttpClient.h"
 #include "gentianloom/net/Task.h"
 
@@ -10,6 +11,8 @@
 
 #include <array>
 #include <functional>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace gentianloom {
@@ -41,9 +44,16 @@
 /// Number of kinds of datagrams.
 inline constexpr std::size_t kPeerMessageKinds = 18;
 
-/// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none.
+/// @brief Returns the kind of a datagram; nothing if this version does not know it. A later version
+///   may send others.
+std::optional<PeerMessageKind> FindPeerMessageKind(std::string_view aBytes);
+
+/// @brief Returns the kind of a datagram; PeerMessageKind::Load if it states none that is known.
 PeerMessageKind PeerMessageKindOf(std::string_view aBytes);
 
+/// @brief Returns the name of a kind, for log lines and metrics.
+std::string_view ToString(PeerMessageKind aKind);
+
 /**
  * @brief The UDP socket through which an instance talks to its peers.
  *
@@ -73,16 +83,26 @@
   /// @brief As above, to a peer's address IP:PORT.
   bool Send(std::string_view aPeer, std::string_view aBytes);
 
+  /**
+   * @brief Counts a datagram that cannot be decoded.
+   *
+   * The first one of each sender and kind is logged: a peer of another version may send thousands.
+   */
+  void OnMalformed(std::string_view aBytes, const Address& aSender, const std::string& aError);
+
   /// @brief Bytes of all datagrams sent and received so far, without their headers.
   net::BodyBytes Bytes() const { return mBytes; }
 
 private:
   net::Task<void> RunReceiver();
+  /// Gives a datagram to the handler of its kind.
+  void Dispatch(std::string_view aBytes, const Address& aSender);
 
   net::Loop& mLoop;
   Metrics& mMetrics;
   boost::asio::ip::udp::socket mSocket;
   std::array<Handler, kPeerMessageKinds> mHandlers; ///< by PeerMessageKind
+  MalformedSenders mMalformedSenders;
   net::BodyBytes mBytes;
 };
 
--- a/src/budget/BudgetRecord.cpp
+++ b/src/budget/BudgetRecord.cpp
@@ -174,6 +174,13 @@
   return out;
 }
 
+/// Returns an object of an object; throws Json::exception if it is missing or of another type,
+/// which must not be taken for an empty one.
+const Json::object_t& ObjectAt(const Json& aJson, const char* aName)
+{
+  return aJson.at(aName).get_ref<const Json::object_t&>();
+}
+
 HolderRecord ReadHolder(const Json& aJson)
 {
   HolderRecord out;
@@ -226,7 +233,7 @@
   BudgetRecord out;
   out.mPrepaid = aJson.at("prepaid").get<Tokens>();
   out.mVersion = aJson.at("version").get<std::int64_t>();
-  for (const auto& [name, it] : aJson.at("holders").items()) {
+  for (const auto& [name, it] : ObjectAt(aJson, "holders")) {
     out.mHolders[name] = ReadHolder(it);
   }
   out.mClosed = ReadHolder(aJson.at("closed"));
@@ -245,13 +252,13 @@
   out.mEra = aJson.value("era", std::int64_t{ 0 });
   out.mCommits = aJson.at("commits").get<std::int64_t>();
   out.mPruned = aJson.at("pruned").get<std::int64_t>();
-  for (const auto& [name, it] : aJson.at("writers").items()) {
+  for (const auto& [name, it] : ObjectAt(aJson, "writers")) {
     out.mWriters[name] = ReadWriter(it);
   }
-  for (const auto& [name, it] : aJson.at("budgets").items()) {
+  for (const auto& [name, it] : ObjectAt(aJson, "budgets")) {
     out.mBudgets[name] = ReadBudget(it);
   }
-  for (const auto& [key, it] : aJson.at("bills").items()) {
+  for (const auto& [key, it] : ObjectAt(aJson, "bills")) {
     out.mBills[key] = { it.at(0).get<Tokens>(),
                         it.at(1).get<std::int64_t>(),
                         Millis(it.at(2).get<std::int64_t>()) };
@@ -274,7 +281,7 @@
 {
   SeparateHoldings out;
   out.mWriter = ReadWriter(aJson.at("writer"));
-  for (const auto& [name, it] : aJson.at("holders").items()) {
+  for (const auto& [name, it] : ObjectAt(aJson, "holders")) {
     out.mHolders[name] = ReadHolder(it);
   }
   return out;
--- a/src/gateway/BlockedRequests.cpp
+++ b/src/gateway/BlockedRequests.cpp
@@ -23,6 +23,9 @@
 /// Longest time to live that the key-value service grants. A record that expires before its block
 /// ends is written again.
 constexpr Millis kMaxRecordTtl{ 600'000 };
+/// Longest time, and most trials, that a record may state: clocks count nanoseconds in 64 bits.
+constexpr Millis kMaxRecordTime = std::chrono::hours(24 * 365);
+constexpr std::int64_t kMaxRecordTrials = 1'000'000;
 
 Millis ToMillis(TimePoint::duration aTime)
 {
@@ -57,9 +60,14 @@
     BOOST_OUTCOME_TRY(json, ParseBoundedJson(aText));
     BlockedRequestRecord out;
     out.mIsBlocked = json.at("blocked").get<bool>();
-    out.mFirstInterruptionAgo = Millis(json.at("first_interruption_ago_ms").get<std::int64_t>());
-    out.mBlockTimeLeft = Millis(json.at("block_time_left_ms").get<std::int64_t>());
-    out.mTrials = json.value("trials", 0);
+    const auto readTime = [&json](const char* aName) {
+      return Millis(ToBoundedNumber(json.at(aName), kMaxRecordTime.count()));
+    };
+    out.mFirstInterruptionAgo = readTime("first_interruption_ago_ms");
+    out.mBlockTimeLeft = readTime("block_time_left_ms");
+    const auto trials = json.find("trials");
+    out.mTrials =
+      trials == json.end() ? 0 : static_cast<int>(ToBoundedNumber(*trials, kMaxRecordTrials));
     return out;
   } catch (const nlohmann::json::exception& ex) {
     return MakeError(ErrorCode::MalformedJson, Step::RequestPlace, "key-value service", ex.what());
--- a/src/gateway/BudgetExchange.cpp
+++ b/src/gateway/BudgetExchange.cpp
@@ -287,6 +287,7 @@
   const auto message = DecodeReservation(aBytes);
   if (!message) {
     mMetrics.CounterOf("gentianloom_reservations_malformed_total").Add();
+    mSocket.OnMalformed(aBytes, aSender, ToString(message.error()));
     return;
   }
   switch (message.value().mKind) {
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -284,6 +284,7 @@
   const auto message = DecodeCrashMessage(aBytes);
   if (!message) {
     mMetrics.CounterOf("gentianloom_crash_reports_malformed_total").Add();
+    mSocket.OnMalformed(aBytes, aSender, ToString(message.error()));
     return;
   }
   const auto& it = message.value();
--- a/src/gateway/Datagram.cpp
+++ b/src/gateway/Datagram.cpp
@@ -19,4 +19,13 @@
   return n;
 }
 
+std::uint64_t ReadDatagramId(const nlohmann::json& aArray, std::size_t aIndex)
+{
+  const auto& it = aArray.at(aIndex);
+  if (!it.is_number_unsigned()) {
+    throw nlohmann::json::out_of_range::create(401, "an id is no unsigned number", &aArray);
+  }
+  return it.get<std::uint64_t>();
+}
+
 } // namespace gentianloom
--- a/src/gateway/EndpointEndExchange.cpp
+++ b/src/gateway/EndpointEndExchange.cpp
@@ -24,7 +24,7 @@
   return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     EndpointEndMessage out;
     out.mKind = PeerMessageKindOf(aBytes);
-    out.mId = aArray.at(1).get<std::uint64_t>();
+    out.mId = ReadDatagramId(aArray, 1);
     out.mAddress = aArray.at(2).get<std::string>();
     out.mEndedAgo =
       Micros(ReadDatagramNumber(aArray, 3, Micros(EndpointEndExchange::kMemory).count()));
@@ -104,6 +104,7 @@
   const auto message = DecodeEndpointEnd(aBytes);
   if (!message) {
     mMetrics.CounterOf("gentianloom_endpoint_ends_malformed_total").Add();
+    mSocket.OnMalformed(aBytes, aSender, ToString(message.error()));
     return;
   }
   const auto& it = message.value();
--- a/src/gateway/EndpointLimitExchange.cpp
+++ b/src/gateway/EndpointLimitExchange.cpp
@@ -59,7 +59,7 @@
   return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     EndpointLimitMessage out;
     out.mKind = PeerMessageKindOf(aBytes);
-    out.mQuery = aArray.at(1).get<std::uint64_t>();
+    out.mQuery = ReadDatagramId(aArray, 1);
     out.mEndpoint = aArray.at(2).get<std::string>();
     out.mStartedAt = ReadDatagramNumber(aArray, 3, kMaxNumber);
     if (!aArray.at(4).is_null()) {
@@ -294,6 +294,7 @@
   const auto message = DecodeEndpointLimit(aBytes);
   if (!message) {
     mMetrics.CounterOf("gentianloom_endpoint_limits_malformed_total").Add();
+    mSocket.OnMalformed(aBytes, aSender, ToString(message.error()));
     return;
   }
   const auto& it = message.value();
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -3,6 +3,23 @@
 
 namespace gentianloom {
 
+namespace {
+
+/// Parses an instance record, or logs why it cannot be parsed.
+Result<InstanceRecord> ReadInstance(const KeyValue& aEntry)
+{
+  auto out = ParseInstanceRecord(aEntry.mValue);
+  if (!out) {
+    LogChange(LogLevel::Warning,
+              "instances",
+              "ignored an invalid instance record",
+              { { "key", aEntry.mKey }, { "error", ToString(out.error()) } });
+  }
+  return out;
+}
+
+} // namespace
+
 PrefixWatchHandlers Gateway::MakeConfigurationHandlers()
 {
   PrefixWatchHandlers out;
@@ -74,7 +91,7 @@
         blockedRequests.push_back(it);
         continue;
       }
-      auto record = ParseInstanceRecord(it.mValue);
+      auto record = ReadInstance(it);
       if (record) {
         records.push_back(std::move(record.value()));
       }
@@ -168,12 +185,8 @@
 
 void Gateway::UpdateInstance(const KeyValue& aEntry)
 {
-  auto record = ParseInstanceRecord(aEntry.mValue);
+  auto record = ReadInstance(aEntry);
   if (!record) {
-    LogChange(LogLevel::Warning,
-              "instances",
-              "ignored an invalid instance record",
-              { { "key", aEntry.mKey }, { "error", ToString(record.error()) } });
     return;
   }
   LogChange(LogLevel::Info,
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -52,11 +52,10 @@
   return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     PeerLoadMessage out;
     out.mIncarnation = aArray.at(0).get<std::string>();
-    out.mSequence = aArray.at(1).get<std::uint64_t>();
+    out.mSequence = ReadDatagramId(aArray, 1);
     const auto& pending = aArray.at(2);
     for (std::size_t n = 0; n + 1 < pending.size(); n += 2) {
-      out.mPending.push_back(
-        { pending.at(n).get<std::uint64_t>(), ReadDatagramNumber(pending, n + 1) });
+      out.mPending.push_back({ ReadDatagramId(pending, n), ReadDatagramNumber(pending, n + 1) });
     }
     return out;
   });
@@ -100,7 +99,9 @@
 void PeerLoadExchange::Start()
 {
   mSocket.SetHandler(PeerMessageKind::Load,
-                     [this](std::string_view aBytes, const auto&) { OnDatagram(aBytes); });
+                     [this](std::string_view aBytes, const PeerSocket::Address& aSender) {
+                       OnDatagram(aBytes, aSender);
+                     });
   net::Start(mLoop, "peer load sender", RunSender());
 }
 
@@ -150,11 +151,12 @@
   return sentBytes;
 }
 
-void PeerLoadExchange::OnDatagram(std::string_view aBytes)
+void PeerLoadExchange::OnDatagram(std::string_view aBytes, const PeerSocket::Address& aSender)
 {
   const auto message = DecodePeerLoad(aBytes);
   if (!message) {
     mMetrics.CounterOf("gentianloom_load_news_malformed_total").Add();
+    mSocket.OnMalformed(aBytes, aSender, ToString(message.error()));
     return;
   }
   if (mLastSequences.size() > kMaxTrackedIncarnations) {
--- a/src/gateway/PeerSocket.cpp
+++ b/src/gateway/PeerSocket.cpp
@@ -1,20 +1,78 @@
 #include "gentianloom/gateway/PeerSocket.h"
 
+#include "gentianloom/base/Log.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <exception>
+
 namespace gentianloom {
 
-PeerMessageKind PeerMessageKindOf(std::string_view aBytes)
+namespace {
+
+/// Names by PeerMessageKind.
+constexpr std::array<std::string_view, kPeerMessageKinds> kKindNames = {
+  "load",
+  "stream-origin",
+  "stream-origin-query",
+  "stream-origin-unknown",
+  "reservation-query",
+  "reservation-answer",
+  "reservation-settlement",
+  "reservation-settled",
+  "crash-report",
+  "crash-cleared",
+  "endpoint-ended",
+  "endpoint-first-end",
+  "prefix-update",
+  "crash-query",
+  "endpoint-limit",
+  "permit-query",
+  "permit-answer",
+  "endpoint-full",
+};
+
+/// Returns the first byte of the first element of a MessagePack array; 0 if there is none.
+std::uint8_t FirstElementByte(std::string_view aBytes)
 {
-  // The first byte is the head of an array; MessagePack writes a small number as itself.
-  constexpr std::size_t kKindOffset = 1;
-  if (aBytes.size() <= kKindOffset) {
-    return PeerMessageKind::Load;
+  constexpr std::uint8_t kLongArray = 0xdc; // followed by its size in two bytes
+  if (aBytes.empty()) {
+    return 0;
   }
-  const auto it = static_cast<unsigned char>(aBytes[kKindOffset]);
-  return it < kPeerMessageKinds ? static_cast<PeerMessageKind>(it) : PeerMessageKind::Load;
+  const std::size_t offset = static_cast<std::uint8_t>(aBytes.front()) == kLongArray ? 3 : 1;
+  return offset < aBytes.size() ? static_cast<std::uint8_t>(aBytes[offset]) : 0;
+}
+
+/// Whether a MessagePack element with this first byte is a text.
+bool IsText(std::uint8_t aByte)
+{
+  const bool isShort = aByte >= 0xa0 && aByte <= 0xbf;
+  const bool isLong = aByte >= 0xd9 && aByte <= 0xdb;
+  return isShort || isLong;
+}
+
+} // namespace
+
+std::optional<PeerMessageKind> FindPeerMessageKind(std::string_view aBytes)
+{
+  // MessagePack writes a small number as itself.
+  const auto byte = FirstElementByte(aBytes);
+  if (byte < kPeerMessageKinds) {
+    return static_cast<PeerMessageKind>(byte);
+  }
+  return IsText(byte) ? std::optional(PeerMessageKind::Load) : std::nullopt;
+}
+
+PeerMessageKind PeerMessageKindOf(std::string_view aBytes)
+{
+  return FindPeerMessageKind(aBytes).value_or(PeerMessageKind::Load);
+}
+
+std::string_view ToString(PeerMessageKind aKind)
+{
+  return kKindNames.at(static_cast<std::size_t>(aKind));
 }
 
 PeerSocket::PeerSocket(net::Loop& aLoop, Metrics& aMetrics)
@@ -84,12 +142,48 @@
     }
     mBytes.mReceived += n;
     const std::string_view bytes(buf.data(), n);
-    const auto& handler = mHandlers.at(static_cast<std::size_t>(PeerMessageKindOf(bytes)));
-    if (handler) {
-      handler(bytes, sender);
-    } else {
-      mMetrics.CounterOf("gentianloom_peer_messages_unknown_total").Add();
-    }
+    Dispatch(bytes, sender);
+  }
+}
+
+void PeerSocket::Dispatch(std::string_view aBytes, const Address& aSender)
+{
+  const auto kind = FindPeerMessageKind(aBytes);
+  const auto index = kind ? static_cast<std::size_t>(*kind) : mHandlers.size();
+  if (index >= mHandlers.size() || !mHandlers[index]) {
+    mMetrics.CounterOf("gentianloom_peer_messages_unknown_total").Add();
+    OnMalformed(aBytes, aSender, "this version does not know the kind of the datagram");
+    return;
+  }
+  try {
+    mHandlers[index](aBytes, aSender);
+  } catch (const std::exception& ex) {
+    // The receiver must outlive any datagram: without it the instance is cut off from all peers.
+    OnMalformed(aBytes, aSender, ex.what());
+  }
+}
+
+void PeerSocket::OnMalformed(std::string_view aBytes,
+                             const Address& aSender,
+                             const std::string& aError)
+{
+  const auto kind = FindPeerMessageKind(aBytes);
+  const auto byte = FirstElementByte(aBytes);
+  const std::string name(kind ? ToString(*kind) : "unknown");
+  mMetrics.CounterOf("gentianloom_peer_messages_malformed_total", "kind=\"" + name + "\"").Add();
+  const auto sender = aSender.address().to_string() + ":" + std::to_string(aSender.port());
+  // A load report states no number, and the texts that it begins with differ.
+  const bool isFirst =
+    mMalformedSenders.Add(sender, kind ? static_cast<std::uint8_t>(*kind) : byte);
+  if (isFirst) {
+    LogChange(LogLevel::Warning,
+              "peers",
+              "ignored a datagram that cannot be decoded; further ones of its sender and kind are "
+              "only counted",
+              { { "sender", sender },
+                { "kind", kind ? name : "unknown, byte " + std::to_string(byte) },
+                { "bytes", std::to_string(aBytes.size()) },
+                { "error", aError } });
   }
 }
 
--- a/src/gateway/ReservationMessage.cpp
+++ b/src/gateway/ReservationMessage.cpp
@@ -41,7 +41,7 @@
   return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     ReservationMessage out;
     out.mKind = PeerMessageKindOf(aBytes);
-    out.mId = aArray.at(1).get<std::uint64_t>();
+    out.mId = ReadDatagramId(aArray, 1);
     if (out.mKind == PeerMessageKind::ReservationQuery) {
       out.mBudget = aArray.at(2).get<std::string>();
       out.mTokens = ReadDatagramNumber(aArray, 3);
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -29,7 +29,7 @@
   return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     StreamOriginMessage out;
     out.mKind = PeerMessageKindOf(aBytes);
-    out.mStream = aArray.at(1).get<StreamKey>();
+    out.mStream = ReadDatagramId(aArray, 1);
     if (out.mKind == PeerMessageKind::StreamOrigin) {
       out.mOrigin = { aArray.at(2).get<std::string>(), aArray.at(3).get<std::string>() };
     }
@@ -119,6 +119,7 @@
   const auto message = DecodeStreamOrigin(aBytes);
   if (!message) {
     mMetrics.CounterOf("gentianloom_stream_origins_malformed_total").Add();
+    mSocket.OnMalformed(aBytes, aSender, ToString(message.error()));
     return;
   }
   const auto& it = message.value();
--- a/src/gateway/WatchRelay.cpp
+++ b/src/gateway/WatchRelay.cpp
@@ -179,6 +179,7 @@
   const auto update = DecodePrefixUpdate(aBytes);
   if (!update) {
     mMetrics.CounterOf("gentianloom_prefix_updates_total", "outcome=\"malformed\"").Add();
+    mSocket.OnMalformed(aBytes, aSender, ToString(update.error()));
     return;
   }
   RefreshPeers();
