--- a/include/gentianloom/routing/EndpointLoad.h
+++ b/include/gentianloom/routing/EndpointLoad.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -27,6 +28,8 @@
   std::int64_t mRunning = 0; ///< requests in a slot, of all instances
   std::int64_t mWaiting = 0; ///< requests that wait for a slot
   std::int64_t mSlots = 0;   ///< maximum number of concurrent requests
+  /// Time that work takes at present, in percent of the usual time; empty: not reported.
+  std::optional<std::int64_t> mPacePercent;
 };
 
 /**
--- a/tests/platform/WireCodecTest.cpp
+++ b/tests/platform/WireCodecTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(TestForgedHeadersAreRemoved);
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestNumbersOfResponses);
+  CPPUNIT_TEST(TestPaceOfLoadHeader);
   CPPUNIT_TEST(TestWishesOfEndpoints);
   CPPUNIT_TEST(TestRateLimits);
   CPPUNIT_TEST(TestRequestsAndResponsesOfPeers);
@@ -234,6 +235,42 @@
     }
   }
 
+  // A header with four figures used to be rejected as a whole, so that sites that state a pace had
+  // no load data. An odd pace must not make the other figures unusable either.
+  void TestPaceOfLoadHeader()
+  {
+    struct Row
+    {
+      std::string mLoad;
+      bool mHasLoad;
+      std::optional<std::int64_t> mPacePercent;
+    };
+    const Row rows[] = {
+      { "3,1,8", true, std::nullopt },
+      { "3,1,8,100", true, 100 },
+      { "3,1,8,250,7,x", true, 250 },
+      { "3,1,8,0", true, 10 },
+      { "3,1,8,9223372036854775807", true, 1'000 },
+      { "3,1,8,-5", true, std::nullopt },
+      { "3,1,8,", true, std::nullopt },
+      { "3,1,8,1e2", true, std::nullopt },
+      { "3,1,8,99999999999999999999", true, std::nullopt },
+      { "3,1", false, std::nullopt },
+      { "3,-1,8,100", false, std::nullopt },
+    };
+    for (const auto& row : rows) {
+      net::ResponseHead head{ 200, "OK", {}, true };
+      head.mHeaders.Add("X-Instance-Load", row.mLoad);
+      const auto load = mCodec.DecodeResponse(head, {}).mLoad;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mLoad, row.mHasLoad, load.has_value());
+      if (!load) {
+        continue;
+      }
+      CPPUNIT_ASSERT_MESSAGE(row.mLoad, load->mRunning == 3 && load->mSlots == 8);
+      CPPUNIT_ASSERT_MESSAGE(row.mLoad, row.mPacePercent == load->mPacePercent);
+    }
+  }
+
   // A pause that cannot be read, or that no endpoint can mean, must not be taken for one.
   void TestWishesOfEndpoints()
   {
