routing: the load of endpoints is evened out where they report a pace

Callers saw: endpoints are full in turns while others idle. Change: LoadTrend averages an endpoint's reports, and its last report decays to the average. EvenLoad compares endpoints with their service's mean. Reports of endpoints that get prompts are passed on to peers as optional last element of the load message, at most every 500 ms if nothing else is to be sent. On for a service once an endpoint of it has reported a pace, or by the setting even_load ("on", "off"); others choose as before.

--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
+#include "gentianloom/routing/EvenLoad.h"
 
 #include <string>
 #include <string_view>
@@ -33,6 +34,8 @@
   Millis mRightsDemandWindow{ 10'000 };
   /// Retries allowed per window in addition to mRetryShare, over the whole fleet.
   double mRetrySlack = 20;
+  /// Whether the load of endpoints is evened out.
+  EvenLoadMode mEvenLoad = EvenLoadMode::ByReports;
 };
 
 /// Result of parsing a settings file: the valid settings and one error for each invalid key.
--- a/include/gentianloom/gateway/PeerLoadExchange.h
+++ b/include/gentianloom/gateway/PeerLoadExchange.h
@@ -7,6 +7,7 @@
 #include "gentianloom/net/Signal.h"
 #include "gentianloom/routing/EndpointContact.h"
 #include "gentianloom/routing/EndpointRegistry.h"
+#include "gentianloom/routing/EvenLoad.h"
 
 #include <functional>
 #include <string>
@@ -21,6 +22,15 @@
   std::int64_t mTokens = 0;
 };
 
+/// Load that an endpoint reported to the sender of a message.
+struct HeardLoad
+{
+  std::uint64_t mEndpointHash = 0; ///< StableHash() of the endpoint's ID
+  std::int64_t mRequests = 0;      ///< running and waiting
+  std::int64_t mPacePercent = 0;   ///< see ReportedLoad; 0: not reported
+  Millis mAge{ 0 };                ///< time since the sender received it
+};
+
 /// Load report from one instance to its peers. Each message holds the complete pending load, so the
 /// next one makes up for a lost one.
 struct PeerLoadMessage
@@ -28,6 +38,9 @@
   std::string mIncarnation;
   std::uint64_t mSequence = 0; ///< increases with each message; receivers ignore older ones
   std::vector<PendingTokens> mPending;
+  /// Reports since the last message. An optional last element of the message: older versions ignore
+  /// it, and it is not sent while it is empty.
+  std::vector<HeardLoad> mHeard{};
 };
 
 /// @brief Encodes a message as MessagePack, to be sent in one datagram.
@@ -62,6 +75,7 @@
    * @param aEndpoints source of the load to send, and target of the load received
    * @param aContacts tells which services this instance reaches; of the others it reports nothing,
    *        since what it sent there may never have arrived
+   * @param aEvenLoad tells for which services reported loads are passed on; null: for none
    */
   PeerLoadExchange(net::Loop& aLoop,
                    PeerSocket& aSocket,
@@ -70,7 +84,8 @@
                    EndpointRegistry& aEndpoints,
                    const EndpointContacts& aContacts,
                    const Clock& aClock,
-                   Metrics& aMetrics);
+                   Metrics& aMetrics,
+                   const EvenLoadSwitch* aEvenLoad = nullptr);
 
   /// @brief Starts to send and to handle messages. Call it once.
   void Start();
@@ -81,6 +96,8 @@
 private:
   net::Task<void> RunSender();
   void OnDatagram(std::string_view aBytes);
+  /// Reports of endpoints that have not been passed on yet.
+  std::vector<HeardLoad> TakeHeard();
   /// @return bytes of the datagrams, including their headers
   std::size_t SendToPeers();
 
@@ -92,7 +109,9 @@
   const EndpointContacts& mContacts;
   const Clock& mClock;
   Metrics& mMetrics;
+  const EvenLoadSwitch* mEvenLoad;
   net::Signal mSendSignal;
+  TimePoint mLastSentAt{};
   bool mHasUnsentChange = false;
   bool mHasReportedPending = false;
   std::uint64_t mSequence = 0;
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -14,6 +14,7 @@
 #include "gentianloom/relay/TokenReservations.h"
 #include "gentianloom/routing/EndpointContact.h"
 #include "gentianloom/routing/EndpointRegistry.h"
+#include "gentianloom/routing/EvenLoad.h"
 #include "gentianloom/routing/FirstTokenModel.h"
 #include "gentianloom/routing/RouteTable.h"
 #include "gentianloom/routing/SoftwareVersionHistory.h"
@@ -45,6 +46,7 @@
   RequestPermits* mPermits = nullptr;            ///< null: rate limits of endpoints are not kept
   PeerInstances* mPeers = nullptr;               ///< null: no other instance can serve a request
   EndpointContacts mContacts{};
+  EvenLoadSwitch mEvenLoad{};
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -67,6 +67,8 @@
   /// Leaves out endpoints whose software version a restarted instance would not know, unless there
   /// are no others.
   void KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints);
+  /// Whether the load of the service's usable endpoints is evened out.
+  bool IsLoadEvened(std::span<const EndpointRegistry::Ptr> aEndpoints);
   bool MayRetry(const AttemptResult& aResult);
   /// When an endpoint may accept a request that none accepted now.
   Millis RetryAfterRefusal() const;
--- a/include/gentianloom/routing/EndpointChooser.h
+++ b/include/gentianloom/routing/EndpointChooser.h
@@ -20,6 +20,7 @@
   std::span<const PromptPart> mParts;           ///< parts of the prompt, in order; empty: not known
   Millis mTarget{ 0 };                          ///< target of the time to the first event
   std::span<const std::string> mTriedEndpoints; ///< ids; chosen again only as a last resort
+  bool mIsLoadEvened = false; ///< even out the load of the endpoints, see EvenLoad
 };
 
 /// The chosen endpoint with the estimates behind the choice, which are logged.
--- a/include/gentianloom/routing/EndpointLoad.h
+++ b/include/gentianloom/routing/EndpointLoad.h
@@ -2,6 +2,7 @@
 #define GENTIANLOOM_ROUTING_ENDPOINT_LOAD_H
 
 #include "gentianloom/base/Clock.h"
+#include "gentianloom/routing/LoadTrend.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -32,6 +33,14 @@
   std::optional<std::int64_t> mPacePercent;
 };
 
+/// Load that an endpoint reported at a time.
+struct DatedLoad
+{
+  std::int64_t mRequests = 0;               ///< running and waiting
+  std::optional<std::int64_t> mPacePercent; ///< see ReportedLoad
+  TimePoint mAsOf{};                        ///< time at which the report was received
+};
+
 /**
  * @brief Estimates which prompt parts an engine has cached. Evicts the least recently used parts
  * first. No I/O.
@@ -100,6 +109,14 @@
   /// @brief Applies the load that an endpoint reported with an answer.
   void OnReportedLoad(const ReportedLoad& aReport, TimePoint aNow);
 
+  /// @brief Applies a load that the endpoint reported to another instance. It changes only Trend().
+  void OnPeerReportedLoad(const DatedLoad& aReport);
+
+  /// @brief Last load that the endpoint reported to this process; empty if TakeReport() has
+  /// returned it, or if the endpoint got no prompts: the load of endpoints with short calls changes
+  /// sooner than peers could be told.
+  std::optional<DatedLoad> TakeReport();
+
   /// @brief Records the outcome of one attempt and suspends the endpoint after repeated failures.
   /// @param aFailed whether the endpoint failed
   void OnOutcome(bool aFailed, TimePoint aNow);
@@ -136,6 +153,9 @@
   /// process's requests that were sent or ended since.
   double Running(TimePoint aNow) const;
 
+  /// @brief Average of the reported loads, and estimates from it.
+  const LoadTrend& Trend() const { return mTrend; }
+
   /// @brief Whether recent failures have suspended the endpoint, so that it gets requests only if
   /// no other endpoint is usable.
   bool IsSuspended(TimePoint aNow) const { return aNow < mSuspendedUntil; }
@@ -160,6 +180,9 @@
   ReportedLoad mReportedLoad;
   std::int64_t mOwnAtReport = 0; ///< value of InFlight() at mReportedAt
   TimePoint mReportedAt{};
+  LoadTrend mTrend;
+  std::optional<DatedLoad> mUntakenReport;
+  bool mHasGotPrompts = false;
   double mFailureShare = 0; ///< moving average of failed attempts, 0 to 1
   int mConsecutiveFailures = 0;
   int mSuspensions = 0; ///< consecutive suspensions
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -114,7 +114,8 @@
       mRelay.mEndpoints,
       mRelay.mContacts,
       aClock,
-      mMetrics)
+      mMetrics,
+      &mRelay.mEvenLoad)
   , mStreamOrigins(
       aLoop,
       mPeerSocket,
@@ -209,6 +210,7 @@
   mRelay.mRecordedVersions = &mVersionRecord;
   mRelay.mGuard = &mCrashReports;
   mRelay.mPermits = &mEndpointLimits;
+  mRelay.mEvenLoad = EvenLoadSwitch(mSettings.mEvenLoad);
   mRelay.mPeers = mSettings.mPeerAddress.empty() ? nullptr : &mForwardingPeers;
   mRelay.mEndpoints.OnNewProcess(
     [this](const std::string& aAddress) { mCrashReports.OnNewProcess(aAddress); });
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -74,6 +74,23 @@
     return out;
   }
 
+  /// An empty string, which the platform's template may leave, keeps the default.
+  EvenLoadMode ReadEvenLoad(const std::string& aKey)
+  {
+    const auto it = mJson.find(aKey);
+    if (it == mJson.end() || *it == "") {
+      return EvenLoadMode::ByReports;
+    }
+    if (*it == "on") {
+      return EvenLoadMode::On;
+    }
+    if (*it != "off") {
+      AddError(ErrorCode::OutOfRange, aKey, "must be \"on\" or \"off\", not " + it->dump());
+      return EvenLoadMode::ByReports;
+    }
+    return EvenLoadMode::Off;
+  }
+
 private:
   void AddError(ErrorCode aCode, const std::string& aKey, const std::string& aText)
   {
@@ -140,6 +157,7 @@
     reader.ReadNumber("store_writes_per_s", it.mStoreWritesPerSecond, 1, 1e9);
   it.mRetryShare = reader.ReadNumber("retry_share", it.mRetryShare, 0, 10);
   it.mRetrySlack = reader.ReadNumber("retry_slack", it.mRetrySlack, 0, 1e9);
+  it.mEvenLoad = reader.ReadEvenLoad("even_load");
   return out;
 }
 
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -23,6 +23,18 @@
 /// Maximum endpoints in one message, so that it fits into PeerSocket::kMaxDatagramBytes; further
 /// endpoints are omitted.
 constexpr std::size_t kMaxReportedEndpoints = 96;
+/// Interval of messages that hold nothing but heard loads. The load of an engine changes with the
+/// time that requests take, which is longer.
+constexpr Millis kHeardInterval{ 500 };
+/// Maximum heard loads in one message; further ones are dropped.
+constexpr std::size_t kMaxHeardLoads = 32;
+/// Bounds of the figures of a heard load.
+constexpr std::int64_t kMaxHeardRequests = std::int64_t{ 1 } << 40;
+constexpr std::int64_t kMaxHeardPacePercent = 1'000;
+/// Older heard loads are ignored.
+constexpr Millis kMaxHeardAge{ 60'000 };
+/// Numbers of one heard load in a message.
+constexpr std::size_t kHeardNumbers = 4;
 /// Maximum peer incarnations whose last sequence number is stored.
 constexpr std::size_t kMaxTrackedIncarnations = 4'096;
 
@@ -35,6 +47,49 @@
   return std::max<Micros>(kMinSendInterval, std::chrono::ceil<Micros>(needed));
 }
 
+nlohmann::json EncodeHeard(const std::vector<HeardLoad>& aHeard)
+{
+  auto out = nlohmann::json::array();
+  for (const auto& it : aHeard) {
+    out.push_back(it.mEndpointHash);
+    out.push_back(it.mRequests);
+    out.push_back(it.mPacePercent);
+    out.push_back(it.mAge.count());
+  }
+  return out;
+}
+
+std::vector<HeardLoad> DecodeHeard(const nlohmann::json& aNumbers)
+{
+  std::vector<HeardLoad> out;
+  for (std::size_t n = 0; n + kHeardNumbers <= aNumbers.size(); n += kHeardNumbers) {
+    out.push_back({ aNumbers.at(n).get<std::uint64_t>(),
+                    ReadDatagramNumber(aNumbers, n + 1, kMaxHeardRequests),
+                    ReadDatagramNumber(aNumbers, n + 2, kMaxHeardPacePercent),
+                    Millis(ReadDatagramNumber(aNumbers, n + 3, kMaxHeardAge.count())) });
+  }
+  return out;
+}
+
+void ApplyHeard(const std::vector<HeardLoad>& aHeard,
+                const EndpointRegistry& aEndpoints,
+                TimePoint aNow)
+{
+  if (aHeard.empty()) {
+    return;
+  }
+  std::map<std::uint64_t, DatedLoad> heard;
+  for (const auto& it : aHeard) {
+    const auto pace = it.mPacePercent > 0 ? std::optional(it.mPacePercent) : std::nullopt;
+    heard[it.mEndpointHash] = { it.mRequests, pace, aNow - it.mAge };
+  }
+  for (const auto& [id, endpoint] : aEndpoints.All()) {
+    if (const auto it = heard.find(endpoint->mHash); it != heard.end()) {
+      endpoint->mLoad.OnPeerReportedLoad(it->second);
+    }
+  }
+}
+
 } // namespace
 
 std::string EncodePeerLoad(const PeerLoadMessage& aMessage)
@@ -44,7 +99,11 @@
     pending.push_back(it.mEndpointHash);
     pending.push_back(it.mTokens);
   }
-  return EncodeDatagram({ aMessage.mIncarnation, aMessage.mSequence, pending });
+  if (aMessage.mHeard.empty()) {
+    return EncodeDatagram({ aMessage.mIncarnation, aMessage.mSequence, pending });
+  }
+  return EncodeDatagram(
+    { aMessage.mIncarnation, aMessage.mSequence, pending, EncodeHeard(aMessage.mHeard) });
 }
 
 Result<PeerLoadMessage> DecodePeerLoad(std::string_view aBytes)
@@ -58,6 +117,9 @@
       out.mPending.push_back(
         { pending.at(n).get<std::uint64_t>(), ReadDatagramNumber(pending, n + 1) });
     }
+    if (aArray.size() > 3) {
+      out.mHeard = DecodeHeard(aArray.at(3));
+    }
     return out;
   });
 }
@@ -75,6 +137,7 @@
     endpoint->mLoad.OnPeerPending(
       aMessage.mIncarnation, it == pending.end() ? 0 : it->second, aNow);
   }
+  ApplyHeard(aMessage.mHeard, aEndpoints, aNow);
 }
 
 PeerLoadExchange::PeerLoadExchange(net::Loop& aLoop,
@@ -84,7 +147,8 @@
                                    EndpointRegistry& aEndpoints,
                                    const EndpointContacts& aContacts,
                                    const Clock& aClock,
-                                   Metrics& aMetrics)
+                                   Metrics& aMetrics,
+                                   const EvenLoadSwitch* aEvenLoad)
   : mLoop(aLoop)
   , mSocket(aSocket)
   , mIncarnation(std::move(aIncarnation))
@@ -93,6 +157,7 @@
   , mContacts(aContacts)
   , mClock(aClock)
   , mMetrics(aMetrics)
+  , mEvenLoad(aEvenLoad)
   , mSendSignal(aLoop)
 {
 }
@@ -114,7 +179,8 @@
 {
   while (true) {
     co_await mSendSignal.WaitFor(kResendInterval);
-    if (mHasUnsentChange || mHasReportedPending) {
+    const bool isHeardDue = mEvenLoad != nullptr && mClock.Now() - mLastSentAt >= kHeardInterval;
+    if (mHasUnsentChange || mHasReportedPending || isHeardDue) {
       mHasUnsentChange = false;
       const auto bytes = SendToPeers();
       co_await net::Signal::Sleep(mLoop, PauseAfterSending(bytes));
@@ -122,6 +188,26 @@
   }
 }
 
+std::vector<HeardLoad> PeerLoadExchange::TakeHeard()
+{
+  std::vector<HeardLoad> out;
+  if (mEvenLoad == nullptr) {
+    return out;
+  }
+  for (const auto& [id, it] : mEndpoints.All()) {
+    const auto report = it->mLoad.TakeReport();
+    if (!report || !mEvenLoad->IsOn(it->mEntry.mService) || out.size() >= kMaxHeardLoads) {
+      continue;
+    }
+    const auto age = std::chrono::duration_cast<Millis>(mClock.Now() - report->mAsOf);
+    out.push_back({ it->mHash,
+                    report->mRequests,
+                    report->mPacePercent.value_or(0),
+                    std::min(age, kMaxHeardAge) });
+  }
+  return out;
+}
+
 std::size_t PeerLoadExchange::SendToPeers()
 {
   std::size_t sentBytes = 0;
@@ -134,11 +220,13 @@
       message.mPending.push_back({ it->mHash, tokens });
     }
   }
-  const bool hasNews = !message.mPending.empty() || mHasReportedPending;
+  message.mHeard = TakeHeard();
+  const bool hasNews = !message.mPending.empty() || !message.mHeard.empty() || mHasReportedPending;
   mHasReportedPending = !message.mPending.empty();
   if (!hasNews) {
     return 0;
   }
+  mLastSentAt = mClock.Now();
   const auto bytes = EncodePeerLoad(message);
   for (const auto& peer : mPeerAddresses()) {
     // A failed send is not retried: the next message replaces this one.
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/relay/RequestExchange.h"
 
 #include "gentianloom/base/Ids.h"
+#include "gentianloom/base/Log.h"
 #include "gentianloom/net/HttpStatus.h"
 #include "gentianloom/outcome/RetryAfter.h"
 #include "gentianloom/relay/RequestFingerprint.h"
@@ -344,6 +345,7 @@
   request.mParts = mRequest.mPromptParts;
   request.mTarget = mRoute->mLatencyTarget;
   request.mTriedEndpoints = mTriedEndpoints;
+  request.mIsLoadEvened = IsLoadEvened(usable);
   const auto* service = mRoutes->Service(mService);
   if (service != nullptr && service->mEngine && !mIsTrial) {
     auto& model = mContext.mFirstTokenModels[mService];
@@ -356,6 +358,17 @@
   return ChoosePlainEndpoint(request, usable, now);
 }
 
+bool RequestExchange::IsLoadEvened(std::span<const EndpointRegistry::Ptr> aEndpoints)
+{
+  if (mContext.mEvenLoad.Observe(mService, aEndpoints)) {
+    LogChange(LogLevel::Info,
+              "routing",
+              "the load of the service's endpoints is evened out from now on",
+              { { "service", mService } });
+  }
+  return mContext.mEvenLoad.IsOn(mService) && !mIsTrial;
+}
+
 void RequestExchange::KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints)
 {
   const auto firstUnrecorded =
--- a/src/routing/EndpointLoad.cpp
+++ b/src/routing/EndpointLoad.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace gentianloom {
 
@@ -73,6 +74,7 @@
 {
   mRequests[++mLastHandle] = { aPrefillTokens, false };
   mPendingPrefillTokens += aPrefillTokens;
+  mHasGotPrompts = mHasGotPrompts || aPrefillTokens > 0;
   return mLastHandle;
 }
 
@@ -98,6 +100,24 @@
   mReportedLoad = aReport;
   mOwnAtReport = InFlight();
   mReportedAt = aNow;
+  const DatedLoad dated{ aReport.mRunning + aReport.mWaiting, aReport.mPacePercent, aNow };
+  OnPeerReportedLoad(dated);
+  if (mHasGotPrompts) {
+    mUntakenReport = dated;
+  }
+}
+
+void EndpointLoad::OnPeerReportedLoad(const DatedLoad& aReport)
+{
+  const auto others = std::max<std::int64_t>(0, aReport.mRequests - InFlight());
+  mTrend.OnReport(
+    { static_cast<double>(aReport.mRequests), static_cast<double>(others), aReport.mPacePercent },
+    aReport.mAsOf);
+}
+
+std::optional<DatedLoad> EndpointLoad::TakeReport()
+{
+  return std::exchange(mUntakenReport, std::nullopt);
 }
 
 void EndpointLoad::OnPeerPending(const std::string& aPeer, std::int64_t aTokens, TimePoint aNow)
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -36,11 +36,13 @@
     json["retry_share"] = "";     // and leaves them empty if the platform has no value
     json["retry_slack"] = 52;
     json["unknown_key"] = 1;
+    json["even_load"] = "off";
     const auto parsed = ParseGatewaySettings("// a comment\n" + json.dump(), "file");
     CPPUNIT_ASSERT(parsed.mErrors.empty());
     CPPUNIT_ASSERT(parsed.mSettings.mTerminationGracePeriod == Millis(9'500));
     CPPUNIT_ASSERT_EQUAL(0.2, parsed.mSettings.mRetryShare);
     CPPUNIT_ASSERT_EQUAL(52.0, parsed.mSettings.mRetrySlack);
+    CPPUNIT_ASSERT(parsed.mSettings.mEvenLoad == EvenLoadMode::Off);
   }
 
   void TestInvalidSettings()
@@ -59,7 +61,8 @@
                          { "metrics_address", "10.0.0.1:x", ErrorCode::OutOfRange },
                          { "leave_time_s", "soon", ErrorCode::WrongType },
                          { "leave_time_s", 0, ErrorCode::OutOfRange },
-                         { "rights_window_s", -1, ErrorCode::OutOfRange } };
+                         { "rights_window_s", -1, ErrorCode::OutOfRange },
+                         { "even_load", "sometimes", ErrorCode::OutOfRange } };
     for (const auto& row : rows) {
       auto json = ValidSettings();
       json.erase(row.mKey);
--- a/tests/gateway/PeerLoadExchangeTest.cpp
+++ b/tests/gateway/PeerLoadExchangeTest.cpp
@@ -15,6 +15,7 @@
 {
   CPPUNIT_TEST_SUITE(PeerLoadExchangeTest);
   CPPUNIT_TEST(TestApplyReplacesPending);
+  CPPUNIT_TEST(TestHeardLoads);
   CPPUNIT_TEST(TestMalformedDatagrams);
   CPPUNIT_TEST(TestTokensOutOfRange);
   CPPUNIT_TEST(TestTrafficOfLargeFleet);
@@ -48,6 +49,34 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 13 }, pending("b"));
   }
 
+  // Instances of a version without the last element must be understood, and must understand the
+  // message while nothing is passed on.
+  void TestHeardLoads()
+  {
+    const TimePoint now{ std::chrono::hours(1) };
+    EndpointRegistry registry;
+    EndpointEntry entry;
+    entry.mId = "a";
+    registry.Put(entry, now);
+    const auto& load = registry.All().at("a")->mLoad;
+    const PeerLoadMessage without{ "r", 1, { { 1, 2 } } };
+    const std::string recorded("\x93\xa1r\x01\x92\x01\x02", 7); // of a version without it
+    CPPUNIT_ASSERT_EQUAL(recorded, EncodePeerLoad(without));
+    ApplyPeerLoad(DecodePeerLoad(recorded).value(), registry, now);
+    CPPUNIT_ASSERT(!load.Trend().IsKnown());
+    PeerLoadMessage message = without;
+    message.mHeard = { { StableHash("a"), 7, 150, Millis(300) }, { StableHash("x"), 9, 0 } };
+    ApplyPeerLoad(DecodePeerLoad(EncodePeerLoad(message)).value(), registry, now);
+    CPPUNIT_ASSERT(load.Trend().IsKnown() && load.Trend().HasPace());
+    CPPUNIT_ASSERT_EQUAL(7.0, load.Trend().AverageRequests());
+    for (const HeardLoad it : { HeardLoad{ 1, -1, 100, Millis(1) },
+                                HeardLoad{ 1, 1, 1'001, Millis(1) },
+                                HeardLoad{ 1, 1, 100, Millis(60'001) } }) {
+      message.mHeard = { it };
+      CPPUNIT_ASSERT(!DecodePeerLoad(EncodePeerLoad(message)));
+    }
+  }
+
   void TestMalformedDatagrams()
   {
     const auto valid = EncodePeerLoad({ "run-1", 1, { { 1, 2 } } });
