--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
+#include "gentianloom/routing/EvenLoad.h"
 #include "gentianloom/routing/WarmUp.h"
 
 #include <optional>
@@ -37,6 +38,8 @@
   double mRetrySlack = 20;
   /// Bound on the requests to endpoints that warm up; unset: none.
   std::optional<WarmUpBound> mWarmUpBound;
+  /// Whether the load of endpoints is evened out.
+  EvenLoadMode mEvenLoad = EvenLoadMode::ByReports;
 };
 
 /// Result of parsing a settings file: the valid settings and one error for each invalid key.
--- a/include/gentianloom/routing/EndpointLoad.h
+++ b/include/gentianloom/routing/EndpointLoad.h
@@ -2,11 +2,13 @@
 #define GENTIANLOOM_ROUTING_ENDPOINT_LOAD_H
 
 #include "gentianloom/base/Clock.h"
+#include "gentianloom/routing/LoadTrend.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -27,6 +29,16 @@
   std::int64_t mRunning = 0; ///< requests in a slot, of all instances
   std::int64_t mWaiting = 0; ///< requests that wait for a slot
   std::int64_t mSlots = 0;   ///< maximum number of concurrent requests
+  /// Time that work takes at present, in percent of the usual time; empty: not reported.
+  std::optional<std::int64_t> mPacePercent;
+};
+
+/// Load that an endpoint reported at a time.
+struct DatedLoad
+{
+  std::int64_t mRequests = 0;               ///< running and waiting
+  std::optional<std::int64_t> mPacePercent; ///< see ReportedLoad
+  TimePoint mAsOf{};                        ///< time at which the report was received
 };
 
 /**
@@ -97,6 +109,14 @@
   /// @brief Applies the load that an endpoint reported with an answer.
   void OnReportedLoad(const ReportedLoad& aReport, TimePoint aNow);
 
+  /// @brief Applies a load that the endpoint reported to another instance. It changes only Trend().
+  void OnPeerReportedLoad(const DatedLoad& aReport);
+
+  /// @brief Last load that the endpoint reported to this process; empty if TakeReport() has
+  /// returned it, or if the endpoint got no prompts: the load of endpoints with short calls changes
+  /// sooner than peers could be told.
+  std::optional<DatedLoad> TakeReport();
+
   /// @brief Records the outcome of one attempt and suspends the endpoint after repeated failures.
   /// @param aFailed whether the endpoint failed
   void OnOutcome(bool aFailed, TimePoint aNow);
@@ -133,6 +153,9 @@
   /// process's requests that were sent or ended since.
   double Running(TimePoint aNow) const;
 
+  /// @brief Average of the reported loads, and estimates from it.
+  const LoadTrend& Trend() const { return mTrend; }
+
   /// @brief Whether recent failures have suspended the endpoint, so that it gets requests only if
   /// no other endpoint is usable.
   bool IsSuspended(TimePoint aNow) const { return aNow < mSuspendedUntil; }
@@ -157,6 +180,9 @@
   ReportedLoad mReportedLoad;
   std::int64_t mOwnAtReport = 0; ///< value of InFlight() at mReportedAt
   TimePoint mReportedAt{};
+  LoadTrend mTrend;
+  std::optional<DatedLoad> mUntakenReport;
+  bool mHasGotPrompts = false;
   double mFailureShare = 0; ///< moving average of failed attempts, 0 to 1
   int mConsecutiveFailures = 0;
   int mSuspensions = 0; ///< consecutive suspensions
