--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -40,6 +40,10 @@
   std::optional<WarmUpBound> mWarmUpBound;
   /// Whether the load of endpoints is evened out.
   EvenLoadMode mEvenLoad = EvenLoadMode::ByReports;
+  /// Memory of the machine in MB; 0: not stated.
+  double mMemoryMb = 0;
+  /// File descriptors that the process may open; 0: the limit of the operating system.
+  double mMaxDescriptors = 0;
 };
 
 /// Result of parsing a settings file: the valid settings and one error for each invalid key.
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -113,6 +113,10 @@
 /// Default of a number without which the platform has no rule.
 constexpr double kNotStated = -1;
 constexpr double kMaxWarmUpBound = 1e6;
+constexpr double kMinMemoryMb = 16;
+constexpr double kMaxMemoryMb = 1e7;
+constexpr double kMinDescriptors = 64;
+constexpr double kMaxDescriptors = 1e7;
 
 } // namespace
 
@@ -166,6 +170,8 @@
     it.mWarmUpBound = WarmUpBound{ overage, slack };
   }
   it.mEvenLoad = reader.ReadEvenLoad("even_load");
+  it.mMemoryMb = reader.ReadNumber("memory_mb", 0, kMinMemoryMb, kMaxMemoryMb);
+  it.mMaxDescriptors = reader.ReadNumber("max_fds", 0, kMinDescriptors, kMaxDescriptors);
   return out;
 }
 
