routing: averages of reported loads over 20 s; odd heard loads are skipped

Cause: averages over 10 s with up to a quarter by one report follow single reports; one odd figure in the optional element made the whole load message invalid, also the pending tokens. Change: 20 s, at most a tenth by one report; valid heard loads before an odd one and the rest of the message apply.

--- a/include/gentianloom/routing/EndpointChooser.h
+++ b/include/gentianloom/routing/EndpointChooser.h
@@ -50,6 +50,9 @@
  * endpoint and would delay the first event, another endpoint costs less, although it computes the
  * part again. Endpoints whose slots are all used, that are suspended or that were tried before are
  * a last resort.
+ *
+ * If the load is evened out, the first endpoints of the rendezvous order are equal, and the load of
+ * the service's endpoints relative to their mean decides among them.
  */
 PlacementChoice ChooseEngineEndpoint(const PlacementRequest& aRequest,
                                      std::span<const EndpointRegistry::Ptr> aEndpoints,
@@ -62,6 +65,9 @@
  * load per slot, multiplied by its slowdown. An endpoint in another availability zone gets a
  * penalty. No I/O.
  *
+ * If the load is evened out, the endpoint is drawn by the hash of the request, with lower weights
+ * for endpoints that have more than the mean load.
+ *
  * Expected load: many short calls to few endpoints with few slots each, one of which may be slow.
  */
 PlacementChoice ChoosePlainEndpoint(const PlacementRequest& aRequest,
--- a/include/gentianloom/routing/EvenLoad.h
+++ b/include/gentianloom/routing/EvenLoad.h
@@ -87,8 +87,9 @@
   std::set<std::string, std::less<>> mServices; ///< whose load is evened out
 };
 
-/// @brief Random number with the standard Gumbel distribution, made from a hash. Added to the
-/// negated cost of alternatives, it makes the choice of the lowest cost a weighted draw.
+/// @brief Number with the standard Gumbel distribution, made from a hash. If each alternative's
+/// cost is reduced by such a number, the choice of the lowest cost is a draw with weights
+/// exp(-cost).
 double GumbelNoise(std::uint64_t aHash);
 
 } // namespace gentianloom
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -59,14 +59,20 @@
   return out;
 }
 
+/// Decodes as many heard loads as are valid. A later version may write others, and the pending load
+/// of the message still counts.
 std::vector<HeardLoad> DecodeHeard(const nlohmann::json& aNumbers)
 {
   std::vector<HeardLoad> out;
-  for (std::size_t n = 0; n + kHeardNumbers <= aNumbers.size(); n += kHeardNumbers) {
-    out.push_back({ aNumbers.at(n).get<std::uint64_t>(),
-                    ReadDatagramNumber(aNumbers, n + 1, kMaxHeardRequests),
-                    ReadDatagramNumber(aNumbers, n + 2, kMaxHeardPacePercent),
-                    Millis(ReadDatagramNumber(aNumbers, n + 3, kMaxHeardAge.count())) });
+  try {
+    for (std::size_t n = 0; n + kHeardNumbers <= aNumbers.size(); n += kHeardNumbers) {
+      out.push_back({ aNumbers.at(n).get<std::uint64_t>(),
+                      ReadDatagramNumber(aNumbers, n + 1, kMaxHeardRequests),
+                      ReadDatagramNumber(aNumbers, n + 2, kMaxHeardPacePercent),
+                      Millis(ReadDatagramNumber(aNumbers, n + 3, kMaxHeardAge.count())) });
+    }
+  } catch (const nlohmann::json::exception&) {
+    return out;
   }
   return out;
 }
--- a/src/routing/EndpointChooser.cpp
+++ b/src/routing/EndpointChooser.cpp
@@ -50,7 +50,7 @@
 constexpr double kNearlyFullLoad = 0.9;
 /// Exponents of the weight of a plain endpoint in the draw, by its average and present excess.
 constexpr double kAverageExcessWeight = 8;
-constexpr double kPresentExcessWeight = 0.3;
+constexpr double kPresentExcessWeight = 1;
 /// Logarithm of the weight of endpoints in the own availability zone in the draw.
 constexpr double kOwnZoneWeight = 0.3;
 
--- a/src/routing/LoadTrend.cpp
+++ b/src/routing/LoadTrend.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 /// Time over which reports are averaged.
-constexpr double kAveragingSeconds = 10;
+constexpr double kAveragingSeconds = 20;
 /// Time in which an average loses its weight without new reports.
 constexpr double kAverageLifetimeSeconds = 30;
 /// Largest weight of one report in the average: a single report is a random moment.
-constexpr double kMaxSampleWeight = 0.25;
+constexpr double kMaxSampleWeight = 0.1;
 /// Time in which a reported pace loses its weight; it changes several times a second.
 constexpr double kPaceLifetimeSeconds = 0.2;
 
