Requests and addresses keep to the regions of routes and organisations

Callers whose data must stay in a region had their requests sent to endpoints of all regions, and were given instances of other regions, since neither the configuration nor the settings knew of regions. A route and an organisation may now have allowed-regions, and the setting zones gives the region of each zone. Admission determines the zones that may get a request; placement, Retry-After and the choice of another instance keep to them. Address queries prefer the caller's zone, then its region, then the regions that all routes of the host allow.

--- a/include/gentianloom/gateway/ForwardingPeers.h
+++ b/include/gentianloom/gateway/ForwardingPeers.h
@@ -17,9 +17,9 @@
  *
  * Load pattern: half of a fleet, or a whole availability zone, reaches no endpoint, and each of
  * these instances has to find one that does. The first choice is in the own zone, the next ones
- * anywhere. Who declined is passed over for EndpointLoad::kUnreachableSuspension; once
- * kMaxDeclined instances in a row have declined, none is asked for kPause, because then most
- * likely no instance reaches an endpoint.
+ * anywhere that the request's regions allow. Who declined is passed over for
+ * EndpointLoad::kUnreachableSuspension; once kMaxDeclined instances in a row have declined, none is
+ * asked for kPause, because then most likely no instance reaches an endpoint.
  */
 class ForwardingPeers final : public PeerInstances
 {
@@ -39,7 +39,8 @@
   }
 
   EndpointRegistry::Ptr Choose(const std::string& aService,
-                               std::span<const std::string> aTried) override;
+                               std::span<const std::string> aTried,
+                               const AllowedZones& aZones = std::nullopt) override;
   void OnDeclined(const EndpointRegistry::Ptr& aPeer) override;
   void OnAnswered(const EndpointRegistry::Ptr& aPeer) override;
 
@@ -55,6 +56,8 @@
   EndpointRegistry::Ptr ChooseAmong(const std::string& aService,
                                     std::vector<std::string> aAddresses,
                                     std::span<const std::string> aTried);
+  /// Addresses of the instances in all allowed zones.
+  std::vector<std::string> AddressesIn(const AllowedZones& aZones) const;
   EndpointRegistry::Ptr RecordOf(const std::string& aService, const std::string& aAddress);
 
   Addresses mAddresses;
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -17,6 +17,7 @@
 #include "gentianloom/gateway/StreamOriginExchange.h"
 #include "gentianloom/gateway/TrafficLog.h"
 #include "gentianloom/membership/InstanceDirectory.h"
+#include "gentianloom/membership/RegionPreference.h"
 #include "gentianloom/net/HttpService.h"
 #include "gentianloom/net/LoopMonitor.h"
 
@@ -89,6 +90,8 @@
   bool IsReady() const;
   net::ServiceReply HandleReadinessCheck() const;
   net::ServiceReply HandleAddressQuery(const net::ServiceRequest& aRequest) const;
+  /// The regions of a caller and of the host that it asks for.
+  RegionPreference MakeRegionPreference(const AddressQuery& aQuery) const;
   net::Task<void> RunHousekeeping();
   /// Whether a request is open, or a response is not sent yet, here or for another instance.
   bool HasOpenWork() const;
--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -4,6 +4,8 @@
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +35,8 @@
   Millis mRightsDemandWindow{ 10'000 };
   /// Retries allowed per window in addition to mRetryShare, over the whole fleet.
   double mRetrySlack = 20;
+  /// Region of each availability zone; empty: no zone is in a region.
+  std::map<std::string, std::string, std::less<>> mRegionOfZone;
 };
 
 /// Result of parsing a settings file: the valid settings and one error for each invalid key.
@@ -40,6 +44,7 @@
 {
   GatewaySettings mSettings;
   std::vector<Error> mErrors;
+  std::vector<Error> mSkipped; ///< malformed items of tables; the rest applies
 };
 
 /**
--- a/include/gentianloom/gateway/PlatformProtocol.h
+++ b/include/gentianloom/gateway/PlatformProtocol.h
@@ -12,6 +12,14 @@
 
 namespace gentianloom {
 
+/// A caller's query for instance addresses. What the query does not name is empty.
+struct AddressQuery
+{
+  std::string mHost; ///< that the caller will send requests to; lower case, without a port
+  std::string mRegion;
+  std::string mZone;
+};
+
 /**
  * @brief Translates between the gateway and the formats of the platform that it runs on.
  *
@@ -57,11 +65,10 @@
                                                std::string_view aText) const = 0;
 
   /**
-   * @brief Extracts the availability zone from a caller's query for instance addresses.
+   * @brief Decodes a caller's query for instance addresses.
    * @param aTarget request target with its query string
-   * @return the zone; empty if the query names none
    */
-  virtual std::string DecodeRequestedZone(std::string_view aTarget) const = 0;
+  virtual AddressQuery DecodeAddressQuery(std::string_view aTarget) const = 0;
 
   /**
    * @brief Encodes the response body to a query for instance addresses.
--- a/include/gentianloom/membership/InstanceDirectory.h
+++ b/include/gentianloom/membership/InstanceDirectory.h
@@ -11,6 +11,8 @@
 
 namespace gentianloom {
 
+struct RegionPreference;
+
 /// What an instance publishes about itself under a leased key.
 struct InstanceRecord
 {
@@ -66,14 +68,20 @@
   /**
    * @brief Returns the caller addresses of instances that are not leaving.
    *
-   * If the caller's availability zone has at least two such instances, only those are returned,
-   * else those of all zones. If they are more than kMaxAddresses, each caller gets its own part of
-   * them, the same from every instance.
+   * Which of them are returned is decided by RegionPreference::Choose(). If they are more than
+   * kMaxAddresses, each caller gets its own part of them, the same from every instance.
    *
    * @param aSelf this instance's own record, which is included even if its key is not stored
    * @param aCaller what tells callers apart, for example their IP addresses
    * @return at most kMaxAddresses addresses
    */
+  std::vector<std::string> SelectAddresses(const InstanceRecord& aSelf,
+                                           std::string_view aZone,
+                                           std::string_view aCaller,
+                                           TimePoint aNow,
+                                           const RegionPreference& aRegions) const;
+
+  /// @brief As above, for a fleet in one region.
   std::vector<std::string> SelectAddresses(const InstanceRecord& aSelf,
                                            std::string_view aZone,
                                            std::string_view aCaller,
--- a/include/gentianloom/relay/PeerInstances.h
+++ b/include/gentianloom/relay/PeerInstances.h
@@ -2,6 +2,7 @@
 #define GENTIANLOOM_RELAY_PEER_INSTANCES_H
 
 #include "gentianloom/routing/EndpointRegistry.h"
+#include "gentianloom/routing/ZoneRegions.h"
 
 #include <cstdint>
 #include <span>
@@ -30,10 +31,12 @@
    *
    * An instance that declined a request to the service a moment ago is not chosen.
    * @param aTried names of instances that declined this request
+   * @param aZones only instances in these zones
    * @return a record with the instance's address for peers, or null if no instance can help
    */
   virtual EndpointRegistry::Ptr Choose(const std::string& aService,
-                                       std::span<const std::string> aTried) = 0;
+                                       std::span<const std::string> aTried,
+                                       const AllowedZones& aZones) = 0;
 
   /// @brief Notes that an instance declined a request: it cannot serve it either.
   virtual void OnDeclined(const EndpointRegistry::Ptr& aPeer) = 0;
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -17,6 +17,7 @@
 #include "gentianloom/routing/FirstTokenModel.h"
 #include "gentianloom/routing/RouteTable.h"
 #include "gentianloom/routing/SoftwareVersionHistory.h"
+#include "gentianloom/routing/ZoneRegions.h"
 
 #include <functional>
 #include <map>
@@ -45,6 +46,7 @@
   RequestPermits* mPermits = nullptr;            ///< null: rate limits of endpoints are not kept
   PeerInstances* mPeers = nullptr;               ///< null: no other instance can serve a request
   EndpointContacts mContacts{};
+  ZoneRegions mRegions{};
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -105,8 +105,9 @@
   RouteTable::Ptr mRoutes; ///< configuration at admission, used until the request ends
   const Route* mRoute = nullptr;
   const OrganisationAccount* mAccount = nullptr; ///< null for an anonymous request
-  std::vector<std::string> mCrashKeys;           ///< see MakeCrashKeys()
-  bool mIsTrial = false;                         ///< sent although it is blocked, see RequestGuard
+  AllowedZones mAllowedZones;          ///< of endpoints and instances that may get the request
+  std::vector<std::string> mCrashKeys; ///< see MakeCrashKeys()
+  bool mIsTrial = false;               ///< sent although it is blocked, see RequestGuard
   std::string mService;
   TokenReservation mReservation;
   bool mRequestMayHaveRun = false; ///< at least one attempt may have run the request
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -7,6 +7,7 @@
 #include "gentianloom/routing/RateLimit.h"
 #include "gentianloom/routing/RefusalWindow.h"
 #include "gentianloom/routing/RequestHold.h"
+#include "gentianloom/routing/ZoneRegions.h"
 
 #include <cstdint>
 #include <functional>
@@ -148,15 +149,19 @@
   /// @brief Endpoints of a service that accept requests, have not asked for a pause and whose rate
   /// limit and window leave room; missing ones only if none is listed.
   /// @param aSoftwareVersion only endpoints with this version of their software, if it is set
-  std::vector<Ptr> UsableEndpoints(
-    std::string_view aService,
-    TimePoint aNow,
-    std::optional<std::string_view> aSoftwareVersion = std::nullopt) const;
+  /// @param aZones only endpoints in these zones
+  std::vector<Ptr> UsableEndpoints(std::string_view aService,
+                                   TimePoint aNow,
+                                   std::optional<std::string_view> aSoftwareVersion = std::nullopt,
+                                   const AllowedZones& aZones = std::nullopt) const;
 
   /// @brief Time until the first of the service's endpoints may get a request again, if all of
   /// those that accept requests have asked for a pause or have reached their rate limit; otherwise
   /// nothing.
-  std::optional<Micros> TimeUntilPauseEnds(std::string_view aService, TimePoint aNow) const;
+  /// @param aZones only endpoints in these zones count
+  std::optional<Micros> TimeUntilPauseEnds(std::string_view aService,
+                                           TimePoint aNow,
+                                           const AllowedZones& aZones = std::nullopt) const;
 
   /// @brief The zones whose endpoints get no requests. A change holds at once, also for requests
   /// that have chosen an endpoint and were not sent yet.
--- a/include/gentianloom/routing/RouteTable.h
+++ b/include/gentianloom/routing/RouteTable.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/configuration/Configuration.h"
+#include "gentianloom/routing/ZoneRegions.h"
 
 #include <cstdint>
 #include <map>
@@ -42,6 +43,7 @@
   std::int64_t mMaxAttempts = 1;
   bool mAllowsAnonymous = false;
   bool mIsResumable = false;
+  AllowedRegions mAllowedRegions; ///< of the endpoints that may get its requests
   std::vector<WeightedService> mServices;
 
   /// @brief Whether a request may run more than once, or go on where an earlier run ended.
@@ -63,11 +65,12 @@
   std::optional<EngineSpec> mEngine; ///< unset: a plain service
 };
 
-/// Name and prepaid budget of an organisation.
+/// Name, prepaid budget and regions of an organisation.
 struct OrganisationAccount
 {
   std::string mName;
   std::optional<Tokens> mPrepaid; ///< total that the organisation may consume; unset: not limited
+  AllowedRegions mAllowedRegions; ///< of the endpoints that may get its requests
 };
 
 /// Limits on a caller's connection and requests.
@@ -88,6 +91,7 @@
   std::vector<OrganisationAccount> mAccounts;
   std::map<std::string, std::size_t, std::less<>> mAccountByKey; ///< index in mAccounts
   CallerLimits mLimits;
+  std::vector<std::string> mProblems; ///< malformed parts that were skipped, for the log
 };
 
 /**
@@ -111,6 +115,9 @@
   /// @param aPath path without the query
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
 
+  /// @brief Regions that all routes of a host allow; all if the host has no route.
+  AllowedRegions RegionsOf(std::string_view aHost) const;
+
   /// @brief Organisation to which an API key belongs; null if the key is not known.
   const OrganisationAccount* AccountByKey(std::string_view aKey) const;
 
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -135,7 +135,7 @@
             "node": name, "zone": "a", "ip": "127.0.0.1", "port-range.0": peer,
             "listen.front": f"{here}{self.caller}", "listen.ready": f"{here}{self.ready}",
             "listen.directory": f"{here}{self.directory}", "provider.address": store,
-            "provider.writes-per-s": WRITES_PER_S, **{"bounds." + k: v for k, v in BOUNDS.items()}})
+            "provider.writes-per-s": WRITES_PER_S, "zones|json": "{}", **{"bounds." + k: v for k, v in BOUNDS.items()}})
         # All gateways of a script have one address, so their fixed port of the metrics would collide.
         text = text.replace("127.0.0.1:9464", f"{here}{metrics}")
         self.folder = tempfile.TemporaryDirectory()
--- a/src/gateway/ForwardingPeers.cpp
+++ b/src/gateway/ForwardingPeers.cpp
@@ -7,19 +7,33 @@
 namespace gentianloom {
 
 EndpointRegistry::Ptr ForwardingPeers::Choose(const std::string& aService,
-                                              std::span<const std::string> aTried)
+                                              std::span<const std::string> aTried,
+                                              const AllowedZones& aZones)
 {
   const auto& service = mServices[aService];
   if (service.mDeclined >= kMaxDeclined && mClock.Now() - service.mLastDeclinedAt < kPause) {
     return nullptr;
   }
-  if (aTried.empty()) {
+  if (aTried.empty() && Allows(aZones, mZone)) {
     auto out = ChooseAmong(aService, mAddresses(mZone), aTried);
     if (out) {
       return out;
     }
   }
-  return ChooseAmong(aService, mAddresses({}), aTried);
+  return ChooseAmong(aService, AddressesIn(aZones), aTried);
+}
+
+std::vector<std::string> ForwardingPeers::AddressesIn(const AllowedZones& aZones) const
+{
+  if (!aZones) {
+    return mAddresses({});
+  }
+  std::vector<std::string> out;
+  for (const auto& it : *aZones) {
+    const auto addresses = mAddresses(it);
+    out.insert(out.end(), addresses.begin(), addresses.end());
+  }
+  return out;
 }
 
 EndpointRegistry::Ptr ForwardingPeers::ChooseAmong(const std::string& aService,
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -206,6 +206,7 @@
                   [this] { return mStore.Calls(); } },
                 mMetrics)
 {
+  mRelay.mRegions = ZoneRegions(mSettings.mRegionOfZone);
   mRelay.mStreamOrigins = &mStreamOrigins;
   mRelay.mRecordedVersions = &mVersionRecord;
   mRelay.mGuard = &mCrashReports;
@@ -346,14 +347,27 @@
                    : net::ServiceReply{ net::kUnavailable, "text/plain", "not ready\n" };
 }
 
+RegionPreference Gateway::MakeRegionPreference(const AddressQuery& aQuery) const
+{
+  RegionPreference out;
+  out.mRegions = mRelay.mRegions;
+  const auto region = mRelay.mRegions.RegionOf(aQuery.mZone);
+  out.mCallerRegion = aQuery.mRegion.empty() ? std::string(region) : aQuery.mRegion;
+  if (mRelay.mRoutes) {
+    out.mAllowed = mRelay.mRoutes->RegionsOf(aQuery.mHost);
+  }
+  return out;
+}
+
 net::ServiceReply Gateway::HandleAddressQuery(const net::ServiceRequest& aRequest) const
 {
   // SelectAddresses() omits an instance that is leaving, so an instance that is not ready is marked
   // as leaving.
   auto self = mSelf;
   self.mIsLeaving = !IsReady();
-  const auto zone = mProtocol.DecodeRequestedZone(aRequest.mHead.mTarget);
-  const auto addresses = mInstances.SelectAddresses(self, zone, aRequest.mPeerHost, mClock.Now());
+  const auto query = mProtocol.DecodeAddressQuery(aRequest.mHead.mTarget);
+  const auto addresses = mInstances.SelectAddresses(
+    self, query.mZone, aRequest.mPeerHost, mClock.Now(), MakeRegionPreference(query));
   if (addresses.empty()) {
     return { net::kUnavailable, "text/plain", "no instance is ready\n" };
   }
--- a/src/gateway/GatewayDaemon.cpp
+++ b/src/gateway/GatewayDaemon.cpp
@@ -110,6 +110,12 @@
   }
   const auto& settings = parsed.mSettings;
   StartLog(settings.mInstance);
+  for (const auto& it : parsed.mSkipped) {
+    LogChange(LogLevel::Warning,
+              "settings",
+              "an item of the settings is malformed and is skipped",
+              { { "error", ToString(it) } });
+  }
   const auto storeAddress = net::ParseSocketAddress(settings.mStoreAddress);
   if (!storeAddress) {
     return ReportStartupError(storeAddress.error());
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -74,11 +74,41 @@
     return out;
   }
 
+  /// Reads an object whose values are names. A missing, empty or null value is an empty table.
+  /// @param aSkipped gets an error for each item whose value is no name
+  std::map<std::string, std::string, std::less<>> ReadTable(const std::string& aKey,
+                                                            std::vector<Error>& aSkipped)
+  {
+    std::map<std::string, std::string, std::less<>> out;
+    const auto it = mJson.find(aKey);
+    if (it == mJson.end() || it->is_null() || *it == "") {
+      return out;
+    }
+    if (!it->is_object()) {
+      AddError(ErrorCode::WrongType, aKey, "must be an object whose values are names");
+      return out;
+    }
+    for (const auto& [name, value] : it->items()) {
+      if (value.is_string() && !value.get_ref<const std::string&>().empty()) {
+        out[name] = value.get<std::string>();
+      } else {
+        aSkipped.push_back(DescribeError(
+          ErrorCode::WrongType, aKey, "must have a name for \"" + name + "\", which is skipped"));
+      }
+    }
+    return out;
+  }
+
 private:
+  Error DescribeError(ErrorCode aCode, const std::string& aKey, const std::string& aText) const
+  {
+    return MakeError(
+      aCode, Step::Settings, mFileName, std::string(mFileName) + ": \"" + aKey + "\" " + aText);
+  }
+
   void AddError(ErrorCode aCode, const std::string& aKey, const std::string& aText)
   {
-    mErrors.push_back(MakeError(
-      aCode, Step::Settings, mFileName, std::string(mFileName) + ": \"" + aKey + "\" " + aText));
+    mErrors.push_back(DescribeError(aCode, aKey, aText));
   }
 
   const Json& mJson;
@@ -140,6 +170,7 @@
     reader.ReadNumber("store_writes_per_s", it.mStoreWritesPerSecond, 1, 1e9);
   it.mRetryShare = reader.ReadNumber("retry_share", it.mRetryShare, 0, 10);
   it.mRetrySlack = reader.ReadNumber("retry_slack", it.mRetrySlack, 0, 1e9);
+  it.mRegionOfZone = reader.ReadTable("zones", out.mSkipped);
   return out;
 }
 
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -104,6 +104,12 @@
                 { "active_version", std::to_string(currentVersion) } });
     return;
   }
+  for (const auto& it : decoded.value().mProblems) {
+    LogChange(LogLevel::Warning,
+              "configuration",
+              "a part of the configuration is malformed",
+              { { "version", std::to_string(version) }, { "error", it } });
+  }
   mRelay.mRoutes = RouteTable::Create(std::move(decoded.value()));
   mMetrics.GaugeOf("gentianloom_configuration_version").Set(version);
   mRights.Wake();
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -3,6 +3,7 @@
 #include "gentianloom/base/BoundedJson.h"
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/membership/Keepers.h"
+#include "gentianloom/membership/RegionPreference.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,13 +12,6 @@
 
 namespace gentianloom {
 
-namespace {
-
-/// With at least this many instances in the caller's availability zone, other zones are left out.
-constexpr std::size_t kMinSameZone = 2;
-
-} // namespace
-
 std::string ToText(const InstanceRecord& aRecord)
 {
   const nlohmann::json out = { { "name", aRecord.mName },
@@ -95,15 +89,19 @@
                                                             std::string_view aCaller,
                                                             TimePoint aNow) const
 {
-  std::vector<std::string> all;
-  std::vector<std::string> sameZone;
+  return SelectAddresses(aSelf, aZone, aCaller, aNow, {});
+}
+
+std::vector<std::string> InstanceDirectory::SelectAddresses(const InstanceRecord& aSelf,
+                                                            std::string_view aZone,
+                                                            std::string_view aCaller,
+                                                            TimePoint aNow,
+                                                            const RegionPreference& aRegions) const
+{
+  std::vector<const InstanceRecord*> all;
   const auto add = [&](const InstanceRecord& aRecord) {
-    if (aRecord.mIsLeaving) {
-      return;
-    }
-    all.push_back(aRecord.mAddress);
-    if (aRecord.mZone == aZone) {
-      sameZone.push_back(aRecord.mAddress);
+    if (!aRecord.mIsLeaving) {
+      all.push_back(&aRecord);
     }
   };
   add(aSelf);
@@ -112,7 +110,10 @@
       add(it.mRecord);
     }
   }
-  auto& out = sameZone.size() >= kMinSameZone ? sameZone : all;
+  std::vector<std::string> out;
+  for (const auto* it : aRegions.Choose(std::move(all), aZone)) {
+    out.push_back(it->mAddress);
+  }
   if (out.size() > kMaxAddresses) {
     return ChooseKeepers(StableHash(aCaller), std::move(out), kMaxAddresses);
   }
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -162,6 +162,8 @@
       return false;
     }
   }
+  mAllowedZones = mContext.mRegions.ZonesIn(Intersect(
+    mRoute->mAllowedRegions, mAccount == nullptr ? AllowedRegions() : mAccount->mAllowedRegions));
   mService = RouteTable::ChooseService(*mRoute, StableHash(mRequest.mId));
   const auto organisation = mAccount == nullptr ? std::string_view() : mAccount->mName;
   mCrashKeys =
@@ -331,7 +333,7 @@
   if (mProgress.mOrigin) {
     softwareVersion = mProgress.mOrigin->mSoftwareVersion;
   }
-  auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion);
+  auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion, mAllowedZones);
   if (aOnlyUnlimited) {
     std::erase_if(usable, [](const auto& it) { return it->mRateLimit.IsLimited(); });
   }
@@ -453,7 +455,8 @@
 
 Millis RequestExchange::RetryAfterRefusal() const
 {
-  const auto pause = mContext.mEndpoints.TimeUntilPauseEnds(mService, mContext.mClock.Now());
+  const auto pause =
+    mContext.mEndpoints.TimeUntilPauseEnds(mService, mContext.mClock.Now(), mAllowedZones);
   if (!pause) {
     return kRetryAfter;
   }
--- a/src/relay/RequestExchangePeers.cpp
+++ b/src/relay/RequestExchangePeers.cpp
@@ -37,7 +37,7 @@
   }
   for (int n = 0; n < kMaxPeerAttempts && MayAskPeers(); ++n) {
     mPlacement = {};
-    mPlacement.mEndpoint = mContext.mPeers->Choose(mService, mTriedPeers);
+    mPlacement.mEndpoint = mContext.mPeers->Choose(mService, mTriedPeers, mAllowedZones);
     if (!mPlacement.mEndpoint) {
       break;
     }
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -174,7 +174,8 @@
 std::vector<EndpointRegistry::Ptr> EndpointRegistry::UsableEndpoints(
   std::string_view aService,
   TimePoint aNow,
-  std::optional<std::string_view> aSoftwareVersion) const
+  std::optional<std::string_view> aSoftwareVersion,
+  const AllowedZones& aZones) const
 {
   std::vector<Ptr> listed;
   std::vector<Ptr> missing;
@@ -187,17 +188,22 @@
     if (aSoftwareVersion && it->mEntry.mSoftwareVersion != *aSoftwareVersion) {
       continue;
     }
+    if (!Allows(aZones, it->mEntry.mZone)) {
+      continue;
+    }
     (it->mState == EntryState::Listed ? listed : missing).push_back(it);
   }
   return listed.empty() ? missing : listed;
 }
 
 std::optional<Micros> EndpointRegistry::TimeUntilPauseEnds(std::string_view aService,
-                                                           TimePoint aNow) const
+                                                           TimePoint aNow,
+                                                           const AllowedZones& aZones) const
 {
   std::optional<Micros> out;
   for (const auto& [id, it] : mEndpoints) {
-    if (it->mEntry.mService != aService || !it->AcceptsRequests()) {
+    if (it->mEntry.mService != aService || !it->AcceptsRequests() ||
+        !Allows(aZones, it->mEntry.mZone)) {
       continue;
     }
     if (it->mHold.AllowsRequest(aNow) && it->mRateLimit.AllowsRequest(aNow)) {
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -35,6 +35,19 @@
   return nullptr;
 }
 
+AllowedRegions RouteTable::RegionsOf(std::string_view aHost) const
+{
+  AllowedRegions out;
+  const auto host = mByHost.find(aHost);
+  if (host == mByHost.end()) {
+    return out;
+  }
+  for (const auto& [prefix, route] : host->second) {
+    out = Intersect(out, route->mAllowedRegions);
+  }
+  return out;
+}
+
 const OrganisationAccount* RouteTable::AccountByKey(std::string_view aKey) const
 {
   const auto it = mConfiguration.mAccountByKey.find(aKey);
--- a/tests/gateway/ForwardingPeersTest.cpp
+++ b/tests/gateway/ForwardingPeersTest.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(TestOwnZoneFirst);
   CPPUNIT_TEST(TestRequestsAreSpread);
   CPPUNIT_TEST(TestAllDecline);
+  CPPUNIT_TEST(TestAllowedZones);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int kInstances = 20;
@@ -62,6 +63,34 @@
     CPPUNIT_ASSERT(mPeers.Choose("pool", {}));
   }
 
+  // The body of a request was passed to instances in all regions.
+  void TestAllowedZones()
+  {
+    ForwardingPeers peers(
+      [](std::string_view aZone) {
+        return aZone.empty() ? All() : std::vector<std::string>{ std::string(aZone) + "0" };
+      },
+      "a",
+      mClock);
+    struct Row
+    {
+      AllowedZones mZones;
+      std::string mFirst;
+      std::string mNext; ///< after the first one declined
+    };
+    const Row rows[] = { { AllowedZones({ "a", "c" }), "a0", "c0" },
+                         { AllowedZones({ "c" }), "c0", "" },
+                         { AllowedZones(std::in_place), "", "" } };
+    for (const auto& row : rows) {
+      const auto address = [&](std::span<const std::string> aTried) {
+        const auto it = peers.Choose("pool", aTried, row.mZones);
+        return it ? it->mEntry.mAddress : std::string();
+      };
+      CPPUNIT_ASSERT_EQUAL(row.mFirst, address({}));
+      CPPUNIT_ASSERT_EQUAL(row.mNext, address(std::vector<std::string>{ row.mFirst }));
+    }
+  }
+
 private:
   static std::vector<std::string> All()
   {
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST_SUITE(GatewaySettingsTest);
   CPPUNIT_TEST(TestValidSettings);
   CPPUNIT_TEST(TestInvalidSettings);
+  CPPUNIT_TEST(TestZones);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,6 +44,34 @@
     CPPUNIT_ASSERT_EQUAL(52.0, parsed.mSettings.mRetrySlack);
   }
 
+  // A process that does not start for one odd zone would take the whole site out of use.
+  void TestZones()
+  {
+    struct Row
+    {
+      std::string mValue;
+      std::string mRegions; ///< of the zones, one after the other
+      std::size_t mSkipped;
+    };
+    const Row rows[] = { { R"({"z1":"north","z2":"south"})", "north south ", 0 },
+                         { R"({"z1":"north","z2":null,"z3":4,"z4":"","z5":["x"]})", "north ", 4 },
+                         { R"({})", "", 0 },
+                         { R"("")", "", 0 },
+                         { R"(null)", "", 0 } };
+    for (const auto& row : rows) {
+      auto json = ValidSettings();
+      json["zones"] = nlohmann::json::parse(row.mValue);
+      const auto parsed = ParseGatewaySettings(json.dump(), "file");
+      CPPUNIT_ASSERT_MESSAGE(row.mValue, parsed.mErrors.empty());
+      std::string regions;
+      for (const auto& [zone, region] : parsed.mSettings.mRegionOfZone) {
+        regions += region + " ";
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mValue, row.mRegions, regions);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mValue, row.mSkipped, parsed.mSkipped.size());
+    }
+  }
+
   void TestInvalidSettings()
   {
     struct Row
@@ -59,7 +88,8 @@
                          { "metrics_address", "10.0.0.1:x", ErrorCode::OutOfRange },
                          { "leave_time_s", "soon", ErrorCode::WrongType },
                          { "leave_time_s", 0, ErrorCode::OutOfRange },
-                         { "rights_window_s", -1, ErrorCode::OutOfRange } };
+                         { "rights_window_s", -1, ErrorCode::OutOfRange },
+                         { "zones", 4, ErrorCode::WrongType } };
     for (const auto& row : rows) {
       auto json = ValidSettings();
       json.erase(row.mKey);
--- a/tests/platform/WireProtocolTest.cpp
+++ b/tests/platform/WireProtocolTest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(WireProtocolTest);
   CPPUNIT_TEST(TestConfiguration);
   CPPUNIT_TEST(TestMalformedConfigurations);
+  CPPUNIT_TEST(TestAllowedRegions);
   CPPUNIT_TEST(TestEndpoints);
   CPPUNIT_TEST(TestEvacuatedZones);
   CPPUNIT_TEST(TestAddresses);
@@ -57,6 +58,40 @@
     }
   }
 
+  // A malformed list of regions must not let requests out of their region.
+  void TestAllowedRegions()
+  {
+    using List = std::vector<std::string>;
+    struct Row
+    {
+      std::string mField;
+      AllowedRegions mRegions;
+      bool mIsMalformed = false;
+    };
+    const Row rows[] = { { "", std::nullopt },
+                         { R"(,"allowed-regions":[])", std::nullopt },
+                         { R"(,"allowed-regions":null)", std::nullopt },
+                         { R"(,"allowed-regions":["a","b"])", List{ "a", "b" } },
+                         { R"(,"allowed-regions":["a",4,null,""])", List{ "a" }, true },
+                         { R"(,"allowed-regions":[4])", List{}, true },
+                         { R"(,"allowed-regions":"a")", List{}, true },
+                         { R"(,"allowed-regions":{"a":1})", List{}, true },
+                         { R"(,"allowed-regions":false)", List{}, true } };
+    for (const auto& row : rows) {
+      const auto decoded = mProtocol.DecodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":"safe","timeout-ms":1,)"
+        R"("service":"s")" +
+        row.mField + R"(}],"services":[],"tenants":[{"name":"o","api-keys":["k"])" + row.mField +
+        "}]}");
+      CPPUNIT_ASSERT_MESSAGE(row.mField, decoded);
+      const auto& it = decoded.value();
+      CPPUNIT_ASSERT_MESSAGE(row.mField, it.mRoutes[0].mAllowedRegions == row.mRegions);
+      CPPUNIT_ASSERT_MESSAGE(row.mField, it.mAccounts[0].mAllowedRegions == row.mRegions);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mField, std::size_t{ row.mIsMalformed ? 2U : 0U }, it.mProblems.size());
+    }
+  }
+
   // Other programs write the entries. A malformed one must give an error, not an endpoint with
   // default values.
   void TestEndpoints()
@@ -123,16 +158,22 @@
     struct Row
     {
       std::string mTarget;
+      std::string mHost;
+      std::string mRegion;
       std::string mZone;
     };
-    const Row rows[] = { { "/resolve?name=h&region=r&zone=z-a", "z-a" },
-                         { "/resolve?zone=z&name=h", "z" },
-                         { "/resolve?name=zone=q", "" },
-                         { "/resolve", "" },
-                         { "/resolve?", "" } };
+    const Row rows[] = { { "/resolve?name=h&region=r&zone=z-a", "h", "r", "z-a" },
+                         { "/resolve?zone=z&name=H.Example:80", "h.example", "", "z" },
+                         { "/resolve?name=zone=q", "zone=q", "", "" },
+                         { "/resolve?region=&zone=&name=", "", "", "" },
+                         { "/resolve?region=r&region=s", "", "r", "" },
+                         { "/resolve", "", "", "" },
+                         { "/resolve?", "", "", "" } };
     for (const auto& row : rows) {
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(
-        row.mTarget, row.mZone, mProtocol.DecodeRequestedZone(row.mTarget));
+      const auto query = mProtocol.DecodeAddressQuery(row.mTarget);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mTarget, row.mHost, query.mHost);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mTarget, row.mRegion, query.mRegion);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mTarget, row.mZone, query.mZone);
     }
     const std::string list[] = { "10.0.0.1:1" };
     CPPUNIT_ASSERT_EQUAL(std::string(R"({"addresses":["10.0.0.1:1"],"ttl-s":1.5})"),
