--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -6,6 +6,8 @@
 #include "gentianloom/routing/EvenLoad.h"
 #include "gentianloom/routing/WarmUp.h"
 
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,6 +46,8 @@
   double mMemoryMb = 0;
   /// File descriptors that the process may open; 0: the limit of the operating system.
   double mMaxDescriptors = 0;
+  /// Region of each availability zone; empty: no zone is in a region.
+  std::map<std::string, std::string, std::less<>> mRegionOfZone;
 };
 
 /// Result of parsing a settings file: the valid settings and one error for each invalid key.
@@ -51,6 +55,7 @@
 {
   GatewaySettings mSettings;
   std::vector<Error> mErrors;
+  std::vector<Error> mSkipped; ///< malformed items of tables; the rest applies
 };
 
 /**
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -19,6 +19,7 @@
 #include "gentianloom/routing/FirstTokenModel.h"
 #include "gentianloom/routing/RouteTable.h"
 #include "gentianloom/routing/SoftwareVersionHistory.h"
+#include "gentianloom/routing/ZoneRegions.h"
 
 #include <functional>
 #include <map>
@@ -49,6 +50,7 @@
   net::CallerMemory* mCallerMemory = nullptr;    ///< null: what callers hold is not bounded
   EndpointContacts mContacts{};
   EvenLoadSwitch mEvenLoad{};
+  ZoneRegions mRegions{};
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -91,11 +91,41 @@
     return EvenLoadMode::Off;
   }
 
+  /// Reads an object whose values are names. A missing, empty or null value is an empty table.
+  /// @param aSkipped gets an error for each item whose value is no name
+  std::map<std::string, std::string, std::less<>> ReadTable(const std::string& aKey,
+                                                            std::vector<Error>& aSkipped)
+  {
+    std::map<std::string, std::string, std::less<>> out;
+    const auto it = mJson.find(aKey);
+    if (it == mJson.end() || it->is_null() || *it == "") {
+      return out;
+    }
+    if (!it->is_object()) {
+      AddError(ErrorCode::WrongType, aKey, "must be an object whose values are names");
+      return out;
+    }
+    for (const auto& [name, value] : it->items()) {
+      if (value.is_string() && !value.get_ref<const std::string&>().empty()) {
+        out[name] = value.get<std::string>();
+      } else {
+        aSkipped.push_back(DescribeError(
+          ErrorCode::WrongType, aKey, "must have a name for \"" + name + "\", which is skipped"));
+      }
+    }
+    return out;
+  }
+
 private:
+  Error DescribeError(ErrorCode aCode, const std::string& aKey, const std::string& aText) const
+  {
+    return MakeError(
+      aCode, Step::Settings, mFileName, std::string(mFileName) + ": \"" + aKey + "\" " + aText);
+  }
+
   void AddError(ErrorCode aCode, const std::string& aKey, const std::string& aText)
   {
-    mErrors.push_back(MakeError(
-      aCode, Step::Settings, mFileName, std::string(mFileName) + ": \"" + aKey + "\" " + aText));
+    mErrors.push_back(DescribeError(aCode, aKey, aText));
   }
 
   const Json& mJson;
@@ -172,6 +202,7 @@
   it.mEvenLoad = reader.ReadEvenLoad("even_load");
   it.mMemoryMb = reader.ReadNumber("memory_mb", 0, kMinMemoryMb, kMaxMemoryMb);
   it.mMaxDescriptors = reader.ReadNumber("max_fds", 0, kMinDescriptors, kMaxDescriptors);
+  it.mRegionOfZone = reader.ReadTable("zones", out.mSkipped);
   return out;
 }
 
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -128,6 +128,12 @@
                 { "active_version", std::to_string(currentVersion) } });
     return;
   }
+  for (const auto& it : decoded.value().mProblems) {
+    LogChange(LogLevel::Warning,
+              "configuration",
+              "a part of the configuration is malformed",
+              { { "version", std::to_string(version) }, { "error", it } });
+  }
   mRelay.mRoutes = RouteTable::Create(std::move(decoded.value()));
   if (mSettings.mWarmUpBound) {
     mRelay.mEndpoints.SetWarmUpLimits(mRelay.mRoutes->WarmUpLimits());
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -163,6 +163,8 @@
       return false;
     }
   }
+  mAllowedZones = mContext.mRegions.ZonesIn(Intersect(
+    mRoute->mAllowedRegions, mAccount == nullptr ? AllowedRegions() : mAccount->mAllowedRegions));
   mService = RouteTable::ChooseService(*mRoute, StableHash(mRequest.mId));
   const auto organisation = mAccount == nullptr ? std::string_view() : mAccount->mName;
   mCrashKeys =
@@ -334,7 +336,7 @@
   if (mProgress.mOrigin) {
     softwareVersion = mProgress.mOrigin->mSoftwareVersion;
   }
-  auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion);
+  auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion, mAllowedZones);
   if (aOnlyUnlimited) {
     std::erase_if(usable, [now](const auto& it) { return it->NeedsPermit(now); });
   }
@@ -469,7 +471,8 @@
 
 Millis RequestExchange::RetryAfterRefusal() const
 {
-  const auto pause = mContext.mEndpoints.TimeUntilPauseEnds(mService, mContext.mClock.Now());
+  const auto pause =
+    mContext.mEndpoints.TimeUntilPauseEnds(mService, mContext.mClock.Now(), mAllowedZones);
   if (!pause) {
     return kRetryAfter;
   }
--- a/tests/platform/tests.cmake
+++ b/tests/platform/tests.cmake
@@ -49,3 +49,4 @@
 gentianloom_hostile_callers_test(process-hostile-whole-bodies WholeBodiesTest)
 gentianloom_hostile_callers_test(process-hostile-stalled-heads StalledHeadsTest)
 gentianloom_hostile_callers_test(process-hostile-refused-callers-stay RefusedCallersStayTest)
+gentianloom_gateway_test(process-regions regions_test.py)
