--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -187,13 +187,14 @@
       break;
     }
     SetState(*aChannel, net::CallerState::Running);
+    const bool hasBody = parser.HasBody(); // looks at the head
     auto head = parser.TakeHead();
     RequestExchange exchange(mRelay,
                              *aChannel,
                              signal,
                              std::move(head),
                              parser.TakeBody(),
-                             parser.HasBody(),
+                             hasBody,
                              mSourceOf(aChannel->PeerHost()));
     const bool keepsConnection = co_await exchange.Run();
     SetState(*aChannel, net::CallerState::Idle);
