Bound what callers make a gateway hold

Callers saw: a process that ends for want of memory, or has no descriptors left, because a few clients stop in a body, send in small pieces or chunks, send heads of thousands of fields, or read nothing. Cause: bodies, heads, received bytes and queued responses were bounded for each request only, 100 KB and more of buffers were kept for each connection, a refused caller kept its connection for as long as it liked, and the services at the readiness, directory and metrics addresses produced responses ahead.

Change: one account (net/CallerMemory) of what connections hold, at all addresses of the gateway; beyond a third of memory_mb the connection that holds most and progresses least is refused or reset, never one whose request may have run, and a quarter of it is left to small requests. Connections are bounded by max_fds. No response is produced ahead of a caller that does not read. A refused caller's bytes are discarded and its connection closed after 1 s. Connections wait without a buffer of their own, and freed bodies go back to the system. Log lines of rejected requests are limited to one a second and status.

--- a/include/gentianloom/gateway/CallerServer.h
+++ b/include/gentianloom/gateway/CallerServer.h
@@ -1,12 +1,15 @@
 #ifndef GENTIANLOOM_GATEWAY_CALLER_SERVER_H
 #define GENTIANLOOM_GATEWAY_CALLER_SERVER_H
 
+#include "gentianloom/base/LogLimiter.h"
 #include "gentianloom/net/HttpParser.h"
 #include "gentianloom/relay/RequestExchange.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gentianloom {
@@ -52,13 +55,23 @@
   net::Task<bool> ReadRequest(net::Channel& aChannel,
                               net::Signal& aSignal,
                               net::RequestParser& aParser);
-  static void RejectRequest(net::Channel& aChannel, net::ParseFault aFault);
+  void RejectRequest(net::Channel& aChannel, net::ParseFault aFault);
+  void RejectLateRequest(net::Channel& aChannel);
+  /// Refuses a request that has not run.
+  void RefuseForMemory(net::Channel& aChannel, const net::RequestParser& aParser);
+  /// Counts a rejected request; writes one log line a second for each status.
+  void CountRejection(int aStatus, std::string_view aText);
+  /// States what the current request holds. Refuses it if callers hold too much.
+  bool HoldsTooMuch(net::Channel& aChannel, const net::RequestParser& aParser, std::size_t aCopies);
+  static void SetHeld(net::Channel& aChannel, std::size_t aHeadBytes, std::size_t aBodyBytes);
+  static void SetState(net::Channel& aChannel, net::CallerState aState);
   /// Limits of the active configuration, or the defaults if there is none yet.
   CallerLimits Limits() const;
 
   RelayContext& mRelay;
   SourceOf mSourceOf;
   std::vector<std::weak_ptr<net::Channel>> mChannels; ///< that were accepted
+  std::map<int, LogLimiter> mRejectionLogs;           ///< by status
   std::size_t mPruneSize = kMinPruneSize; ///< of mChannels, at which those that ended are removed
 };
 
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/gateway/BudgetExchange.h"
 #include "gentianloom/gateway/BudgetKeepers.h"
+#include "gentianloom/gateway/CallerMemoryMonitor.h"
 #include "gentianloom/gateway/CallerServer.h"
 #include "gentianloom/gateway/CrashReportExchange.h"
 #include "gentianloom/gateway/EndpointContactMonitor.h"
@@ -87,6 +88,8 @@
   AsyncStore& mStore;
   const Clock& mClock;
   Metrics mMetrics;
+  net::CallerMemory mCallerMemory;
+  CallerMemoryMonitor mCallerMemoryMonitor;
   net::LoopMonitor mLoopMonitor;
   InstanceRecord mSelf;
   InstanceDirectory mInstances;
--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -33,6 +33,10 @@
   Millis mRightsDemandWindow{ 10'000 };
   /// Retries allowed per window in addition to mRetryShare, over the whole fleet.
   double mRetrySlack = 20;
+  /// Memory of the machine in MB; 0: not stated.
+  double mMemoryMb = 0;
+  /// File descriptors that the process may open; 0: the limit of the operating system.
+  double mMaxDescriptors = 0;
 };
 
 /// Result of parsing a settings file: the valid settings and one error for each invalid key.
--- a/include/gentianloom/net/Channel.h
+++ b/include/gentianloom/net/Channel.h
@@ -1,13 +1,13 @@
 #ifndef GENTIANLOOM_NET_CHANNEL_H
 #define GENTIANLOOM_NET_CHANNEL_H
 
+#include "gentianloom/net/CallerMemory.h"
 #include "gentianloom/net/Signal.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <deque>
 #include <memory>
-#include <span>
 #include <string>
 #include <string_view>
 
@@ -25,6 +25,9 @@
 /// @brief Name of a state, for logs.
 std::string_view ToString(ChannelState aState);
 
+/// Reading pauses while this many bytes are unconsumed, so that TCP flow control slows the peer.
+inline constexpr std::size_t kMaxReceivedBytes = 128 * 1'024;
+
 /**
  * @brief A TCP connection that reads continuously, so that it detects a close by the peer at once.
  *
@@ -39,8 +42,15 @@
   using Socket = boost::asio::ip::tcp::socket;
   using Address = boost::asio::ip::tcp::endpoint;
 
-  /// @brief Creates a channel from an accepted socket.
-  static Ptr Accepted(Loop& aLoop, Socket aSocket);
+  /**
+   * @brief Creates a channel from an accepted socket.
+   * @param aMemory account of what the channel holds, or null; must live longer than the channel
+   * @param aMaxReceivedBytes reading pauses while this many bytes are unconsumed
+   */
+  static Ptr Accepted(Loop& aLoop,
+                      Socket aSocket,
+                      CallerMemory* aMemory = nullptr,
+                      std::size_t aMaxReceivedBytes = kMaxReceivedBytes);
 
   /// @brief Starts connecting; State() stays Connecting until the attempt succeeds or fails.
   static Ptr Connect(Loop& aLoop, const Address& aAddress);
@@ -78,11 +88,20 @@
   /// @brief Closes the socket so that the peer always sees a reset.
   void Reset();
 
-  /// @brief Sends the queued bytes, shuts down sending and closes once the peer has closed.
+  /**
+   * @brief Sends the queued bytes, shuts down sending and closes once the peer has closed, or after
+   * a second. Received bytes are discarded from now on.
+   *
+   * Closing at once while the peer still sends would reset the connection, and the response could
+   * be lost.
+   */
   void CloseAfterSending();
 
+  /// @brief The share in the account of what callers hold; null for a channel without one.
+  CallerShare* Share() const { return mShare.get(); }
+
 private:
-  Channel(Loop& aLoop, Socket aSocket, ChannelState aState);
+  Channel(Loop& aLoop, Socket aSocket, ChannelState aState, std::size_t aMaxReceivedBytes);
 
   void SetSocketOptions();
   // Each coroutine holds a reference to the channel from its creation on, because the owner may
@@ -90,9 +109,16 @@
   static Task<void> RunConnect(Ptr aSelf, Address aAddress);
   static Task<void> ReadLoop(Ptr aSelf);
   static Task<void> WriteLoop(Ptr aSelf);
-  /// Reads what else has arrived, so that the listener learns of a close together with the bytes
-  /// before it. @return the error that ended reading, if it ends the connection
-  boost::system::error_code ReadAvailable(std::span<char> aBuffer);
+  /// Closes the socket a while after the last byte was sent, unless the peer closes it first.
+  static Task<void> Linger(Ptr aSelf);
+  /// Reads what has arrived, so that the listener learns of a close together with the bytes before
+  /// it. @return the error that ended reading, if it ends the connection
+  boost::system::error_code ReadAvailable();
+  /// Frees the buffer of received bytes if it is large and not in use.
+  void ReleaseReceived();
+  /// States how much is held to the account.
+  void UpdateShare();
+  void OnShed(ShedReason aReason);
   void NotifyListener();
   void CloseSocket();
 
@@ -102,11 +128,14 @@
   std::shared_ptr<Signal> mListener;
   Signal mReaderWake; ///< wakes ReadLoop() when received bytes were consumed
   Signal mWriterWake; ///< wakes WriteLoop() when there are bytes to send or the state changed
+  std::size_t mMaxReceivedBytes;
   std::string mReceived;
   std::deque<std::string> mSendQueue;
   std::size_t mUnsent = 0;
+  std::size_t mQueued = 0; ///< as mUnsent, but with the part of the first text that was written
   std::size_t mSent = 0;
   bool mCloseAfterSending = false;
+  std::unique_ptr<CallerShare> mShare;
 };
 
 } // namespace gentianloom::net
--- a/include/gentianloom/net/HttpHead.h
+++ b/include/gentianloom/net/HttpHead.h
@@ -35,6 +35,9 @@
 
   const std::vector<Line>& Lines() const { return mLines; }
 
+  /// @brief Returns the bytes that the lines take in memory. Linear in the lines.
+  std::size_t HeldBytes() const;
+
 private:
   std::vector<Line> mLines;
 };
--- a/include/gentianloom/net/HttpParser.h
+++ b/include/gentianloom/net/HttpParser.h
@@ -35,6 +35,8 @@
 {
   std::uint32_t mHeadBytes = 16'384;
   std::uint64_t mBodyBytes = 4'194'304;
+  /// Header fields of a head; no head of 16 KiB has more. A field takes many times its bytes.
+  std::size_t mHeaderFields = 4'096;
 };
 
 /**
@@ -67,9 +69,19 @@
   /// @brief Whether the request declares a body, which may be empty.
   bool HasBody() const;
 
+  /// @brief Moves the head out of the parser.
+  RequestHead TakeHead() { return std::move(mHead); }
+
   /// @brief Moves the body out of the parser.
   std::string TakeBody();
 
+  /// @brief Bytes that the head takes in memory, with the overhead of its fields; 0 before it is
+  /// complete.
+  std::size_t HeadBytes() const { return mHeadBytes; }
+
+  /// @brief Bytes that the body takes in memory so far.
+  std::size_t BodyBytes() const;
+
 private:
   struct Impl;
 
@@ -77,7 +89,9 @@
   void Fail(ParseFault aFault);
 
   std::unique_ptr<Impl> mImpl;
+  std::size_t mMaxHeaderFields;
   RequestHead mHead;
+  std::size_t mHeadBytes = 0;
   ParseState mState = ParseState::NeedMore;
   ParseFault mFault = ParseFault::Malformed;
 };
--- a/include/gentianloom/net/HttpService.h
+++ b/include/gentianloom/net/HttpService.h
@@ -4,6 +4,7 @@
 #include "gentianloom/base/Error.h"
 #include "gentianloom/net/Channel.h"
 #include "gentianloom/net/HttpHead.h"
+#include "gentianloom/net/HttpParser.h"
 
 #include <functional>
 #include <string>
@@ -33,17 +34,40 @@
  *
  * Accepts connections until the event loop stops.
  *
+ * @param aMemory account of what callers hold, or null for none. If it has no room for a
+ * connection, the connection is closed.
+ * @param aMaxReceivedBytes see Channel::Accepted()
  * @return ErrorCode::BadSettings if the socket cannot be bound to the address
  */
-Result<void> Listen(Loop& aLoop, const Channel::Address& aAddress, ChannelHandler aHandler);
+Result<void> Listen(Loop& aLoop,
+                    const Channel::Address& aAddress,
+                    CallerMemory* aMemory,
+                    std::size_t aMaxReceivedBytes,
+                    ChannelHandler aHandler);
 
 /**
  * @brief Serves simple HTTP requests such as readiness checks, address lists and metrics.
+ * Responses are produced once the caller has taken the previous one. A body may have a few KiB.
+ *
+ * @param aMemory account of what callers hold, or null for none
  * @param aHandler returns the response to a complete request; it sees the head only and must not
  *   block
  * @return ErrorCode::BadSettings if the socket cannot be bound to the address
  */
-Result<void> ServeHttp(Loop& aLoop, const Channel::Address& aAddress, ServiceHandler aHandler);
+Result<void> ServeHttp(Loop& aLoop,
+                       const Channel::Address& aAddress,
+                       CallerMemory* aMemory,
+                       ServiceHandler aHandler);
+
+/// @brief Queues a response without a body and closes the connection once it is sent.
+/// @param aHead further headers of the response
+void RespondAndClose(Channel& aChannel, ResponseHead aHead);
+
+/// @brief Head of the refusal of a request that has not run because callers hold too much.
+ResponseHead MakeMemoryRefusal();
+
+/// @brief Status of the response to a request that was rejected by the parser.
+int StatusForFault(ParseFault aFault);
 
 } // namespace gentianloom::net
 
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -126,6 +126,8 @@
   /// not state.
   bool IsUnprovedRefusal() const;
   void OnResponseBody();
+  /// States how many bytes of the response are held until it is complete.
+  void CountBuffered(std::size_t aBytes);
   void OnResponseComplete();
   /// Whether a stream ended where its endpoint cannot have ended it on purpose.
   bool IsStreamTruncated() const;
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Metrics.h"
+#include "gentianloom/net/CallerMemory.h"
 #include "gentianloom/outcome/RetryPolicy.h"
 #include "gentianloom/relay/ConnectionPool.h"
 #include "gentianloom/relay/PeerInstances.h"
@@ -44,6 +45,7 @@
   RequestGuard* mGuard = nullptr;                ///< null: no request is blocked
   RequestPermits* mPermits = nullptr;            ///< null: rate limits of endpoints are not kept
   PeerInstances* mPeers = nullptr;               ///< null: no other instance can serve a request
+  net::CallerMemory* mCallerMemory = nullptr;    ///< null: what callers hold is not bounded
   EndpointContacts mContacts{};
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -11,39 +11,21 @@
 namespace {
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-/// Delay before closing after a rejection. Closing while the caller still sends would reset the
-/// connection, and the response could be lost.
-constexpr Millis kLingerTime{ 500 };
-
-int StatusForFault(net::ParseFault aFault)
-{
-  switch (aFault) {
-    case net::ParseFault::HeadTooLarge:
-      return net::kHeadTooLarge;
-    case net::ParseFault::BodyTooLarge:
-      return net::kBodyTooLarge;
-    case net::ParseFault::Malformed:
-      break;
-  }
-  return net::kBadRequest;
-}
-
-void RespondAndClose(net::Channel& aChannel, int aStatus)
-{
-  net::ResponseHead head{ aStatus, "", {}, false };
-  head.mHeaders.Add("Connection", "close");
-  aChannel.Send(net::SerializeResponseHead(head, net::Framing::Length, 0));
-  aChannel.CloseAfterSending();
-}
+/// Responses are not produced ahead for a caller with more unread bytes than this. Those to a few
+/// pipelined small requests are below it.
+constexpr std::size_t kMaxUnreadBytes = 16 * 1'024;
+/// A running request holds its body and the copy that is sent to the endpoint.
+constexpr std::size_t kBodyCopies = 2;
 
 } // namespace
 
 Result<void> CallerServer::Start(const net::Channel::Address& aAddress)
 {
-  return net::Listen(mRelay.mLoop, aAddress, [this](net::Channel::Ptr aChannel) {
+  const auto serve = [this](net::Channel::Ptr aChannel) {
     AddChannel(aChannel);
     net::Start(mRelay.mLoop, "caller", Serve(std::move(aChannel)));
-  });
+  };
+  return net::Listen(mRelay.mLoop, aAddress, mRelay.mCallerMemory, net::kMaxReceivedBytes, serve);
 }
 
 void CallerServer::AddChannel(const net::Channel::Ptr& aChannel)
@@ -68,14 +50,65 @@
   return mRelay.mRoutes ? mRelay.mRoutes->Limits() : CallerLimits{};
 }
 
+void CallerServer::CountRejection(int aStatus, std::string_view aText)
+{
+  const auto label = "status=\"" + std::to_string(aStatus) + "\"";
+  mRelay.mMetrics.CounterOf("gentianloom_requests_rejected_total", label).Add();
+  if (const auto count = mRejectionLogs[aStatus].Add(mRelay.mClock.Now())) {
+    LogChange(LogLevel::Info,
+              "caller",
+              aText,
+              { { "status", std::to_string(aStatus) }, { "count", std::to_string(*count) } });
+  }
+}
+
 void CallerServer::RejectRequest(net::Channel& aChannel, net::ParseFault aFault)
 {
-  const int status = StatusForFault(aFault);
-  LogChange(LogLevel::Info,
-            "caller",
-            "rejected a request that could not be parsed",
-            { { "status", std::to_string(status) } });
-  RespondAndClose(aChannel, status);
+  const int status = net::StatusForFault(aFault);
+  CountRejection(status, "rejected requests that could not be parsed");
+  net::RespondAndClose(aChannel, { status, "", {}, false });
+}
+
+void CallerServer::RejectLateRequest(net::Channel& aChannel)
+{
+  CountRejection(net::kRequestTimeout, "rejected requests that did not arrive in time");
+  net::RespondAndClose(aChannel, { net::kRequestTimeout, "", {}, false });
+}
+
+void CallerServer::RefuseForMemory(net::Channel& aChannel, const net::RequestParser& aParser)
+{
+  auto head = net::MakeMemoryRefusal();
+  if (aParser.State() != net::ParseState::NeedMore) {
+    // An instance that sent the request on takes it back only with these headers.
+    const auto request = mRelay.mCodec.Decode(aParser.Head());
+    if (request) {
+      mRelay.mCodec.AddRequestId(head, request.value());
+    }
+    if (mSourceOf(aChannel.PeerHost()) != RequestSource::Caller) {
+      mRelay.mCodec.AddDeclined(head);
+    }
+  }
+  net::RespondAndClose(aChannel, std::move(head));
+}
+
+bool CallerServer::HoldsTooMuch(net::Channel& aChannel,
+                                const net::RequestParser& aParser,
+                                std::size_t aCopies)
+{
+  SetHeld(aChannel, aParser.HeadBytes(), aParser.BodyBytes() * aCopies);
+  if (aChannel.Share() == nullptr || !aChannel.Share()->IsShed()) {
+    return false;
+  }
+  RefuseForMemory(aChannel, aParser);
+  return true;
+}
+
+void CallerServer::SetHeld(net::Channel& aChannel, std::size_t aHeadBytes, std::size_t aBodyBytes)
+{
+  if (aChannel.Share() != nullptr) {
+    aChannel.Share()->Set(net::HeldKind::Head, aHeadBytes);
+    aChannel.Share()->Set(net::HeldKind::Body, aBodyBytes);
+  }
 }
 
 net::Task<bool> CallerServer::ReadRequest(net::Channel& aChannel,
@@ -87,17 +120,20 @@
   bool hasStarted = false;
   bool hasSentContinue = false;
   while (aParser.State() != net::ParseState::Done) {
-    if (!hasStarted && !aChannel.Received().empty()) {
+    const bool isResponseRead = hasStarted || aChannel.Unsent() <= kMaxUnreadBytes;
+    if (!hasStarted && isResponseRead && !aChannel.Received().empty()) {
       hasStarted = true;
+      SetState(aChannel, net::CallerState::Reading);
       deadline = mRelay.mClock.Now() + limits.mHeaderTimeout;
     }
     const auto previousState = aParser.State();
-    const auto consumed = aParser.Put(aChannel.Received());
+    const auto consumed = isResponseRead ? aParser.Put(aChannel.Received()) : 0;
     aChannel.Consume(consumed);
     if (aParser.State() == net::ParseState::Failed) {
       RejectRequest(aChannel, aParser.Fault());
-      co_await net::Signal::Sleep(mRelay.mLoop, kLingerTime);
-      aChannel.Close();
+      co_return false;
+    }
+    if (HoldsTooMuch(aChannel, aParser, 1)) {
       co_return false;
     }
     if (previousState == net::ParseState::NeedMore && aParser.State() != previousState) {
@@ -119,7 +155,9 @@
     }
     if (timeLeft <= Micros(0)) {
       if (hasStarted) {
-        RespondAndClose(aChannel, net::kRequestTimeout);
+        RejectLateRequest(aChannel);
+      } else if (!isResponseRead) {
+        aChannel.Reset();
       } else {
         aChannel.CloseAfterSending();
       }
@@ -130,6 +168,13 @@
   co_return true;
 }
 
+void CallerServer::SetState(net::Channel& aChannel, net::CallerState aState)
+{
+  if (aChannel.Share() != nullptr) {
+    aChannel.Share()->SetState(aState);
+  }
+}
+
 net::Task<void> CallerServer::Serve(net::Channel::Ptr aChannel)
 {
   const auto signal = std::make_shared<net::Signal>(mRelay.mLoop);
@@ -138,23 +183,28 @@
     const auto limits = Limits();
     net::RequestParser parser({ limits.mMaxHeaderBytes, limits.mMaxBodyBytes });
     const bool isComplete = co_await ReadRequest(*aChannel, *signal, parser);
-    if (!isComplete) {
+    if (!isComplete || HoldsTooMuch(*aChannel, parser, kBodyCopies)) {
       break;
     }
-    auto head = parser.Head();
+    SetState(*aChannel, net::CallerState::Running);
+    const bool hasBody = parser.HasBody(); // looks at the head
+    auto head = parser.TakeHead();
     RequestExchange exchange(mRelay,
                              *aChannel,
                              signal,
                              std::move(head),
                              parser.TakeBody(),
-                             parser.HasBody(),
+                             hasBody,
                              mSourceOf(aChannel->PeerHost()));
     const bool keepsConnection = co_await exchange.Run();
+    SetState(*aChannel, net::CallerState::Idle);
     if (!keepsConnection) {
       aChannel->CloseAfterSending();
       break;
     }
   }
+  SetHeld(*aChannel, 0, 0);
+  SetState(*aChannel, net::CallerState::Idle);
   aChannel->SetListener(nullptr);
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -78,6 +78,8 @@
   , mProtocol(aProtocol)
   , mStore(aStore)
   , mClock(aClock)
+  , mCallerMemory(MakeCallerMemoryLimits(mSettings, ReadDescriptorLimit()), aClock)
+  , mCallerMemoryMonitor(mCallerMemory, mMetrics)
   , mLoopMonitor(aLoop, aClock, mMetrics)
   , mSelf{ mSettings.mInstance,      MakeId("run"),          mSettings.mZone,
            mSettings.mCallerAddress, mSettings.mPeerAddress, false }
@@ -205,6 +207,7 @@
                   [this] { return mStore.Calls(); } },
                 mMetrics)
 {
+  mRelay.mCallerMemory = &mCallerMemory;
   mRelay.mStreamOrigins = &mStreamOrigins;
   mRelay.mRecordedVersions = &mVersionRecord;
   mRelay.mGuard = &mCrashReports;
@@ -314,7 +317,7 @@
     if (!address) {
       return address.error();
     }
-    BOOST_OUTCOME_TRY(net::ServeHttp(mLoop, address.value(), it.mHandler));
+    BOOST_OUTCOME_TRY(net::ServeHttp(mLoop, address.value(), &mCallerMemory, it.mHandler));
   }
   return success();
 }
@@ -371,6 +374,7 @@
     mRelay.mRetryBudgets.SetBurst(
       ComputeRetryBurst(mSettings.mRetrySlack, mInstances.Size(mSelf.mName)));
     mMetrics.GaugeOf("gentianloom_open_requests").Set(mRelay.mOpenRequests);
+    mCallerMemoryMonitor.Report(mClock.Now());
     co_await net::Signal::Sleep(mLoop, kHousekeepingInterval);
   }
 }
--- a/src/gateway/GatewayDaemon.cpp
+++ b/src/gateway/GatewayDaemon.cpp
@@ -12,6 +12,8 @@
 #include <csignal>
 #include <iostream>
 
+#include <malloc.h>
+
 namespace gentianloom {
 
 namespace {
@@ -20,6 +22,10 @@
 /// Interval at which the settings file is checked for changes, in addition to SIGHUP.
 constexpr Millis kSettingsPollInterval{ 2'000 };
 
+/// Blocks of at least this size are given back to the system when they are freed. The C library
+/// would raise the size to that of the largest freed block, and keep the memory of bodies instead.
+constexpr int kReturnedBlockBytes = 256 * 1'024;
+
 /// Reloads the settings of a running process when their file changes.
 class SettingsReloader
 {
@@ -97,6 +103,7 @@
                const StoreFactory& aStoreFactory)
 {
   std::signal(SIGPIPE, SIG_IGN);
+  (void)mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
   const auto text = ReadFile(aSettingsFile, Step::Settings);
   if (!text) {
     return ReportStartupError(text.error());
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -93,6 +93,10 @@
 
 constexpr double kMillisPerSecond = 1'000;
 constexpr double kMaxSeconds = 3'600;
+constexpr double kMinMemoryMb = 16;
+constexpr double kMaxMemoryMb = 1e7;
+constexpr double kMinDescriptors = 64;
+constexpr double kMaxDescriptors = 1e7;
 
 } // namespace
 
@@ -140,6 +144,8 @@
     reader.ReadNumber("store_writes_per_s", it.mStoreWritesPerSecond, 1, 1e9);
   it.mRetryShare = reader.ReadNumber("retry_share", it.mRetryShare, 0, 10);
   it.mRetrySlack = reader.ReadNumber("retry_slack", it.mRetrySlack, 0, 1e9);
+  it.mMemoryMb = reader.ReadNumber("memory_mb", 0, kMinMemoryMb, kMaxMemoryMb);
+  it.mMaxDescriptors = reader.ReadNumber("max_fds", 0, kMinDescriptors, kMaxDescriptors);
   return out;
 }
 
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -9,15 +9,20 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <memory>
 
 namespace gentianloom::net {
 
 namespace {
 
-/// Reading pauses while this many bytes are unconsumed, so that TCP flow control slows the peer.
-constexpr std::size_t kMaxReceivedBytes = 128 * 1'024;
 /// Buffer size of one read.
 constexpr std::size_t kReadBytes = 16 * 1'024;
+/// A buffer of received bytes that is larger than this is freed when it is empty. Requests of usual
+/// size reuse a smaller one.
+constexpr std::size_t kMaxKeptBytes = 16 * 1'024;
+/// Time for which a connection stays open after its last byte was sent. A peer that does not close
+/// its side would otherwise keep the descriptor for ever.
+constexpr Millis kLingerTime{ 1'000 };
 /// TCP_USER_TIMEOUT: the operating system closes a connection on which sent bytes stay
 /// unacknowledged for this time.
 constexpr unsigned kTcpUserTimeoutMs = 4'000;
@@ -41,21 +46,29 @@
   return "unknown";
 }
 
-Channel::Channel(Loop& aLoop, Socket aSocket, ChannelState aState)
+Channel::Channel(Loop& aLoop, Socket aSocket, ChannelState aState, std::size_t aMaxReceivedBytes)
   : mLoop(aLoop)
   , mSocket(std::move(aSocket))
   , mState(aState)
   , mReaderWake(aLoop)
   , mWriterWake(aLoop)
+  , mMaxReceivedBytes(aMaxReceivedBytes)
 {
 }
 
 Channel::~Channel() = default;
 
-Channel::Ptr Channel::Accepted(Loop& aLoop, Socket aSocket)
+Channel::Ptr Channel::Accepted(Loop& aLoop,
+                               Socket aSocket,
+                               CallerMemory* aMemory,
+                               std::size_t aMaxReceivedBytes)
 {
-  Ptr out(new Channel(aLoop, std::move(aSocket), ChannelState::Open));
+  Ptr out(new Channel(aLoop, std::move(aSocket), ChannelState::Open, aMaxReceivedBytes));
   out->SetSocketOptions();
+  if (aMemory != nullptr) {
+    out->mShare = std::make_unique<CallerShare>(
+      *aMemory, [self = out.get()](ShedReason aReason) { self->OnShed(aReason); });
+  }
   Start(aLoop, "channel.read", ReadLoop(out));
   Start(aLoop, "channel.write", WriteLoop(out));
   return out;
@@ -63,7 +76,7 @@
 
 Channel::Ptr Channel::Connect(Loop& aLoop, const Address& aAddress)
 {
-  Ptr out(new Channel(aLoop, Socket(aLoop), ChannelState::Connecting));
+  Ptr out(new Channel(aLoop, Socket(aLoop), ChannelState::Connecting, kMaxReceivedBytes));
   Start(aLoop, "channel.connect", RunConnect(out, aAddress));
   return out;
 }
@@ -99,21 +112,30 @@
 
 Task<void> Channel::ReadLoop(Ptr aSelf)
 {
-  std::array<char, kReadBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
   while (aSelf->mState == ChannelState::Open) {
-    if (aSelf->mReceived.size() >= kMaxReceivedBytes) {
+    if (aSelf->mReceived.size() >= aSelf->mMaxReceivedBytes) {
       co_await aSelf->mReaderWake.WaitFor(kMaxSignalWait);
       continue;
     }
+    aSelf->ReleaseReceived();
     boost::system::error_code ec;
-    const auto n = co_await aSelf->mSocket.async_read_some(
-      boost::asio::buffer(buf), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    // Waits without a buffer, since most connections have nothing to read most of the time.
+    co_await aSelf->mSocket.async_wait(Socket::wait_read,
+                                       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     if (aSelf->mState != ChannelState::Open) {
       co_return;
     }
-    aSelf->mReceived.append(buf.data(), n);
+    const auto sizeBefore = aSelf->mReceived.size();
     if (!ec) {
-      ec = aSelf->ReadAvailable(buf);
+      ec = aSelf->ReadAvailable();
+    }
+    const auto bytes = aSelf->mReceived.size() - sizeBefore;
+    if (aSelf->mCloseAfterSending) {
+      aSelf->mReceived.clear();
+    }
+    if (aSelf->mShare) {
+      aSelf->mShare->AddProgress(bytes);
+      aSelf->UpdateShare();
     }
     if (ec == boost::asio::error::eof) {
       aSelf->mState = ChannelState::PeerClosed;
@@ -129,16 +151,46 @@
   }
 }
 
-boost::system::error_code Channel::ReadAvailable(std::span<char> aBuffer)
+boost::system::error_code Channel::ReadAvailable()
 {
+  // Shared by all channels: only one thread runs an event loop, and nothing is kept in it.
+  static thread_local std::array<char, kReadBytes> buf;
   boost::system::error_code ec;
-  while (!ec && mReceived.size() < kMaxReceivedBytes) {
-    const auto n = mSocket.read_some(boost::asio::buffer(aBuffer.data(), aBuffer.size()), ec);
-    mReceived.append(aBuffer.data(), n);
+  while (!ec && mReceived.size() < mMaxReceivedBytes) {
+    const auto n = mSocket.read_some(boost::asio::buffer(buf), ec);
+    mReceived.append(buf.data(), n);
   }
   return ec == boost::asio::error::would_block ? boost::system::error_code() : ec;
 }
 
+void Channel::ReleaseReceived()
+{
+  if (mReceived.empty() && mReceived.capacity() > kMaxKeptBytes) {
+    mReceived = {};
+    UpdateShare();
+  }
+}
+
+void Channel::UpdateShare()
+{
+  if (mShare) {
+    mShare->Set(HeldKind::Received, mReceived.capacity());
+    mShare->Set(HeldKind::Response, mQueued);
+  }
+}
+
+void Channel::OnShed(ShedReason aReason)
+{
+  // A request that is being read can be refused. To make room for another connection, the
+  // descriptor has to be closed at once.
+  const bool isRefusable = mShare->State() == CallerState::Reading && mListener;
+  if (isRefusable && aReason == ShedReason::Memory) {
+    NotifyListener();
+  } else {
+    Reset();
+  }
+}
+
 Task<void> Channel::WriteLoop(Ptr aSelf)
 {
   while (aSelf->mState == ChannelState::Open || aSelf->mState == ChannelState::PeerClosed) {
@@ -148,6 +200,8 @@
         aSelf->mSocket.shutdown(Socket::shutdown_send, ec);
         if (ec || aSelf->mState == ChannelState::PeerClosed) {
           aSelf->Close();
+        } else {
+          Start(aSelf->mLoop, "channel.linger", Linger(aSelf));
         }
         co_return;
       }
@@ -175,11 +229,27 @@
       written += n;
       aSelf->mSent += n;
       aSelf->mUnsent -= n;
+      if (aSelf->mShare) {
+        aSelf->mShare->AddProgress(n);
+      }
     }
+    aSelf->mQueued -= bytes.size();
+    aSelf->UpdateShare();
     aSelf->NotifyListener();
   }
 }
 
+Task<void> Channel::Linger(Ptr aSelf)
+{
+  const std::weak_ptr<Channel> watch = aSelf;
+  auto& loop = aSelf->mLoop;
+  aSelf = nullptr; // the peer's close releases the channel
+  co_await Signal::Sleep(loop, kLingerTime);
+  if (const auto self = watch.lock()) {
+    self->Close();
+  }
+}
+
 void Channel::Consume(std::size_t aBytes)
 {
   mReceived.erase(0, aBytes);
@@ -189,7 +259,9 @@
 void Channel::Send(std::string aBytes)
 {
   mUnsent += aBytes.size();
+  mQueued += aBytes.size();
   mSendQueue.push_back(std::move(aBytes));
+  UpdateShare();
   mWriterWake.Notify();
 }
 
@@ -205,6 +277,9 @@
   boost::system::error_code ec;
   mSocket.close(ec);
   mState = ChannelState::Closed;
+  if (mShare) {
+    mShare->OnClosed();
+  }
   mReaderWake.Notify();
   mWriterWake.Notify();
   NotifyListener();
@@ -237,6 +312,8 @@
 void Channel::CloseAfterSending()
 {
   mCloseAfterSending = true;
+  mReceived.clear();
+  mReaderWake.Notify();
   mWriterWake.Notify();
 }
 
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -127,6 +127,15 @@
   mLines.emplace_back(std::move(aName), std::move(aValue));
 }
 
+std::size_t HeaderList::HeldBytes() const
+{
+  std::size_t out = mLines.capacity() * sizeof(Line);
+  for (const auto& [name, value] : mLines) {
+    out += name.size() + value.size();
+  }
+  return out;
+}
+
 void HeaderList::Remove(std::string_view aName)
 {
   std::erase_if(mLines, [&](const Line& it) { return EqualsIgnoreCase(it.first, aName); });
--- a/src/net/HttpParser.cpp
+++ b/src/net/HttpParser.cpp
@@ -81,6 +81,7 @@
 
 RequestParser::RequestParser(const ParseLimits& aLimits)
   : mImpl(std::make_unique<Impl>())
+  , mMaxHeaderFields(aLimits.mHeaderFields)
 {
   mImpl->mParser.header_limit(aLimits.mHeadBytes);
   mImpl->mParser.body_limit(aLimits.mBodyBytes);
@@ -135,12 +136,18 @@
 
 void RequestParser::ExtractHead()
 {
-  const auto& message = mImpl->mParser.get();
+  auto& message = mImpl->mParser.get();
   mHead.mMethod = ToString(message.method_string());
   mHead.mTarget = ToString(message.target());
   mHead.mHeaders = ToHeaderList(message);
   mHead.mKeepAlive = mImpl->mParser.keep_alive();
   mState = ParseState::HeadDone;
+  message.clear(); // the fields that were copied; the library's parser keeps its own state
+  mHeadBytes = mHead.mTarget.capacity() + mHead.mHeaders.HeldBytes();
+  if (mHead.mHeaders.Lines().size() > mMaxHeaderFields) {
+    Fail(ParseFault::HeadTooLarge);
+    return;
+  }
   const bool hasOneHost = mHead.mHeaders.Count("Host") == 1;
   // An origin-form target is a path with an optional query.
   const bool isOriginForm = mHead.mTarget.starts_with('/') && IsGraphicAscii(mHead.mTarget);
@@ -159,6 +166,14 @@
   return mImpl->mParser.chunked() || mHead.mHeaders.Find("Content-Length").has_value();
 }
 
+std::size_t RequestParser::BodyBytes() const
+{
+  const auto& body = mImpl->mParser.get().body();
+  // The buffer of a body without a declared length grows ahead of its content. Of one with a
+  // declared length the system has not assigned the rest yet.
+  return mImpl->mParser.chunked() ? body.capacity() : body.size();
+}
+
 std::string RequestParser::TakeBody()
 {
   return std::move(mImpl->mParser.get().body());
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -79,7 +79,7 @@
     mEndpoint->mHold.OnTrialEnded();
   }
   NotifyPendingTokensChanged();
-  mContext.mBufferedBytes -= mCountedBytes;
+  CountBuffered(0);
   ReleaseConnection();
 }
 
@@ -370,10 +370,11 @@
 void EndpointAttempt::OnResponseBody()
 {
   if (!IsStream() || !net::IsSuccess(mParser.Head().mStatus)) {
-    mContext.mBufferedBytes += mUnforwardedBody.size() - mCountedBytes;
-    mCountedBytes = mUnforwardedBody.size();
-    const bool isTooMuchTogether =
-      mContext.mBufferedBytes > kMaxBufferedBytes && mCountedBytes > kSmallResponseBytes;
+    CountBuffered(mUnforwardedBody.size());
+    const auto* memory = mContext.mCallerMemory;
+    const bool isFull = mContext.mBufferedBytes > kMaxBufferedBytes ||
+                        (memory != nullptr && !memory->HasRoomForLarge());
+    const bool isTooMuchTogether = isFull && mCountedBytes > kSmallResponseBytes;
     if (mCountedBytes > kMaxResponseBytes || isTooMuchTogether) {
       Finish(AttemptOutcome::Interrupted, false, "the response body is too large");
     }
@@ -387,6 +388,16 @@
   }
 }
 
+void EndpointAttempt::CountBuffered(std::size_t aBytes)
+{
+  mContext.mBufferedBytes += aBytes - mCountedBytes;
+  if (mContext.mCallerMemory != nullptr) {
+    mContext.mCallerMemory->AddBuffered(static_cast<std::ptrdiff_t>(aBytes) -
+                                        static_cast<std::ptrdiff_t>(mCountedBytes));
+  }
+  mCountedBytes = aBytes;
+}
+
 std::int64_t EndpointAttempt::MaxEvents() const
 {
   const auto tokens = mRequest.mCallerRequest.mMaxOutputTokens;
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -35,12 +35,16 @@
     json["leave_time_s"] = "9.5"; // the platform's template fills in strings
     json["retry_share"] = "";     // and leaves them empty if the platform has no value
     json["retry_slack"] = 52;
+    json["memory_mb"] = "88";
+    json["max_fds"] = "";
     json["unknown_key"] = 1;
     const auto parsed = ParseGatewaySettings("// a comment\n" + json.dump(), "file");
     CPPUNIT_ASSERT(parsed.mErrors.empty());
     CPPUNIT_ASSERT(parsed.mSettings.mTerminationGracePeriod == Millis(9'500));
     CPPUNIT_ASSERT_EQUAL(0.2, parsed.mSettings.mRetryShare);
     CPPUNIT_ASSERT_EQUAL(52.0, parsed.mSettings.mRetrySlack);
+    CPPUNIT_ASSERT_EQUAL(88.0, parsed.mSettings.mMemoryMb);
+    CPPUNIT_ASSERT_EQUAL(0.0, parsed.mSettings.mMaxDescriptors);
   }
 
   void TestInvalidSettings()
@@ -57,6 +61,9 @@
                          { "caller_address", "10.0.0.1", ErrorCode::OutOfRange },
                          { "store_address", "store:80", ErrorCode::OutOfRange },
                          { "metrics_address", "10.0.0.1:x", ErrorCode::OutOfRange },
+                         { "memory_mb", "much", ErrorCode::WrongType },
+                         { "memory_mb", 8, ErrorCode::OutOfRange },
+                         { "max_fds", -1, ErrorCode::OutOfRange },
                          { "leave_time_s", "soon", ErrorCode::WrongType },
                          { "leave_time_s", 0, ErrorCode::OutOfRange },
                          { "rights_window_s", -1, ErrorCode::OutOfRange } };
