gateway: permits of a warm-up are saved up for 50 ms

Queries come some time after a permit is there, so that of evenly spaced permits some were left unused. A keeper saves up 50 ms beyond the first permit, within the same bound.

Statements no longer carry their age: only the instance that learns of a warm-up, and queries, state it.

--- a/include/gentianloom/gateway/EndpointLimitExchange.h
+++ b/include/gentianloom/gateway/EndpointLimitExchange.h
@@ -20,7 +20,6 @@
 {
   double mRequestsPerSecond = 0; ///< that the endpoint can take of all instances
   Millis mRemaining{ 0 };
-  Micros mStatedAgo{ 0 };
 };
 
 /// Message about the rate limit of one process of an endpoint.
@@ -57,8 +56,8 @@
  * a change of it by the first one to all instances. Queries state what the sender knows, so that an
  * instance that begins to give out permits need not have heard of the limit.
  *
- * An endpoint that warms up has a limit as well, with evenly spaced permits; the lower limit
- * applies. Both keepers may give out these permits at the same time, see KeeperRate().
+ * An endpoint that warms up has a limit as well, and few of its permits are saved up; the lower
+ * limit applies. Both keepers may give out these permits at the same time, see KeeperRate().
  */
 class EndpointLimitExchange final : public RequestPermits
 {
--- a/include/gentianloom/routing/RateLimit.h
+++ b/include/gentianloom/routing/RateLimit.h
@@ -74,7 +74,7 @@
   static constexpr double kMaxSavedSeconds = 0.5;
 
   /// @brief Takes a permit if there is one.
-  /// @param aMaxSavedSeconds time whose permits are saved up at most; 0: permits are evenly spaced
+  /// @param aMaxSavedSeconds time whose permits are saved up at most, but at least one
   bool TryTake(double aRequestsPerSecond,
                TimePoint aNow,
                double aMaxSavedSeconds = kMaxSavedSeconds)
--- a/include/gentianloom/routing/WarmUp.h
+++ b/include/gentianloom/routing/WarmUp.h
@@ -14,6 +14,10 @@
 /// permits of more than one second would otherwise arrive in one.
 inline constexpr Millis kWarmUpPermitLife{ 100 };
 
+/// Time whose permits are saved up beyond the first one: queries do not come at the very moment of
+/// a permit.
+inline constexpr Millis kWarmUpSavedTime{ 50 };
+
 /// Instances that may give out permits for one endpoint, each of which may believe that it is the
 /// only one.
 inline constexpr int kWarmUpKeepers = 2;
@@ -28,20 +32,27 @@
 /**
  * @brief Permits per second that one keeper gives out for an endpoint that warms up.
  *
- * Each keeper has an equal part of the bound. Permits of one keeper are evenly spaced, and arrive
- * up to kWarmUpPermitLife later: in any second there are no more than the spacing allows in a
- * second and kWarmUpPermitLife.
+ * Each keeper has an equal part of the bound. What it gives out may arrive up to kWarmUpPermitLife
+ * later, and kWarmUpSavedTime earlier than evenly spaced permits.
  *
  * @param aLimit requests per second that the endpoint can take, above 0
  */
 inline double KeeperRate(double aLimit, const WarmUpBound& aBound)
 {
-  constexpr double kSpreadSeconds = 1 + std::chrono::duration<double>(kWarmUpPermitLife).count();
+  constexpr double kSpreadSeconds =
+    1 + std::chrono::duration<double>(kWarmUpPermitLife + kWarmUpSavedTime).count();
   const double share = (aLimit * aBound.mFactor + aBound.mSlack) / kWarmUpKeepers;
   const double whole = share < 1 ? share : std::floor(share);
   return std::min(aLimit, whole / kSpreadSeconds);
 }
 
+/// @brief Time whose permits a keeper saves up at a rate: one permit, and those of
+/// kWarmUpSavedTime.
+inline double KeeperSavedSeconds(double aRate)
+{
+  return 1 / aRate + std::chrono::duration<double>(kWarmUpSavedTime).count();
+}
+
 /**
  * @brief The warm-up of one process of an endpoint. No clock or I/O.
  *
@@ -98,8 +109,6 @@
     return std::chrono::ceil<Micros>(std::max(mEnd, aNow) - aNow);
   }
 
-  TimePoint StatedAt() const { return mStatedAt; }
-
   /// @brief Notes a statement that is no time. @return whether it is the first one
   bool OnInvalid() { return !std::exchange(mWasInvalid, true); }
 
--- a/src/gateway/EndpointLimitExchange.cpp
+++ b/src/gateway/EndpointLimitExchange.cpp
@@ -29,7 +29,7 @@
 constexpr Millis kMaxWarmUp{ 86'400'000 };
 /// Optional last elements of a message, which older versions neither send nor read.
 constexpr std::size_t kFirstWarmUpElement = 8;
-constexpr std::size_t kLastWarmUpElement = 10;
+constexpr std::size_t kLastWarmUpElement = 9;
 
 std::string KeyOf(const EndpointLimitMessage& aMessage)
 {
@@ -46,8 +46,7 @@
   WarmUpStatement out;
   out.mRequestsPerSecond =
     static_cast<double>(ReadDatagramNumber(aArray, kFirstWarmUpElement, kMaxLimitMillis)) / kMilli;
-  out.mRemaining = Millis(ReadDatagramNumber(aArray, kFirstWarmUpElement + 1, kMaxWarmUp.count()));
-  out.mStatedAgo = Micros(ReadDatagramNumber(aArray, kLastWarmUpElement, kMaxAge.count()));
+  out.mRemaining = Millis(ReadDatagramNumber(aArray, kLastWarmUpElement, kMaxWarmUp.count()));
   return out;
 }
 
@@ -80,7 +79,6 @@
   if (aMessage.mWarmUp) {
     json.push_back(ToMillis(aMessage.mWarmUp->mRequestsPerSecond));
     json.push_back(aMessage.mWarmUp->mRemaining.count());
-    json.push_back(std::min(aMessage.mWarmUp->mStatedAgo, kMaxAge).count());
   }
   return EncodeDatagram(json);
 }
@@ -148,7 +146,6 @@
   out.mRequestsPerSecond = aEndpoint.mRateLimit.RequestsPerSecond();
   const auto age = mClock.Now() - aEndpoint.mRateLimit.StatedAt();
   out.mStatedAgo = std::chrono::duration_cast<Micros>(age);
-  out.mWarmUp = WarmUpOf(aEndpoint);
   return out;
 }
 
@@ -166,14 +163,13 @@
   if (!limit) {
     return std::nullopt;
   }
-  return WarmUpStatement{ *limit,
-                          std::chrono::ceil<Millis>(aEndpoint.mWarmUp.TimeLeft(now)),
-                          now - aEndpoint.mWarmUp.StatedAt() };
+  return WarmUpStatement{ *limit, std::chrono::ceil<Millis>(aEndpoint.mWarmUp.TimeLeft(now)) };
 }
 
 net::Task<std::optional<TimePoint>> EndpointLimitExchange::Take(EndpointRegistry::Ptr aEndpoint)
 {
-  const auto query = MessageAbout(*aEndpoint, PeerMessageKind::PermitQuery);
+  auto query = MessageAbout(*aEndpoint, PeerMessageKind::PermitQuery);
+  query.mWarmUp = WarmUpOf(*aEndpoint);
   const auto answer = co_await AskKeepers(query);
   if (!answer) {
     aEndpoint->mRateLimit.OnDenied(mClock.Now() + kNoKeeperPause);
@@ -287,7 +283,7 @@
   const double warmUpRate = KeeperRate(out.mWarmUp->mRequestsPerSecond, *mWarmUpRule.mBound);
   const double rate = std::max(std::min(out.mRequestsPerSecond.value_or(warmUpRate), warmUpRate),
                                PermitBucket::kMinRequestsPerSecond);
-  out.mIsGranted = kept.mPermits.TryTake(rate, now, 0);
+  out.mIsGranted = kept.mPermits.TryTake(rate, now, KeeperSavedSeconds(rate));
   if (!out.mIsGranted) {
     const auto wait =
       kept.mTurns.Next(rate, kept.mPermits.TimeUntilPermit(rate), DenialTime(), now);
@@ -379,7 +375,7 @@
     return;
   }
   auto statement = MessageAbout(*aEndpoint, PeerMessageKind::EndpointLimit);
-  statement.mWarmUp = WarmUpStatement{ *limit, aRemaining, Micros(0) };
+  statement.mWarmUp = WarmUpStatement{ *limit, aRemaining };
   for (const auto& it : KeepersOf(statement.mEndpoint)) {
     if (it != mSelf) {
       mSocket.Send(it, EncodeEndpointLimit(statement));
@@ -395,9 +391,7 @@
   if (!endpoint || !aStatement.mWarmUp) {
     return;
   }
-  const auto& warmUp = *aStatement.mWarmUp;
-  const bool isNews =
-    endpoint->mWarmUp.OnStated(warmUp.mRemaining, mClock.Now() - warmUp.mStatedAgo);
+  const bool isNews = endpoint->mWarmUp.OnStated(aStatement.mWarmUp->mRemaining, mClock.Now());
   const auto keepers = KeepersOf(aStatement.mEndpoint);
   if (isNews && std::find(keepers.begin(), keepers.end(), mSelf) != keepers.end()) {
     SendToAll(aStatement);
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -323,6 +323,9 @@
         mPlacement.mEndpoint->AcceptsRequests(now)) {
       co_return;
     }
+    if (mPlacement.mPermitUntil) {
+      mContext.mMetrics.CounterOf("gentianloom_endpoint_permits_unused_total").Add();
+    }
   }
 }
 
