tests: two keepers of an endpoint that is cold again

WarmUpTest did not notice a keeper that saves up permits: with one keeper they stay within the bound. With two, a cap of half a second exceeds it.

--- a/tests/routing/WarmUpTest.cpp
+++ b/tests/routing/WarmUpTest.cpp
@@ -156,7 +156,7 @@
         0.6 },
       { "warm and cold again",
         60,
-        first,
+        [](std::size_t aInstance, Millis) { return aInstance % 2; },
         { { Millis(0), Millis(2'000) }, { Millis(4'000), Millis(4'000) } },
         0.5 },
     };
