Channel: wait for bytes with a small buffer again

The read that waits now has 4 KiB for each connection, further reads share a buffer; the account counts 12 KiB for a connection.

--- a/src/net/CallerMemory.cpp
+++ b/src/net/CallerMemory.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// What a connection takes by itself: buffers of its socket object, tasks, timers, parser.
-constexpr std::size_t kConnectionBytes = 8 * 1'024;
+constexpr std::size_t kConnectionBytes = 12 * 1'024;
 /// A connection makes progress with this many bytes. A caller that sends single bytes would
 /// otherwise count as one that progresses.
 constexpr std::size_t kProgressBytes = 4 * 1'024;
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -15,7 +15,9 @@
 
 namespace {
 
-/// Buffer size of one read.
+/// Buffer size of the read that waits for bytes. Each connection has its own, so it is small.
+constexpr std::size_t kFirstReadBytes = 4 * 1'024;
+/// Buffer size of the reads after it.
 constexpr std::size_t kReadBytes = 16 * 1'024;
 /// A buffer of received bytes that is larger than this is freed when it is empty. Requests of usual
 /// size reuse a smaller one.
@@ -112,6 +114,7 @@
 
 Task<void> Channel::ReadLoop(Ptr aSelf)
 {
+  std::array<char, kFirstReadBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
   while (aSelf->mState == ChannelState::Open) {
     if (aSelf->mReceived.size() >= aSelf->mMaxReceivedBytes) {
       co_await aSelf->mReaderWake.WaitFor(kMaxSignalWait);
@@ -119,13 +122,13 @@
     }
     aSelf->ReleaseReceived();
     boost::system::error_code ec;
-    // Waits without a buffer, since most connections have nothing to read most of the time.
-    co_await aSelf->mSocket.async_wait(Socket::wait_read,
-                                       boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    const auto n = co_await aSelf->mSocket.async_read_some(
+      boost::asio::buffer(buf), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     if (aSelf->mState != ChannelState::Open) {
       co_return;
     }
     const auto sizeBefore = aSelf->mReceived.size();
+    aSelf->mReceived.append(buf.data(), n);
     if (!ec) {
       ec = aSelf->ReadAvailable();
     }
