--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -117,8 +117,11 @@
 
 
 def fill(template, values):
-    """Fills in the placeholders that deploy/settings.json has."""
-    return re.sub(r"\{\{([^}]+)\}\}", lambda it: str(values[it.group(1)]), template)
+    """Fills in the placeholders that deploy/settings.json has. One without a value gives nothing, as JSON null."""
+    def value(it):
+        name = it.group(1)
+        return str(values.get(name, "null" if name.endswith("|json") else ""))
+    return re.sub(r"\{\{([^}]+)\}\}", value, template)
 
 
 class Gateway:
--- a/tests/platform/misdirected_response_test.py
+++ b/tests/platform/misdirected_response_test.py
@@ -2,7 +2,7 @@
 """Responses with status 421 of a raw endpoint, some of them to another request."""
 import unittest
 
-from gateway_environment import Environment
+from gateway_environment import Environment, Platform
 
 MISDIRECTED = "HTTP/1.1 421 Misdirected Request\r\n"
 END = "Content-Length: 0\r\n\r\n"
@@ -86,5 +86,25 @@
             self.assertGreater(repeated, 0)
 
 
+class RetryAtTheSameEndpointTest(unittest.TestCase):
+    # A refusal that was written once more was taken for that of the retry, which went over the same connection
+    # with the same id, and ran: its caller was told that it had not run.
+    def test_second_copy_of_a_refusal_is_not_that_of_the_retry(self):
+        platform = Platform({"w1": "v1"})
+        self.addCleanup(platform.close)
+        env = Environment(platform=platform)
+        self.addCleanup(env.close)
+        env.configure_workers(mode="refuses-again", refusal_status=503, echoes_id=True)
+        refused = 0
+        for n in range(12):
+            response = env.call("/send/x", f"r{n}")
+            runs = [it for it in env.executed_requests() if it["headers"]["X-Attempt-Id"] == f"r{n}"]
+            self.assertLessEqual(len(runs), 1, n)
+            if response.status == 503:
+                self.assertEqual([], runs, n)
+                refused += 1
+        self.assertGreater(refused, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
