--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -233,6 +233,7 @@
     return 0;
   }
   mLastSentAt = mClock.Now();
+  mMetrics.CounterOf("gentianloom_heard_loads_total").Add(message.mHeard.size());
   const auto bytes = EncodePeerLoad(message);
   for (const auto& peer : mPeerAddresses()) {
     // A failed send is not retried: the next message replaces this one.
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -346,6 +346,9 @@
   request.mTarget = mRoute->mLatencyTarget;
   request.mTriedEndpoints = mTriedEndpoints;
   request.mIsLoadEvened = IsLoadEvened(usable);
+  if (request.mIsLoadEvened) {
+    mContext.mMetrics.CounterOf("gentianloom_evened_choices_total").Add();
+  }
   const auto* service = mRoutes->Service(mService);
   if (service != nullptr && service->mEngine && !mIsTrial) {
     auto& model = mContext.mFirstTokenModels[mService];
