--- a/tests/platform/regions_test.py
+++ b/tests/platform/regions_test.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+from endpoint_links import RESET, Links
 from gateway_environment import ROUTES, Environment, Platform, configuration
 
 REGIONS = {"n1": "north", "n2": "north", "s1": "south"}
@@ -77,6 +78,30 @@
                     if it["change"] == "a part of the configuration is malformed"]
         self.assertEqual(["org-k3", "org-k4"], [it["error"].split()[1][:-1] for it in problems])
 
+    # A gateway that reaches no endpoint passed the bodies of requests to instances of all regions.
+    def test_bodies_at_other_instances(self):
+        links = Links(self.platform)
+        self.addCleanup(links.close)
+        cut = self.start_gateway("cut", "n1", store_address=links.store)
+        others = {zone: self.start_gateway(zone, zone) for zone in ("n2", "s1")}
+        self.configure({"send": ["north"], "chat": ["west"]})
+        for it in (cut, *others.values()):
+            self.wait_for_version(it)
+        cut.wait(lambda: len(json.loads(cut.get(cut.directory, "/resolve").body)["addresses"]) == 3)
+        links.cut(RESET)
+        cut.wait(lambda: cut.call("/read/x", "read").status == 200)
+        for n in range(REQUESTS):
+            self.assertEqual(200, cut.call("/send/x", f"send{n}").status)
+            self.assertEqual(503, cut.call("/chat/x", f"chat{n}").status)
+            cut.call("/read/x", f"read{n}")
+
+        def received(zone):
+            return {it["request"].rstrip("0123456789") for it in others[zone].log_lines()
+                    if it["change"] == "request ended" and it.get("source") == "instance"}
+
+        self.assertLessEqual({"send"}, received("n2"))
+        self.assertEqual({"read"}, received("s1"))
+
     # An evacuation of the only allowed region must not send requests to another one.
     def test_evacuated_region(self):
         gateway = self.start_gateway()
