gateway: an earlier entry of a process says nothing of its warm-up

Entries of one process can arrive out of order; an earlier one with less time left made an endpoint warm (EndpointRegistryTest). Without the rule, no gauge of endpoints that warm up is exported.

--- a/src/gateway/EndpointLimitExchange.cpp
+++ b/src/gateway/EndpointLimitExchange.cpp
@@ -400,6 +400,9 @@
 
 void EndpointLimitExchange::ReportWarmUps()
 {
+  if (!mWarmUpRule.mBound) {
+    return;
+  }
   const auto now = mClock.Now();
   std::set<std::string> warmingUp;
   for (const auto& [id, it] : mEndpoints.All()) {
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -16,12 +16,14 @@
          aLeft.mService == aRight.mService && aLeft.mSoftwareVersion == aRight.mSoftwareVersion;
 }
 
-/// Whether an entry is the one that a record holds already. The time that it states has been
-/// running since it was first read.
+/// Whether an entry is the one that a record holds already, whose time has been running since it was
+/// first read, or an earlier one.
 bool IsReadAgain(const Endpoint& aKnown, const EndpointEntry& aEntry)
 {
-  return aKnown.mEntry.mId == aEntry.mId && aKnown.mEntry.mSequence == aEntry.mSequence &&
-         aKnown.mEntry.mWarmUpRemaining == aEntry.mWarmUpRemaining;
+  const auto& known = aKnown.mEntry;
+  const bool isSame =
+    aEntry.mSequence == known.mSequence && aEntry.mWarmUpRemaining == known.mWarmUpRemaining;
+  return known.mId == aEntry.mId && (isSame || aEntry.mSequence < known.mSequence);
 }
 
 } // namespace
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -78,6 +78,8 @@
     CPPUNIT_ASSERT(isLimited("a", kTime - Millis(1)));
     put(3, kTime, Millis(6'000));
     CPPUNIT_ASSERT(isLimited("a", Millis(6'000) + kTime - Millis(1)));
+    put(2, Millis(0), Millis(6'500));
+    CPPUNIT_ASSERT(isLimited("a", Millis(6'000) + kTime - Millis(1)));
     put(4, Millis(0), Millis(7'000));
     CPPUNIT_ASSERT(!isLimited("a", Millis(7'000)));
     put(5, kTime, Millis(60'000));
