Ended instances leave the address answers within 7 s, also after a watch was lost without a sign

Callers were told the addresses of instances that had ended for up to 8.6 s and the grace period: a watch of the instances' records whose connection was lost silently ended only after its 8 s. It waits for 2.5 s now.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -23,9 +23,12 @@
 constexpr PrefixWatchTiming kOperatorWatch{ Millis(1'700) };
 /// Many endpoints change at once when a service is replaced or a rack is lost.
 constexpr PrefixWatchTiming kEndpointWatch{ Millis(1'700), Millis(250) };
-/// For the list of instances, whose changes are less urgent. All of them write their records when
-/// the key-value service comes back, and each write would end a watch of every instance.
-constexpr PrefixWatchTiming kInstanceWatch{ Millis(8'000), Millis(500) };
+/// For the list of instances. A watch whose connection was lost without a sign ends by its timeout
+/// only, and instances that have ended must be out of the address answers 7 s later: 3 s for their
+/// lease, or this time, and 2.5 s of InstanceDirectory::kReregistrationGrace. All instances write
+/// their records when the key-value service comes back, and each write would end a watch of every
+/// instance.
+constexpr PrefixWatchTiming kInstanceWatch{ Millis(2'500), Millis(500) };
 /// Time after the start of a process until which the instances that started together are listed.
 constexpr Millis kInstancesListedAfter{ 1'500 };
 /// An endpoint that does not accept a connection within this time, or closes it within this time,
--- a/tests/membership/InstanceDirectoryTest.cpp
+++ b/tests/membership/InstanceDirectoryTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(TestMoreInstancesThanAddresses);
   CPPUNIT_TEST(TestLeasesExpireInOutage);
   CPPUNIT_TEST(TestExpiredInstancesAreErased);
+  CPPUNIT_TEST(TestEndedInstancesAreNotNamed);
   CPPUNIT_TEST(TestRecordRoundTrip);
   CPPUNIT_TEST_SUITE_END();
 
@@ -116,6 +117,51 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, directory.Size("a"));
   }
 
+  // Callers that are told the address of an instance that has ended lose their time with it. Each
+  // row is one way to learn of the end; the times count from the end, or from the store's return.
+  void TestEndedInstancesAreNotNamed()
+  {
+    constexpr Millis kNamedFor{ 7'000 };
+    constexpr Millis kLeaseTtl{ 3'000 };
+    constexpr Millis kWatchTimeout{ 3'100 }; // of a watch that was lost without a sign
+    struct Row
+    {
+      std::string mName;
+      Millis mSeenAt; ///< when the missing key is noticed
+      bool mIsAfterOutage;
+      bool mIsSnapshot;
+      bool mIsNoticedAgain; ///< half of the grace period later
+    };
+    const Row rows[] = {
+      { "store is up", kLeaseTtl, false, false, false },
+      { "revoked lease", Millis(0), false, false, false },
+      { "lost watch", kWatchTimeout, true, false, false },
+      { "lease stood still in an outage", kLeaseTtl, true, false, false },
+      { "lease ended in an outage", Millis(700), true, false, true },
+      { "older copy", kLeaseTtl, true, true, false },
+      { "history is gone", kWatchTimeout, true, true, true },
+    };
+    for (const auto& row : rows) {
+      InstanceDirectory directory;
+      directory.Replace({ Record("a", "z1"), Record("b", "z1"), Record("c", "z1") }, false, mNow);
+      const auto notice = [&](TimePoint aNow) {
+        if (row.mIsSnapshot) {
+          directory.Replace({ Record("a", "z1"), Record("b", "z1") }, row.mIsAfterOutage, aNow);
+        } else {
+          directory.Remove("c", row.mIsAfterOutage, aNow);
+        }
+      };
+      notice(mNow + row.mSeenAt);
+      if (row.mIsNoticedAgain) {
+        notice(mNow + row.mSeenAt + InstanceDirectory::kReregistrationGrace / 2);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mName,
+        std::string("ab"),
+        JoinNames(directory.SelectAddresses(Record("a", "z1"), "z1", "caller", mNow + kNamedFor)));
+    }
+  }
+
   void TestRecordRoundTrip()
   {
     const auto record = Record("a", "z1", true);
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -25,6 +25,7 @@
                 store.mode = command["store_mode"]
             if "slow_prefix" in command:
                 store.slow_prefix = command["slow_prefix"]
+            store.extend_leases(command.get("extend_leases_s", 0))
             if command.get("save_copy"):
                 store.save_copy()
             if command.get("go_back"):
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -66,6 +66,10 @@
         for lease in [it for it, (_, end) in self.leases.items() if end < now]:
             self.end_lease(lease)
 
+    def extend_leases(self, time_s):
+        """Leases stand still while the store is down, if this time is that of the outage."""
+        self.leases = {number: (ttl, end + time_s) for number, (ttl, end) in self.leases.items()}
+
     def commit(self, body):
         for row in body["expected-rev"]:
             if self.items.get(row["key"], {}).get("rev", 0) != row["rev"]:
