--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -16,8 +16,8 @@
          aLeft.mService == aRight.mService && aLeft.mSoftwareVersion == aRight.mSoftwareVersion;
 }
 
-/// Whether an entry is the one that a record holds already, whose time has been running since it was
-/// first read, or an earlier one.
+/// Whether an entry is the one that a record holds already, whose time has been running since it
+/// was first read, or an earlier one.
 bool IsReadAgain(const Endpoint& aKnown, const EndpointEntry& aEntry)
 {
   const auto& known = aKnown.mEntry;
--- a/tests/routing/WarmUpTest.cpp
+++ b/tests/routing/WarmUpTest.cpp
@@ -167,8 +167,8 @@
       Millis total{ 0 };
       for (const auto& [time, remaining] : scenario.mStatements) {
         total += remaining;
-        const auto isMeanwhile = [&](const auto& it) {
-          return it >= time && it < time + remaining;
+        const auto isMeanwhile = [begin = time, end = time + remaining](const auto& it) {
+          return it >= begin && it < end;
         };
         CPPUNIT_ASSERT_MESSAGE(
           scenario.mName, std::none_of(arrivals.mFree.begin(), arrivals.mFree.end(), isMeanwhile));
