routing: a shared part stays at the first endpoint of its order while that one is not busier than others

Engines read shared parts again on all three endpoints among which the load decides. The second and third cost 15 ms more now.

--- a/src/routing/EndpointChooser.cpp
+++ b/src/routing/EndpointChooser.cpp
@@ -36,6 +36,9 @@
 /// Endpoints of the rendezvous order among which the load decides, if it is evened out. A shared
 /// part is computed once on each; two leave no choice if both are loaded.
 constexpr std::size_t kHomeEndpoints = 3;
+/// Cost of each position among them, in milliseconds. Without it a part is computed on all of them,
+/// although one can bear it.
+constexpr double kHomeRankMillis = 15;
 /// Costs of an engine whose load is twice the mean, in milliseconds: by the average, which lasts,
 /// and by the present load, of which an instance knows less.
 constexpr double kAverageExcessMillis = 300;
@@ -165,8 +168,10 @@
     }
     const auto hash = CombineHashes(mRequest.mTieBreakHash, aEndpoint.mHash);
     const double loadWithRequest = mEvenLoad->PresentLoadWithRequest(aEndpoint);
-    double out =
-      aRank < kHomeEndpoints ? 0 : kRankMillis * static_cast<double>(aRank - kHomeEndpoints + 1);
+    double out = kHomeRankMillis * static_cast<double>(std::min(aRank, kHomeEndpoints));
+    out += aRank < kHomeEndpoints
+             ? 0
+             : kRankMillis * static_cast<double>(aRank - kHomeEndpoints + 1);
     out += kAverageExcessMillis * mEvenLoad->AverageExcess(aEndpoint);
     out += kPresentExcessMillis * mEvenLoad->PresentExcess(aEndpoint);
     out += ToMillis(kEngineRequestTime) * std::max(0.0, loadWithRequest - kNearlyFullLoad);
