--- a/src/gateway/EndpointLimitExchange.cpp
+++ b/src/gateway/EndpointLimitExchange.cpp
@@ -271,7 +271,8 @@
   out.mRequestsPerSecond = kept.mLimit.RequestsPerSecond();
   out.mStatedAgo = std::chrono::duration_cast<Micros>(now - kept.mLimit.StatedAt());
   out.mWarmUp = WarmUpFor(aQuery);
-  if (!out.mWarmUp) {
+  const auto& bound = mWarmUpRule.mBound;
+  if (!out.mWarmUp || !bound) {
     const double rate = out.mRequestsPerSecond.value_or(0);
     out.mIsGranted = !out.mRequestsPerSecond || kept.mPermits.TryTake(rate, now);
     if (!out.mIsGranted) {
@@ -280,7 +281,7 @@
     }
     return out;
   }
-  const double warmUpRate = KeeperRate(out.mWarmUp->mRequestsPerSecond, *mWarmUpRule.mBound);
+  const double warmUpRate = KeeperRate(out.mWarmUp->mRequestsPerSecond, *bound);
   const double rate = std::max(std::min(out.mRequestsPerSecond.value_or(warmUpRate), warmUpRate),
                                PermitBucket::kMinRequestsPerSecond);
   out.mIsGranted = kept.mPermits.TryTake(rate, now, KeeperSavedSeconds(rate));
