--- a/tests/membership/RegionPreferenceTest.cpp
+++ b/tests/membership/RegionPreferenceTest.cpp
@@ -63,6 +63,7 @@
         zone.clear();
       }
       std::vector<const InstanceRecord*> all;
+      all.reserve(records.size());
       for (const auto& it : records) {
         all.push_back(&it);
       }
