--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -166,11 +166,10 @@
 
     def beat(self):
         """Writes the entry. Returns whether the store has acknowledged it."""
+        if self.lease and self.call("POST", f"/kv-keep/{self.lease}")[0] == 404:
+            self.lease = 0  # it has ended
         if self.lease == 0:
-            status, answer = self.call("POST", "/kv-lease", {"ttl-ms": int(3 * HEARTBEAT_S * 1000)})
-            self.lease = answer.get("lease", 0)
-        else:
-            self.call("POST", f"/kv-keep/{self.lease}")
+            self.lease = self.call("POST", "/kv-lease", {"ttl-ms": int(3 * HEARTBEAT_S * 1000)})[1].get("lease", 0)
         entry = self.entry()
         value = base64.b64encode(json.dumps(entry).encode()).decode()
         status, _ = self.call("POST", "/kv-txn", {"expected-rev": [], "remove": [], "puts": [
