--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -211,19 +211,39 @@
             self.close_connection = True
             worker.record.line(f"worker {worker.name} broke off {attempt}")
             return None
+        if "X-Token-Usage" in self.headers:
+            return self.stream(common + [("X-Server-Signature", "s-" + attempt)])
         return self.respond(200, b"done " + attempt.encode(), common + [("X-Server-Signature", "s-" + attempt)])
 
+    def stream(self, headers):
+        """A generation of one event."""
+        self.send_response(200)
+        for name, value in headers + [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
+            self.send_header(name, value)
+        self.end_headers()
+        event = b"id: 1\ndata: five tokens\n\n"
+        self.wfile.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(event), event))
+
     do_GET = do_POST = serve
 
 
-def configuration(services, version=7):
-    """One `unsafe` route for each service: /SERVICE/."""
+def configuration(services, version=7, model_service=None):
+    """One `unsafe` route for each service, and a `streaming` one for the model service: /SERVICE/."""
     routes = [{"name": "r-" + it, "host": HOST, "prefix": f"/{it}/", "kind": "unsafe", "timeout-ms": 2500,
                "target-latency-ms": 150, "priority": 0, "service": it, "max-attempts": 1,
                "allow-anonymous": False} for it in services]
-    return {"version": version, "routes": routes,
-            "services": [{"name": it, "health-check-path": "/health", "max-connections": 96, "protocol": "h1",
-                          "tls": False} for it in services],
+    plain = [{"name": it, "health-check-path": "/health", "max-connections": 96, "protocol": "h1", "tls": False}
+             for it in services]
+    if model_service:
+        routes.append({"name": "r-" + model_service, "host": HOST, "prefix": f"/{model_service}/",
+                       "kind": "streaming", "timeout-ms": 12000, "target-latency-ms": 300, "priority": 0,
+                       "service": model_service, "max-attempts": 1, "allow-anonymous": False,
+                       "session-affinity": True, "resumable": False, "target-gap-ms": 200})
+        plain.append({"name": model_service, "health-check-path": "/health", "max-connections": 360,
+                      "protocol": "h1", "tls": False,
+                      "engine": {"slots": 64, "kv-capacity-tokens": 518475, "kv-bytes": 163840,
+                                 "link-mbps": 740000.0, "stride": 5, "models": [{"name": "m"}]}})
+    return {"version": version, "routes": routes, "services": plain,
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000},
             "tenants": [{"name": "hule930", "api-keys": [KEY], "priority": 1, "prepaid": 4663829}]}
@@ -252,14 +272,26 @@
         path = pathlib.Path(folder) / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         self.log_path = pathlib.Path(folder) / f"{name}.log"
+        self.settings_path = path
         self.log = open(self.log_path, "wb")
+        self.start()
+
+    def start(self):
         program = ROOT / "target" / "bin" / "gentianloom-gateway"
         if not program.exists():
             raise FileNotFoundError(program)
-        environment = {"PATH": os.environ.get("PATH", ""), "GENTIANLOOM_NODE_FILE": str(path)}
+        environment = {"PATH": os.environ.get("PATH", ""), "GENTIANLOOM_NODE_FILE": str(self.settings_path)}
         self.process = subprocess.Popen([str(program)], cwd=ROOT, env=environment, stdout=self.log,
                                         stderr=subprocess.STDOUT)
 
+    def memory_mb(self):
+        """VmRSS of the process; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        except OSError:
+            return 0
+        return next((int(it.split()[1]) / 1024 for it in status.splitlines() if it.startswith("VmRSS:")), 0)
+
     def is_ready(self):
         try:
             connection = http.client.HTTPConnection(self.ready, timeout=1)
@@ -347,7 +379,7 @@
 class Deployment:
     """The store, its workers and one gateway; ends all of it."""
 
-    def __init__(self, folder, services):
+    def __init__(self, folder, services, model_service=None):
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.temporary = tempfile.TemporaryDirectory()
         self.store = LossyStore()
@@ -356,7 +388,7 @@
         self.workers = []
         self.arrivals = []  # worker, attempt, time
         with self.store.changed:
-            self.store.put("op/config", json.dumps(configuration(services)).encode())
+            self.store.put("op/config", json.dumps(configuration(services, model_service=model_service)).encode())
 
     def add_worker(self, name, service, work_s):
         worker = Worker(self.record, self.store_address, name, service, work_s,
