--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # is built by the line `build` of deploy/system.toml.
 cd "$(dirname "$0")/.." || exit 1
 set -e
-for it in review/lib-2/*.py review/7/run.py review/8/run.py review/9/run.py tests/platform/standin_server.py tests/platform/standin_store.py; do
+for it in review/lib-2/*.py review/7/run.py review/8/run.py review/9/run.py review/10/run.py tests/platform/standin_server.py tests/platform/standin_store.py; do
   [ -f "$it" ] || continue
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1])' "$it"
 done
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -28,6 +29,7 @@
 GRACE_S = 8
 HOST = "h.example"
 KEY = "n2ctnfzs989anu6wsjnb"
+given_ports = set()
 
 
 class Record:
@@ -250,9 +252,18 @@
 
 
 def free_port():
-    with socket.socket() as it:
-        it.bind(("127.0.0.1", 0))
-        return it.getsockname()[1]
+    """A port below those of outgoing channels, which no other gateway has been given."""
+    while True:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in given_ports:
+            given_ports.add(port)
+            return port
 
 
 class Gateway:
@@ -335,6 +346,7 @@
         self.sent_at = {}
         self.stopped = threading.Event()
         self.numbers = itertools.count(1)
+        self.prefix = 0  # distinguishes the requests of several crowds
         self.threads = [threading.Thread(target=self.run, args=(n * self.interval / count,), daemon=True)
                         for n in range(count)]
 
@@ -355,7 +367,7 @@
             connection = self.send(connection)
 
     def send(self, connection):
-        attempt = f"{os.getpid():x}-{next(self.numbers):06d}"
+        attempt = f"{os.getpid():x}-{self.prefix}-{next(self.numbers):06d}"
         connection = connection or http.client.HTTPConnection(self.gateway.front, timeout=5)
         self.sent_at[attempt] = time.monotonic()
         try:
@@ -379,8 +391,8 @@
 class Deployment:
     """The store, its workers and one gateway; ends all of it."""
 
-    def __init__(self, folder, services, model_service=None):
-        self.record = Record(pathlib.Path(folder) / "record.txt")
+    def __init__(self, folder, services, model_service=None, record=None):
+        self.record = record or Record(pathlib.Path(folder) / "record.txt")
         self.temporary = tempfile.TemporaryDirectory()
         self.store = LossyStore()
         self.store_server, self.store_address = start_server(LossyStoreHandler, self.store)
