What is known of a request that crashes endpoints outlives all instances

What callers saw: after all gateways were killed at the same moment, a request that had crashed two endpoints was sent to five more.

Cause: interruptions were counted in the memory of the keepers of a key (CrashEvidence). Only the block after the third one was written to the key-value service, so all instances together forgot the first two.

The guard's log shows a count from 1 after each restart.

Change: each instance records the keys of which it is one of the first two keepers (CrashEvidenceRecord), and an instance that starts takes all records over. Writes are bounded for each instance and by the size of the fleet.

--- a/include/gentianloom/gateway/CrashReportExchange.h
+++ b/include/gentianloom/gateway/CrashReportExchange.h
@@ -2,12 +2,14 @@
 #define GENTIANLOOM_GATEWAY_CRASH_REPORT_EXCHANGE_H
 
 #include "gentianloom/gateway/BlockedRequests.h"
+#include "gentianloom/gateway/CrashEvidenceRecord.h"
 #include "gentianloom/gateway/EndpointEndExchange.h"
 #include "gentianloom/gateway/PeerSocket.h"
 #include "gentianloom/net/Signal.h"
 #include "gentianloom/relay/RequestGuard.h"
 #include "gentianloom/routing/CrashEvidence.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <set>
@@ -46,7 +48,8 @@
  * to another process within kReplacementTime. A request that was sent there after any instance saw
  * the process end is not the cause. A keeper that finds the evidence sufficient asks all instances
  * whether an endpoint has survived a run with the key since; if none answers so, it blocks the
- * requests with the key.
+ * requests with the key. What is known of requests that are not blocked yet outlives all instances
+ * in the records of CrashEvidenceRecord.
  */
 class CrashReportExchange final : public RequestGuard
 {
@@ -92,6 +95,9 @@
   /// @brief The blocked requests, which take over the stored records.
   BlockedRequests& Blocked() { return mBlocked; }
 
+  /// @brief Takes over the stored evidence, after the records of blocked requests.
+  void OnEvidenceRecords(std::span<const KeyValue> aEntries);
+
 private:
   /// A run that was interrupted at an endpoint of which it is not known yet whether it has ended.
   struct UnprovedInterruption
@@ -110,6 +116,10 @@
   void AddInterruption(const std::string& aKey, TimePoint aSentAt, TimePoint aEndedAt);
   /// Blocks a suspect unless an instance knows that an endpoint survived it.
   net::Task<void> ConfirmAndBlock(std::string aKey);
+  /// Starts ConfirmAndBlock() if the evidence against a key is sufficient.
+  void BlockIfSufficient(const std::string& aKey);
+  /// Returns the place of this instance among the keepers of a key; their number if it is none.
+  std::ptrdiff_t KeeperRank(const std::string& aKey) const;
   Millis RecordDelay(const std::string& aKey) const;
   net::Task<void> Run();
   void RemoveExpired();
@@ -124,6 +134,7 @@
   Metrics& mMetrics;
   CrashEvidence mEvidence;
   BlockedRequests mBlocked;
+  CrashEvidenceRecord mEvidenceRecord;
   /// Those whose endpoint is being probed, by its address.
   std::map<std::string, std::vector<UnprovedInterruption>> mUnproved;
   /// Those whose endpoint kept a connection open, by its address, for kReplacementTime.
--- a/include/gentianloom/routing/CrashEvidence.h
+++ b/include/gentianloom/routing/CrashEvidence.h
@@ -5,10 +5,12 @@
 
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace gentianloom {
 
@@ -67,10 +69,32 @@
     return last && *last >= aTime;
   }
 
+  /**
+   * @brief Takes over what another instance knew against a key.
+   *
+   * What is known here already counts if it is more, and a key that an endpoint has survived since
+   * stays cleared.
+   * @return whether the key is a suspect by more interruptions than before
+   */
+  bool TakeOver(const std::string& aKey, const Suspect& aSuspect);
+
+  /**
+   * @brief Returns the keys with the most interruptions, and of these those with the latest ones.
+   * @param aCount maximum number of keys
+   * @param aIsWanted whether a key may be returned
+   * @par Complexity n log(n) in the number of suspects
+   */
+  std::vector<std::pair<std::string, Suspect>> MostSuspicious(
+    std::size_t aCount,
+    const std::function<bool(const std::string&)>& aIsWanted) const;
+
   /// @brief Drops what is older than kMemory.
   void RemoveExpired(TimePoint aNow);
 
 private:
+  /// Drops the suspect whose last interruption is the oldest if another one would be too many.
+  void MakeRoomFor(const std::string& aKey);
+
   /// Runs with one key that endpoints survived.
   struct Survived
   {
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -87,6 +87,16 @@
       aStore,
       aClock,
       aMetrics)
+  , mEvidenceRecord(
+      mEvidence,
+      mSelf,
+      [this](const std::string& aKey) {
+        return KeeperRank(aKey) < std::ptrdiff_t{ CrashEvidenceRecord::kRecorders };
+      },
+      [this] { return mPeers().size(); },
+      aStore,
+      aClock,
+      aMetrics)
 {
 }
 
@@ -217,7 +227,23 @@
                                           TimePoint aSentAt,
                                           TimePoint aEndedAt)
 {
-  const bool isSufficient = mEvidence.OnInterrupted(aKey, aSentAt, aEndedAt);
+  mEvidence.OnInterrupted(aKey, aSentAt, aEndedAt);
+  mEvidenceRecord.OnChanged(aKey);
+  BlockIfSufficient(aKey);
+}
+
+void CrashReportExchange::OnEvidenceRecords(std::span<const KeyValue> aEntries)
+{
+  for (const auto& it : mEvidenceRecord.OnRecords(aEntries)) {
+    BlockIfSufficient(it);
+  }
+}
+
+void CrashReportExchange::BlockIfSufficient(const std::string& aKey)
+{
+  const auto suspect = mEvidence.Find(aKey);
+  const bool isSufficient =
+    suspect && suspect->mInterruptions >= CrashEvidence::kInterruptionsToBlock;
   if (isSufficient && !mBlocked.BlockedFor(aKey) && mConfirming.insert(aKey).second) {
     net::Start(mLoop, "crash query", ConfirmAndBlock(aKey));
   }
@@ -254,11 +280,15 @@
   return ChooseKeepers(StableHash(aKey), std::move(instances), kKeepers);
 }
 
-Millis CrashReportExchange::RecordDelay(const std::string& aKey) const
+std::ptrdiff_t CrashReportExchange::KeeperRank(const std::string& aKey) const
 {
   const auto keepers = KeepersOf(aKey);
-  const auto rank = std::find(keepers.begin(), keepers.end(), mSelf) - keepers.begin();
-  return kRecordDelayPerRank * rank;
+  return std::find(keepers.begin(), keepers.end(), mSelf) - keepers.begin();
+}
+
+Millis CrashReportExchange::RecordDelay(const std::string& aKey) const
+{
+  return kRecordDelayPerRank * KeeperRank(aKey);
 }
 
 void CrashReportExchange::SendToKeepers(const CrashMessage& aMessage)
@@ -311,6 +341,7 @@
   while (true) {
     RemoveExpired();
     co_await mBlocked.Update();
+    co_await mEvidenceRecord.Update();
     co_await net::Signal::Sleep(mLoop, kUpdateInterval);
   }
 }
--- a/src/routing/CrashEvidence.cpp
+++ b/src/routing/CrashEvidence.cpp
@@ -11,18 +11,24 @@
 
 } // namespace
 
+void CrashEvidence::MakeRoomFor(const std::string& aKey)
+{
+  if (mSuspects.size() < kMaxSuspects || mSuspects.contains(aKey)) {
+    return;
+  }
+  const auto oldest =
+    std::min_element(mSuspects.begin(), mSuspects.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.mLastAt < aRight.second.mLastAt;
+    });
+  mSuspects.erase(oldest);
+}
+
 bool CrashEvidence::OnInterrupted(const std::string& aKey, TimePoint aSentAt, TimePoint aEndedAt)
 {
   if (HasSurvivedSince(aKey, aSentAt)) {
     return false;
   }
-  if (mSuspects.size() >= kMaxSuspects && !mSuspects.contains(aKey)) {
-    const auto oldest = std::min_element(
-      mSuspects.begin(), mSuspects.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.mLastAt < aRight.second.mLastAt;
-      });
-    mSuspects.erase(oldest);
-  }
+  MakeRoomFor(aKey);
   auto& suspect = mSuspects[aKey];
   const bool isNew = suspect.mInterruptions == 0 || aEndedAt - suspect.mLastAt > kMemory;
   if (isNew) {
@@ -34,6 +40,46 @@
   return suspect.mInterruptions >= kInterruptionsToBlock;
 }
 
+bool CrashEvidence::TakeOver(const std::string& aKey, const Suspect& aSuspect)
+{
+  const auto known = Find(aKey);
+  const bool isMore = !known || aSuspect.mInterruptions > known->mInterruptions;
+  if (!isMore || HasSurvivedSince(aKey, aSuspect.mLastAt)) {
+    return false;
+  }
+  MakeRoomFor(aKey);
+  mSuspects[aKey] = aSuspect;
+  return true;
+}
+
+std::vector<std::pair<std::string, CrashEvidence::Suspect>> CrashEvidence::MostSuspicious(
+  std::size_t aCount,
+  const std::function<bool(const std::string&)>& aIsWanted) const
+{
+  using Item = std::pair<const std::string, Suspect>;
+  std::vector<const Item*> byRank;
+  byRank.reserve(mSuspects.size());
+  for (const auto& it : mSuspects) {
+    byRank.push_back(&it);
+  }
+  std::sort(byRank.begin(), byRank.end(), [](const Item* aLeft, const Item* aRight) {
+    const auto rank = [](const Item* aItem) {
+      return std::pair(aItem->second.mInterruptions, aItem->second.mLastAt);
+    };
+    return rank(aLeft) > rank(aRight);
+  });
+  std::vector<std::pair<std::string, Suspect>> out;
+  for (const auto* it : byRank) {
+    if (out.size() == aCount) {
+      break;
+    }
+    if (aIsWanted(it->first)) {
+      out.emplace_back(*it);
+    }
+  }
+  return out;
+}
+
 bool CrashEvidence::OnSurvived(const std::string& aKey, TimePoint aSentAt, TimePoint aNow)
 {
   const auto [it, isNew] = mSurvived.try_emplace(aKey);
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(TestBlockEnds);
   CPPUNIT_TEST(TestTrialsOfSeveralKeys);
   CPPUNIT_TEST(TestSurvivedRunsAtOtherInstances);
+  CPPUNIT_TEST(TestEvidenceOutlivesAllInstances);
+  CPPUNIT_TEST(TestSurvivedRunLeavesTheRecord);
   CPPUNIT_TEST(TestMessages);
   CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +87,7 @@
   MemoryAsyncStore mStore;
   std::vector<std::string> mAddresses;
   std::vector<std::unique_ptr<Instance>> mInstances;
+  std::vector<std::unique_ptr<Instance>> mEnded;
 
   template<typename Condition>
   void Run(Condition aCondition)
@@ -158,6 +161,70 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
   }
 
+  /// Gives the stored evidence to all instances, as the first snapshot of their watches does.
+  void DistributeEvidence()
+  {
+    std::vector<KeyValue> records;
+    for (const auto& [key, it] : mStore.mItems) {
+      if (key.starts_with(kCrashEvidencePrefix)) {
+        records.push_back(it);
+      }
+    }
+    for (const auto& it : mInstances) {
+      it->mExchange.OnEvidenceRecords(records);
+    }
+  }
+
+  /// Ends all instances and starts others at new addresses.
+  void ReplaceAllInstances()
+  {
+    // The loop holds coroutines of the ended instances, so they are kept, but get nothing any more.
+    mEnded.insert(mEnded.end(),
+                  std::make_move_iterator(mInstances.begin()),
+                  std::make_move_iterator(mInstances.end()));
+    mInstances.clear();
+    mAddresses.clear();
+    for (int n = 0; n < kInstances; ++n) {
+      mInstances.push_back(std::make_unique<Instance>(*this));
+    }
+    DistributeEvidence();
+  }
+
+  /// Returns the most interruptions that any record states for the fingerprint; 0 without one.
+  int RecordedInterruptions() const
+  {
+    int out = 0;
+    for (const auto& [key, it] : mStore.mItems) {
+      if (!key.starts_with(kCrashEvidencePrefix)) {
+        continue;
+      }
+      const auto suspects = ParseSuspects(it.mValue, mClock.Now());
+      CPPUNIT_ASSERT(suspects);
+      for (const auto& [suspect, evidence] : suspects.value()) {
+        out = suspect == mFingerprint ? std::max(out, evidence.mInterruptions) : out;
+      }
+    }
+    return out;
+  }
+
+  /// Interrupts one run at an instance.
+  void InterruptRun(Instance& aInstance)
+  {
+    const auto sentAt = mClock.Now();
+    mClock.Advance(Millis(80));
+    aInstance.mExchange.OnInterrupted({ mFingerprint }, sentAt, "127.0.0.1:1");
+    RunBriefly();
+    mClock.Advance(Millis(100));
+  }
+
+  void AwaitRecordedInterruptions(int aCount)
+  {
+    Run([&] {
+      mClock.Advance(Millis(10));
+      return RecordedInterruptions() == aCount;
+    });
+  }
+
   /// Lets all instances try to take a trial at the same time. @return how many got it
   long TakeTrials(const std::vector<std::string>& aKeys)
   {
@@ -367,6 +434,40 @@
     CPPUNIT_ASSERT(Record() == nullptr);
   }
 
+  // All instances ended after each interruption, and the next ones counted from the start.
+  void TestEvidenceOutlivesAllInstances()
+  {
+    DistributeEvidence();
+    for (int n = 1; n < CrashEvidence::kInterruptionsToBlock; ++n) {
+      InterruptRun(*mInstances[static_cast<std::size_t>(n)]);
+      AwaitRecordedInterruptions(n);
+      ReplaceAllInstances();
+    }
+    CPPUNIT_ASSERT_EQUAL(0L, CountBlocking());
+    InterruptRun(*mInstances.front());
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return Record() != nullptr;
+    });
+    CPPUNIT_ASSERT(CountBlocking() > 0);
+  }
+
+  // A request that endpoints survive must not be held against it by those that start later.
+  void TestSurvivedRunLeavesTheRecord()
+  {
+    DistributeEvidence();
+    InterruptRun(*mInstances.front());
+    AwaitRecordedInterruptions(1);
+    for (const auto& it : mInstances) {
+      it->mExchange.OnSurvived(std::vector{ mFingerprint }, mClock.Now());
+    }
+    AwaitRecordedInterruptions(0);
+    const auto commits = mStore.mCommitCalls;
+    mClock.Advance(CrashEvidenceRecord::kRemovalDelay * 2);
+    RunBriefly();
+    CPPUNIT_ASSERT_EQUAL(commits, mStore.mCommitCalls); // nothing has changed
+  }
+
   // A datagram that is cut or was not sent by an instance must not be taken for a report.
   void TestMessages()
   {
@@ -380,6 +481,13 @@
       CPPUNIT_ASSERT(!DecodeCrashMessage(std::string_view(bytes).substr(0, n)));
     }
     CPPUNIT_ASSERT(!ParseBlockedRequestRecord("{}"));
+    for (const auto* it :
+         { "{}",
+           R"({"suspects":[{"key":"a","interruptions":-1,"first_ago_ms":1,"last_ago_ms":1}]})",
+           R"({"suspects":[{"key":1,"interruptions":1,"first_ago_ms":1,"last_ago_ms":1}]})",
+           R"({"suspects":[{"key":"a","interruptions":1,"first_ago_ms":1}]})" }) {
+      CPPUNIT_ASSERT(!ParseSuspects(it, mClock.Now()));
+    }
     // 1e300 instead of an age: its conversion to an integer is undefined.
     const std::string real("\x94\x08\xa1r\xcb\x7e\x37\xe4\x3c\x88\x00\x75\x9c\x01", 14);
     CPPUNIT_ASSERT(!DecodeCrashMessage(real));
--- a/tests/gateway/RecordedMessagesTest.cpp
+++ b/tests/gateway/RecordedMessagesTest.cpp
@@ -30,6 +30,7 @@
 
 constexpr std::uint64_t kHighBit = std::uint64_t{ 1 } << 63U;
 constexpr std::int64_t kStartedAt = 1'764'900'000'000;
+constexpr TimePoint kRecordsReadAt{ std::chrono::hours(1) };
 
 /// What the code does with a message.
 struct Codec
@@ -345,6 +346,25 @@
                   return it.mIsBlocked && it.mFirstInterruptionAgo == Millis(5'000) &&
                          it.mBlockTimeLeft == Millis(1'190'000) && it.mTrials == 2;
                 }) },
+    { "crash evidence",
+      R"({"block_time_left_ms":0,"blocked":false,"first_interruption_ago_ms":0,"suspects":)"
+      R"([{"first_ago_ms":5000,"interruptions":2,"key":"abc","last_ago_ms":900}]})",
+      MakeCodec([](std::string_view aText) { return ParseSuspects(aText, kRecordsReadAt); },
+                [](const Suspects& it) { return EncodeSuspects(it, kRecordsReadAt); },
+                [](const Suspects& it) {
+                  return it.size() == 1 && it.at(0).first == "abc" &&
+                         it.at(0).second.mInterruptions == 2 &&
+                         it.at(0).second.mFirstAt == kRecordsReadAt - Millis(5'000) &&
+                         it.at(0).second.mLastAt == kRecordsReadAt - Millis(900);
+                }) },
+    { "crash evidence, as builds before it read it",
+      R"({"block_time_left_ms":0,"blocked":false,"first_interruption_ago_ms":0,"suspects":)"
+      R"([{"first_ago_ms":5000,"interruptions":2,"key":"abc","last_ago_ms":900}]})",
+      { MakeCodec(ParseBlockedRequestRecord,
+                  kToText,
+                  [](const BlockedRequestRecord& it) { return !it.mIsBlocked; })
+          .mCheck,
+        [](std::string_view aText) { return std::string(aText); } } },
     { "budget shard",
       R"({"bills":{"req-1":[12,15,1764900000100]},"budgets":{"acme":{"closed":{"granted":900,)"
       R"("spent":800},"holders":{"run-1":{"given":30,"granted":5000,"received":{"run-2":40},)"
--- a/tests/routing/CrashEvidenceTest.cpp
+++ b/tests/routing/CrashEvidenceTest.cpp
@@ -13,6 +13,8 @@
   CPPUNIT_TEST(TestRuns);
   CPPUNIT_TEST(TestMemoryIsBounded);
   CPPUNIT_TEST(TestFrequentKeyIsRemembered);
+  CPPUNIT_TEST(TestTakeOver);
+  CPPUNIT_TEST(TestMostSuspicious);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ std::chrono::hours(1) };
@@ -121,6 +123,53 @@
     }
     CPPUNIT_ASSERT(!evidence.HasSurvivedSince("c0", kStart));
   }
+
+  // What a process knew is lost with it; what another one has seen since must not be replaced by
+  // it.
+  void TestTakeOver()
+  {
+    struct Row
+    {
+      std::string mName;
+      int mKnown;            ///< interruptions
+      int mTakenOver;        ///< interruptions, the last of them at kStart
+      int mSurvivedSentAtMs; ///< after kStart, of a run that an endpoint survived
+      int mExpected;         ///< interruptions
+    };
+    const Row rows[] = {
+      { "nothing known", 0, 2, -10, 2 }, { "less known", 1, 2, -10, 2 },
+      { "as much known", 2, 2, -10, 2 }, { "more known", 2, 1, -10, 2 },
+      { "survived since", 0, 2, 10, 0 },
+    };
+    for (const auto& row : rows) {
+      CrashEvidence evidence;
+      evidence.OnSurvived("key", kStart + Millis(row.mSurvivedSentAtMs), kStart);
+      for (int n = 0; n < row.mKnown; ++n) {
+        const auto sentAt = kStart + Millis(100 * (n + 1));
+        evidence.OnInterrupted("key", sentAt, sentAt + Millis(80));
+      }
+      const bool isMore = evidence.TakeOver("key", { row.mTakenOver, kStart, kStart });
+      const auto suspect = evidence.Find("key");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mExpected, suspect ? suspect->mInterruptions : 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, row.mExpected > row.mKnown, isMore);
+    }
+  }
+
+  // A record has room for some suspects only: those that are nearest to being blocked.
+  void TestMostSuspicious()
+  {
+    CrashEvidence evidence;
+    evidence.TakeOver("once", { 1, kStart, kStart + Millis(2) });
+    evidence.TakeOver("twice", { 2, kStart, kStart });
+    evidence.TakeOver("twice, later", { 2, kStart, kStart + Millis(1) });
+    evidence.TakeOver("unwanted", { 2, kStart, kStart + Millis(9) });
+    std::string names;
+    const auto isWanted = [](const std::string& aKey) { return aKey != "unwanted"; };
+    for (const auto& [key, it] : evidence.MostSuspicious(2, isWanted)) {
+      names += key + "; ";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("twice, later; twice; "), names);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashEvidenceTest);
