A connection to an endpoint carries each request id once

What callers saw: a caller that sent its request again with the same id was told "not run" for a request that had run, and it ran again with each repetition.

Cause: gave retries at an endpoint that was tried before a connection of their own, but knew only the attempts of one request exchange. A repetition by the caller, or a request that another instance hands over, took the pooled connection of the earlier attempt, and the endpoint's late second copy of the refusal was read as the response to it.

Change: a pooled connection remembers the ids that it has carried, and carries none of them again. A retry takes another idle connection, and opens one only if there is none. The daemon opens a connection for each call, so it has no such case.

--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -38,7 +38,6 @@
   StreamKey mStream = 0;                  ///< of the stream that the request begins or resumes
   std::span<const std::string> mPartKeys; ///< of the shared parts of its prompt, for the guard
   TimePoint mDeadline{};                  ///< the earlier of the caller's and the route's deadlines
-  std::span<const std::string> mTriedEndpoints; ///< ids, one for each earlier attempt
 };
 
 /// How an endpoint's response was framed and where and when it ended, for the log.
@@ -97,8 +96,6 @@
 private:
   void OnContactLost() override;
   net::Task<bool> OpenConnection();
-  /// Takes an idle connection that may carry the request; null if there is none.
-  net::Channel::Ptr TakeIdleConnection();
   net::Task<void> ReceiveResponse();
   void SendRequest();
   net::RequestHead MakeForwardedRequestHead() const;
@@ -163,7 +160,7 @@
   EndpointLoad::RequestHandle mLoadHandle;
   std::optional<TimePoint> mPermitUntil; ///< end of the permit of an endpoint that needs one
   bool mIsTrial; ///< the first request after a pause that the endpoint asked for
-  net::Channel::Ptr mChannel;
+  EndpointConnection mConnection;
   std::size_t mBytesSentBefore = 0; ///< bytes that earlier requests sent on the connection
   bool mIsRequestSent = false;
   bool mIsContactLost = false; ///< see EndpointContact::Listener
--- a/src/relay/ConnectionPool.cpp
+++ b/src/relay/ConnectionPool.cpp
@@ -1,7 +1,31 @@
 #include "gentianloom/relay/ConnectionPool.h"
 
+#include "gentianloom/base/Ids.h"
+
+#include <algorithm>
+
 namespace gentianloom {
 
+namespace {
+
+std::uint32_t HashOf(std::string_view aRequestId)
+{
+  return static_cast<std::uint32_t>(StableHash(aRequestId));
+}
+
+} // namespace
+
+void EndpointConnection::OnRequest(std::string_view aRequestId)
+{
+  mRequests.push_back(HashOf(aRequestId));
+}
+
+bool EndpointConnection::MayCarry(std::string_view aRequestId) const
+{
+  const auto hash = HashOf(aRequestId);
+  return MayBeReused() && std::find(mRequests.begin(), mRequests.end(), hash) == mRequests.end();
+}
+
 ConnectionPool::~ConnectionPool()
 {
   while (!mIdle.empty()) {
@@ -11,41 +35,46 @@
 
 bool ConnectionPool::IsReusable(const IdleConnection& aConnection) const
 {
-  return aConnection.mChannel->IsUsable() && aConnection.mChannel->Received().empty() &&
-         mClock.Now() < aConnection.mExpiresAt;
+  const auto& channel = *aConnection.mConnection;
+  return channel.IsUsable() && channel.Received().empty() && mClock.Now() < aConnection.mExpiresAt;
 }
 
-net::Channel::Ptr ConnectionPool::Take(const std::string& aEndpoint, Millis aMaxIdleTime)
+EndpointConnection ConnectionPool::Take(const std::string& aEndpoint,
+                                        std::string_view aRequestId,
+                                        Millis aMaxIdleTime)
 {
   const auto entry = mIdle.find(aEndpoint);
   if (entry == mIdle.end()) {
-    return nullptr;
+    return {};
   }
+  // Connections are appended on return, so the last one was used most recently.
   auto& connections = entry->second;
-  while (!connections.empty()) {
-    // Connections are appended on return, so the last one was used most recently. If it has been
-    // idle for too long, so have all others.
-    if (IsReusable(connections.back()) &&
-        mClock.Now() - connections.back().mIdleSince > aMaxIdleTime) {
-      return nullptr;
+  for (auto n = connections.size(); n > 0; --n) {
+    const auto it = connections.begin() + static_cast<std::ptrdiff_t>(n - 1);
+    if (!IsReusable(*it)) {
+      it->mConnection->Close();
+      connections.erase(it);
+      continue;
+    }
+    if (mClock.Now() - it->mIdleSince > aMaxIdleTime) {
+      break; // so have been all others
     }
-    auto connection = std::move(connections.back());
-    connections.pop_back();
-    if (IsReusable(connection)) {
-      return connection.mChannel;
+    if (it->mConnection.MayCarry(aRequestId)) {
+      auto out = std::move(it->mConnection);
+      connections.erase(it);
+      return out;
     }
-    connection.mChannel->Close();
   }
-  return nullptr;
+  return {};
 }
 
 void ConnectionPool::Put(const std::string& aEndpoint,
-                         net::Channel::Ptr aChannel,
+                         EndpointConnection aConnection,
                          Millis aMaxIdleTime)
 {
-  aChannel->SetListener(nullptr);
+  aConnection->SetListener(nullptr);
   const auto now = mClock.Now();
-  mIdle[aEndpoint].push_back({ std::move(aChannel), now, now + aMaxIdleTime });
+  mIdle[aEndpoint].push_back({ std::move(aConnection), now, now + aMaxIdleTime });
 }
 
 void ConnectionPool::CloseIdle(const std::string& aEndpoint)
@@ -55,7 +84,7 @@
     return;
   }
   for (const auto& it : entry->second) {
-    it.mChannel->Close();
+    it.mConnection->Close();
   }
   mIdle.erase(entry);
 }
@@ -67,7 +96,7 @@
       if (IsReusable(aConnection)) {
         return false;
       }
-      aConnection.mChannel->Close();
+      aConnection.mConnection->Close();
       return true;
     });
     it = it->second.empty() ? mIdle.erase(it) : std::next(it);
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -112,24 +112,13 @@
   co_return mResult.value_or(AttemptResult{});
 }
 
-net::Channel::Ptr EndpointAttempt::TakeIdleConnection()
-{
-  const auto& id = mEndpoint->mEntry.mId;
-  const auto& tried = mRequest.mTriedEndpoints;
-  if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
-    // All attempts of a request have the same id. On a connection that carried an earlier one, a
-    // late second copy of its refusal could not be told from the response to this attempt.
-    return nullptr;
-  }
-  return mContext.mConnections.Take(id, IsAtMostOnce() ? kMaxIdleAtMostOnce : kMaxIdle);
-}
-
 net::Task<bool> EndpointAttempt::OpenConnection()
 {
   const auto& entry = mEndpoint->mEntry;
-  mChannel = TakeIdleConnection();
-  if (mChannel) {
-    mChannel->SetListener(mSignal);
+  mConnection = mContext.mConnections.Take(
+    entry.mId, mRequest.mCallerRequest.mId, IsAtMostOnce() ? kMaxIdleAtMostOnce : kMaxIdle);
+  if (mConnection) {
+    mConnection->SetListener(mSignal);
     co_return true;
   }
   const auto address = net::ParseSocketAddress(entry.mAddress);
@@ -137,12 +126,12 @@
     Finish(AttemptOutcome::NotReached, true, address.error().mText);
     co_return false;
   }
-  mChannel = mContext.mConnections.Connect(address.value());
-  mChannel->SetListener(mSignal);
+  mConnection = mContext.mConnections.Connect(address.value());
+  mConnection->SetListener(mSignal);
   mContext.mMetrics.CounterOf("gentianloom_endpoint_connections_total").Add();
   const auto timeout = IsAtPeer() ? kPeerConnectTimeout : kConnectTimeout;
   const auto deadline = mContext.mClock.Now() + std::min<Micros>(timeout, TimeLeft());
-  while (mChannel->State() == net::ChannelState::Connecting) {
+  while (mConnection->State() == net::ChannelState::Connecting) {
     const auto left = deadline - mContext.mClock.Now();
     if (mWriter.IsCallerDisconnected()) {
       Finish(AttemptOutcome::CallerDisconnected,
@@ -157,7 +146,7 @@
     }
     co_await mSignal->WaitFor(left);
   }
-  if (!mChannel->IsUsable()) {
+  if (!mConnection->IsUsable()) {
     ReportNotConnected();
     Finish(AttemptOutcome::NotReached, true, "the endpoint refused the connection");
     co_return false;
@@ -207,8 +196,9 @@
     size = mRequest.mBody.size();
   }
   auto text = net::SerializeRequestHead(head, size) + mRequest.mBody;
-  mBytesSentBefore = mChannel->Sent();
-  mChannel->Send(std::move(text));
+  mBytesSentBefore = mConnection->Sent();
+  mConnection.OnRequest(mRequest.mCallerRequest.mId);
+  mConnection->Send(std::move(text));
   mIsRequestSent = true;
   mRequestSentAt = mContext.mClock.Now();
   if (mContact != nullptr) {
@@ -248,12 +238,12 @@
 bool EndpointAttempt::ProcessReceived()
 {
   const auto stateBefore = mParser.State();
-  const auto consumed = mParser.Put(mChannel->Received(), mUnforwardedBody);
-  mChannel->Consume(consumed);
+  const auto consumed = mParser.Put(mConnection->Received(), mUnforwardedBody);
+  mConnection->Consume(consumed);
   if (consumed > 0 && mContact != nullptr) {
     mContact->OnBytesReceived();
   }
-  if (consumed == 0 && mChannel->State() == net::ChannelState::PeerClosed) {
+  if (consumed == 0 && mConnection->State() == net::ChannelState::PeerClosed) {
     mParser.PutEof();
   }
   const auto state = mParser.State();
@@ -280,9 +270,9 @@
            mIsHeadReceived ? "the response is incomplete" : "no valid HTTP response");
     return true;
   }
-  if (consumed == 0 && mChannel->State() == net::ChannelState::Closed) {
+  if (consumed == 0 && mConnection->State() == net::ChannelState::Closed) {
     // The endpoint may have closed a reused connection before any byte of the request was sent.
-    const bool isNothingSent = mChannel->Sent() == mBytesSentBefore;
+    const bool isNothingSent = mConnection->Sent() == mBytesSentBefore;
     Finish(isNothingSent ? AttemptOutcome::NotReached : AttemptOutcome::Interrupted,
            isNothingSent,
            "the endpoint connection failed");
@@ -485,7 +475,7 @@
 {
   ResponseEnd end;
   end.mFraming = mParser.BodyFraming();
-  end.mConnection = mChannel ? mChannel->State() : net::ChannelState::Closed;
+  end.mConnection = mConnection ? mConnection->State() : net::ChannelState::Closed;
   end.mPartialEventBytes = mSplitter.Incomplete().size();
   const auto now = mContext.mClock.Now();
   if (mIsRequestSent) {
@@ -508,24 +498,24 @@
 
 void EndpointAttempt::ReleaseConnection()
 {
-  if (!mChannel) {
+  if (!mConnection) {
     return;
   }
-  mChannel->SetListener(nullptr);
+  mConnection->SetListener(nullptr);
   const bool isInterrupted = mResult && mResult->mOutcome == AttemptOutcome::Interrupted;
   const bool isResponseRead =
-    !isInterrupted && mParser.State() == net::ParseState::Done && mChannel->Received().empty();
-  const bool isRequestSent = mIsRequestSent && mChannel->Unsent() == 0;
-  if (isResponseRead && isRequestSent && mChannel->IsUsable() && mParser.Head().mKeepAlive) {
+    !isInterrupted && mParser.State() == net::ParseState::Done && mConnection->Received().empty();
+  const bool isRequestSent = mIsRequestSent && mConnection->Unsent() == 0;
+  const bool isReusable = mConnection->IsUsable() && mConnection.MayBeReused();
+  if (isResponseRead && isRequestSent && isReusable && mParser.Head().mKeepAlive) {
     const auto maxIdle = mResponse.mIdleTimeout ? *mResponse.mIdleTimeout - kIdleMargin : kMaxIdle;
     if (maxIdle > Millis(0)) {
-      mContext.mConnections.Put(mEndpoint->mEntry.mId, mChannel, std::min(maxIdle, kMaxIdle));
-      mChannel = nullptr;
+      mContext.mConnections.Put(
+        mEndpoint->mEntry.mId, std::move(mConnection), std::min(maxIdle, kMaxIdle));
       return;
     }
   }
-  mChannel->Reset();
-  mChannel = nullptr;
+  mConnection->Reset();
 }
 
 } // namespace gentianloom
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -422,8 +422,7 @@
                                 mAccount == nullptr ? std::string() : mAccount->mName,
                                 Stream(),
                                 PartKeys(),
-                                mDeadline,
-                                mTriedEndpoints };
+                                mDeadline };
   EndpointAttempt attempt(mContext, request, mPlacement, mWriter, mProgress, mSignal);
   mLastAttempt = co_await attempt.Run();
   mRequestMayHaveRun = mRequestMayHaveRun || !mLastAttempt.mRequestDidNotRun;
--- a/tests/platform/misdirected_response_test.py
+++ b/tests/platform/misdirected_response_test.py
@@ -105,6 +105,19 @@
                 refused += 1
         self.assertGreater(refused, 0)
 
+    # The same, where the caller itself sends its request again: that went over the connection of the first one.
+    def test_second_copy_of_a_refusal_is_not_that_of_the_callers_own_retry(self):
+        for path in ("/send/x", "/chat/x"):
+            with self.subTest(path):
+                platform = Platform({"w1": "v1"})
+                self.addCleanup(platform.close)
+                env = Environment(platform=platform)
+                self.addCleanup(env.close)
+                env.configure_workers(mode="refuses-again", refusal_status=503, echoes_id=True)
+                statuses = [env.call(path, "again").status for _ in range(6)]
+                self.assertEqual([503] * 6, statuses)  # the first request of each connection is refused
+                self.assertEqual([], env.executed_requests())
+
 
 if __name__ == "__main__":
     unittest.main()
