An error of the next endpoint is no part of a stream that has begun

Cause: once a stream had begun, a resumed attempt was checked for the request's id, the signature and success only. Any other success status, any media type and events without an id were joined to the stream; 204 ended it as complete. An error status with a body that did not end was read until the deadline. A stream that its caller took up again was forwarded from its start where the endpoint ignored the position.

Change: the head of a resumed attempt must have the status and media type that the caller got, else the attempt ends at once. A continuation must begin with an event that has an id, comments aside. The position that a caller states counts like one that was reached here, so earlier events are dropped. The daemon puts an event with the outcome at the end of a stream that failed, as its interface says, and resumes at the same endpoint only; nothing was changed there.

--- a/include/gentianloom/net/HttpHead.h
+++ b/include/gentianloom/net/HttpHead.h
@@ -75,6 +75,10 @@
 /// @brief Whether two texts are equal except for the case of ASCII letters.
 bool EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight);
 
+/// @brief Returns the media type of a Content-Type header, without its parameters; empty if there
+/// is none.
+std::string_view MediaType(const HeaderList& aHeaders);
+
 /// @brief Parses a decimal integer.
 /// @return the integer, or nothing if the text is empty, contains anything else or is out of range
 std::optional<std::int64_t> ParseNumber(std::string_view aText);
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -18,9 +18,11 @@
 /// Progress of a streamed response across all attempts of its request.
 struct StreamProgress
 {
-  std::int64_t mEventCount = 0;             ///< events forwarded to the caller
-  std::optional<std::int64_t> mLastEventId; ///< id of the last forwarded event that had one
-  TimePoint mFirstEventAt{};                ///< when the first event was forwarded
+  std::int64_t mEventCount = 0; ///< events forwarded to the caller
+  /// Id of the last event that the caller has, here or from the response that it resumes.
+  std::optional<std::int64_t> mLastEventId;
+  std::string mContentType;  ///< of the head that was forwarded; empty if it had none
+  TimePoint mFirstEventAt{}; ///< when the first event was forwarded
   /// What began the stream; set before any event is forwarded. Later attempts must have it as well.
   std::optional<StreamOrigin> mOrigin;
 };
@@ -123,6 +125,10 @@
   bool AcceptsRequest() const;
   /// Counts a Retry-After: "asked" for a pause, or "invalid".
   void CountPause(std::string_view aKind) const;
+  /// Whether a response continues the stream of which the caller has the head already.
+  bool ContinuesStream() const;
+  /// Whether an event may follow those that the caller has.
+  bool BelongsToStream(const ServerSentEvent& aEvent) const;
   /// Whether the status promises the caller that the request did not run, which the endpoint did
   /// not state.
   bool IsUnprovedRefusal() const;
@@ -133,6 +139,8 @@
   /// Whether a stream ended where its endpoint cannot have ended it on purpose.
   bool IsStreamTruncated() const;
   void ForwardEvents();
+  /// Forwards the head of a stream.
+  void StartStream();
   std::int64_t MaxEvents() const;
   void Finish(AttemptOutcome aOutcome, bool aRequestDidNotRun, std::string aReason);
   void ReleaseConnection();
@@ -171,6 +179,8 @@
   std::string mUnforwardedBody; ///< part of the response body that was not forwarded yet
   EventSplitter mSplitter;
   bool mHasForwardedEvent = false;
+  bool mIsContinuation;     ///< the caller has events of the stream from before this attempt
+  bool mHasEventId = false; ///< an event of this attempt had one
   std::int64_t mReceivedEvents = 0;
   std::optional<TimePoint> mFirstEventAt; ///< when this attempt received its first event
   bool mHasReportedSurvival = false;
--- a/include/gentianloom/relay/EventSplitter.h
+++ b/include/gentianloom/relay/EventSplitter.h
@@ -14,6 +14,7 @@
 {
   std::string mBytes;              ///< as received, including the blank line at the end
   std::optional<std::int64_t> mId; ///< unset if the event has no numeric id
+  bool mIsComment = false;         ///< has comments and blank lines only
 };
 
 /**
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -79,6 +79,12 @@
     });
 }
 
+std::string_view MediaType(const HeaderList& aHeaders)
+{
+  const auto value = aHeaders.Find("Content-Type").value_or(std::string_view());
+  return value.substr(0, value.find_first_of("; \t"));
+}
+
 std::optional<std::int64_t> ParseNumber(std::string_view aText)
 {
   std::int64_t n = 0;
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -66,6 +66,7 @@
   , mPermitUntil(aPlacement.mPermitUntil)
   , mIsTrial(mEndpoint->mHold.OnSent())
   , mParser(aRequest.mHead.mMethod == "HEAD")
+  , mIsContinuation(aProgress.mLastEventId.has_value())
 {
 }
 
@@ -183,8 +184,7 @@
   info.mEndpoint = mEndpoint->mEntry.mId;
   info.mTimeLeft = timeLeft;
   info.mOrganisation = mRequest.mOrganisation;
-  info.mResumeAfter =
-    mProgress.mLastEventId ? mProgress.mLastEventId : mRequest.mCallerRequest.mResumeAfter;
+  info.mResumeAfter = mProgress.mLastEventId;
   return mContext.mCodec.Encode(mRequest.mHead, info);
 }
 
@@ -318,9 +318,23 @@
   }
   if (net::IsSuccess(status) && !mResponse.mHasSignature) {
     Finish(AttemptOutcome::Interrupted, false, "success status without the endpoint's signature");
+    return;
+  }
+  if (mWriter.State() != ResponseState::NotStarted && !ContinuesStream()) {
+    // Its body must not reach the caller, and there is no reason to wait for its end.
+    Finish(AttemptOutcome::Interrupted,
+           false,
+           "the request to resume the stream failed with status " + std::to_string(status));
   }
 }
 
+bool EndpointAttempt::ContinuesStream() const
+{
+  const auto type = net::MediaType(mParser.Head().mHeaders);
+  return mParser.Head().mStatus == mWriter.Status() &&
+         (type.empty() || net::EqualsIgnoreCase(type, mProgress.mContentType));
+}
+
 void EndpointAttempt::OnPeerResponseHead()
 {
   if (mResponse.mRequestId != ResponseRequestId::Same) {
@@ -406,6 +420,19 @@
   return tokens ? *tokens + kMaxExtraEvents : std::numeric_limits<std::int64_t>::max();
 }
 
+bool EndpointAttempt::BelongsToStream(const ServerSentEvent& aEvent) const
+{
+  // Without an id, nothing shows that an event follows those before: it may be the text of an
+  // error.
+  return !mIsContinuation || mHasEventId || aEvent.mId || aEvent.mIsComment;
+}
+
+void EndpointAttempt::StartStream()
+{
+  mProgress.mContentType = net::MediaType(mParser.Head().mHeaders);
+  mWriter.StartStream(MakeForwardedResponseHead());
+}
+
 void EndpointAttempt::ForwardEvents()
 {
   const auto events = mSplitter.Append(mUnforwardedBody);
@@ -417,6 +444,11 @@
   std::string chunk;
   for (const auto& event : events) {
     ++mReceivedEvents;
+    if (!BelongsToStream(event)) {
+      Finish(AttemptOutcome::Interrupted, false, "the resumed stream begins without an event id");
+      break;
+    }
+    mHasEventId = mHasEventId || event.mId.has_value();
     const bool isAlreadyForwarded =
       event.mId && mProgress.mLastEventId && *event.mId <= *mProgress.mLastEventId;
     if (isAlreadyForwarded) {
@@ -432,7 +464,7 @@
   RecordOrigin();
   if (mWriter.State() == ResponseState::NotStarted) {
     mProgress.mFirstEventAt = mContext.mClock.Now();
-    mWriter.StartStream(MakeForwardedResponseHead());
+    StartStream();
   }
   OnFirstEvent();
   mHasForwardedEvent = true;
@@ -456,17 +488,12 @@
       return;
     }
     if (mWriter.State() == ResponseState::NotStarted) {
-      mWriter.StartStream(MakeForwardedResponseHead());
+      StartStream();
     }
     mWriter.SendChunk(mSplitter.Incomplete());
     mWriter.EndStream();
-  } else if (mWriter.State() == ResponseState::NotStarted) {
-    mWriter.SendComplete(MakeForwardedResponseHead(), mUnforwardedBody);
   } else {
-    Finish(AttemptOutcome::Interrupted,
-           false,
-           "the request to resume the stream failed with status " + std::to_string(status));
-    return;
+    mWriter.SendComplete(MakeForwardedResponseHead(), mUnforwardedBody);
   }
   Finish(AttemptOutcome::Done, false, "");
 }
--- a/src/relay/EventSplitter.cpp
+++ b/src/relay/EventSplitter.cpp
@@ -38,22 +38,26 @@
   return lf < crlf ? lf + 2 : crlf + 4;
 }
 
-} // namespace
-
-bool EventSplitter::EndsInsideEvent() const
+bool HasOnlyComments(std::string_view aText)
 {
   constexpr std::string_view kLineEnds = "\r\n";
-  std::string_view rest = mIncomplete;
-  while (!rest.empty()) {
-    const auto end = rest.find_first_of(kLineEnds);
-    const auto line = rest.substr(0, end);
+  while (!aText.empty()) {
+    const auto end = aText.find_first_of(kLineEnds);
+    const auto line = aText.substr(0, end);
     const bool isComment = line.starts_with(':');
     if (!line.empty() && !isComment) {
-      return true;
+      return false;
     }
-    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    aText = end == std::string_view::npos ? std::string_view() : aText.substr(end + 1);
   }
-  return false;
+  return true;
+}
+
+} // namespace
+
+bool EventSplitter::EndsInsideEvent() const
+{
+  return !HasOnlyComments(mIncomplete);
 }
 
 std::vector<ServerSentEvent> EventSplitter::Append(std::string_view aBytes)
@@ -68,7 +72,7 @@
       break;
     }
     const auto event = rest.substr(0, end);
-    out.push_back({ std::string(event), ParseEventId(event) });
+    out.push_back({ std::string(event), ParseEventId(event), HasOnlyComments(event) });
     consumed += end;
   }
   mIncomplete.erase(0, consumed);
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -190,6 +190,7 @@
   if (mRoute->mKind != RouteKind::Streaming || !isResume) {
     co_return true;
   }
+  mProgress.mLastEventId = mRequest.mResumeAfter;
   if (!mRequest.mResumedRequest.empty() && mContext.mStreamOrigins != nullptr) {
     mProgress.mOrigin = co_await mContext.mStreamOrigins->Find(Stream());
   }
--- a/tests/platform/interrupted_response_test.py
+++ b/tests/platform/interrupted_response_test.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
 """Responses that an endpoint breaks off, in every framing and at every place, by a raw endpoint."""
+import time
 import unittest
 
 from gateway_environment import Environment
@@ -12,6 +13,13 @@
 PART = "id: 3\nda"
 LAST_CHUNK = "0\r\n\r\n"
 
+ECHOED = "X-Attempt-Id: {attempt}\r\n"
+SIGNATURE = "X-Server-Signature: s\r\n"
+STREAM_TYPE = "Content-Type: text/event-stream\r\n"
+ERROR_TEXT = "id: 3\ndata: error\n\nInternal error\n\n"  # reads like events
+# Callers hear of it well before the 4 s of their route have passed.
+MAX_SECONDS = 2
+
 
 def chunk(text):
     return f"{len(text):x}\r\n{text}\r\n"
@@ -103,6 +111,65 @@
                 self.assertEqual([b"id: %d" % it for it in range(1, 6)],
                                  [it for it in response.body.split(b"\n") if it.startswith(b"id")])
 
+    # The error text of the next endpoint, or its whole head, stood in the caller's stream, or the stream ended
+    # as if it were complete.
+    def test_error_after_a_stream_has_begun_is_not_part_of_it(self):
+        def respond(status, fields=ECHOED + SIGNATURE + STREAM_TYPE, text=ERROR_TEXT, version="1.1"):
+            return (f"HTTP/{version} {status} X\r\n{fields}Content-Length: {len(text)}\r\n\r\n{text}",
+                    "close")
+
+        chunked_error = ("HTTP/1.1 500 X\r\n" + ECHOED + "Transfer-Encoding: chunked\r\n\r\n"
+                         + chunk(ERROR_TEXT) + LAST_CHUNK)
+        rows = [(f"status {it}", *respond(it)) for it in (400, 404, 408, 421, 429, 500, 502, 503, 504)]
+        rows += [(f"status {it}, not signed", *respond(it, ECHOED)) for it in (200, 500, 503)]
+        rows += [
+            ("refused", *respond(503, ECHOED + "X-Not-Executed: 1\r\n")),
+            ("HTTP/1.0", *respond(500, version="1.0")),
+            ("of another request", *respond(200, "X-Attempt-Id: other\r\n" + SIGNATURE)),
+            ("without id", *respond(200, SIGNATURE)),
+            ("interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + respond(500)[0], "close"),
+            ("chunked", chunked_error, "close"),
+            ("until close", "HTTP/1.1 500 X\r\n" + ECHOED + "\r\n" + ERROR_TEXT, "close"),
+            ("until reset", "HTTP/1.1 500 X\r\n" + ECHOED + "\r\n" + ERROR_TEXT, "reset"),
+            ("does not end", "HTTP/1.1 500 X\r\n" + ECHOED + "\r\n" + ERROR_TEXT, "hold"),
+            ("no content", "HTTP/1.1 204 X\r\n" + ECHOED + SIGNATURE + "\r\n", "close"),
+            ("another success", *respond(206)),
+            ("another type", *respond(200, ECHOED + SIGNATURE + "Content-Type: text/html\r\n")),
+            ("no response", ERROR_TEXT, "close"),
+            ("a second head", UNTIL_CLOSE + respond(500)[0] + "\n\n", "close"),
+        ]
+        for n, (name, raw, end) in enumerate(rows):
+            with self.subTest(name):
+                env = Environment()
+                self.addCleanup(env.close)
+                env.call("/resume/x", "first")
+                # The next request has the same prompt, so it is placed on the same endpoint.
+                first, second = ("w1", "w2") if env.send_command()["executed"]["w1"] else ("w2", "w1")
+                env.send_command(worker=first, set={
+                    "mode": "raw", "raw": UNTIL_CLOSE + EVENTS + PART, "raw_end": "reset"})
+                env.send_command(worker=second, set={"mode": "raw", "raw": raw, "raw_end": end})
+                start = time.monotonic()
+                response = env.call("/resume/x", f"error{n}", {"X-Deadline-Ms": "8000"})
+                self.assertLess(time.monotonic() - start, MAX_SECONDS)
+                self.assertEqual((200, False), (response.status, response.is_complete))
+                self.assertEqual(EVENTS.encode(), response.body)
+                self.assertEqual(1, len(env.send_command()["executed"][second]))
+
+    # An endpoint that begins the stream anew, or answers with an error, when a caller takes up its stream again.
+    def test_stream_that_a_caller_takes_up_again_goes_on_where_it_was(self):
+        anew = UNTIL_CLOSE + EVENTS + "id: 3\ndata: c\n\n"
+        rows = [("begins anew", anew, b"id: 3\ndata: c\n\n", 200),
+                ("an error in a signed stream", UNTIL_CLOSE + "Internal error\n\n", None, 502)]
+        for name, raw, body, status in rows:
+            with self.subTest(name):
+                env = Environment()
+                self.addCleanup(env.close)
+                env.configure_workers(mode="raw", raw=raw, raw_end="close")
+                response = env.call("/resume/x", "again", {"Last-Event-Id": "2"})
+                self.assertEqual((status, True), (response.status, response.is_complete))
+                if body is not None:
+                    self.assertEqual(body, response.body)
+
     def test_stream_without_event_ids_is_not_resumed(self):
         # Without a position, the endpoint would begin anew, and pieces would come twice.
         self.env.call("/resume/x", "first")
