Requests that could be cut at the end of the grace are refused; those that run then are answered

What callers saw (a report of other operators): in a planned stop of one instance, requests that came late were taken and passed on, and cut with no answer at the end of the grace, among them requests that may not be repeated.

Cause: whether a request was accepted depended on the time since SIGTERM alone, not on how long it may run. At the end the process exited with its requests still open, and their connections were closed.

Evidence: process-planned-stop; on requests that may not be repeated, with 8 s in a grace of 4 s, were taken 0.3 s after SIGTERM on kept and on new connections (four rows), and all four kinds of running requests lost their connection without an answer.

Change: while an instance shuts down, a request that may not be repeated is refused with 503 and Retry-After 0 if its time limit is later than the end of service. Then, 1 s before the end of the grace, requests that still run end: 502 without a byte, which promises nothing; a stream that has begun is broken off. These ends count against no endpoint.

--- a/include/gentianloom/gateway/CallerServer.h
+++ b/include/gentianloom/gateway/CallerServer.h
@@ -45,6 +45,9 @@
   /// @brief Whether a part of a response is queued that the system has not taken yet.
   bool HasUnsentBytes() const;
 
+  /// @brief Makes all requests look at RelayContext::mServesUntil.
+  void NotifyRequests();
+
 private:
   static constexpr std::size_t kMinPruneSize = 16;
 
--- a/include/gentianloom/net/Channel.h
+++ b/include/gentianloom/net/Channel.h
@@ -62,6 +62,9 @@
   /// @brief Sets the signal to notify on changes, or null for none.
   void SetListener(std::shared_ptr<Signal> aListener) { mListener = std::move(aListener); }
 
+  /// @brief Notifies that signal, also of a change outside the channel.
+  void NotifyListener();
+
   ChannelState State() const { return mState; }
   bool IsUsable() const { return mState == ChannelState::Open; }
 
@@ -119,7 +122,6 @@
   /// States how much is held to the account.
   void UpdateShare();
   void OnShed(ShedReason aReason);
-  void NotifyListener();
   void CloseSocket();
 
   Loop& mLoop;
--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -103,6 +103,8 @@
   net::RequestHead MakeForwardedRequestHead() const;
   /// Tells the service's contact that the endpoint accepted no connection.
   void ReportNotConnected();
+  /// Ends the attempt because there is no time left for it.
+  void FinishLate();
   /// @return true if bytes were consumed, the parser state changed or the attempt ended; false if
   ///         there is nothing to do until the next notification
   bool ProcessReceived();
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -23,6 +23,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace gentianloom {
@@ -54,7 +55,9 @@
   /// Called when the prompt tokens pending at an endpoint change, that is, when a request of a
   /// streaming route is sent, receives its first event or ends.
   std::function<void()> mOnPendingTokensChanged{};
-  bool mIsLeaving = false;          ///< responses ask callers to close their connections
+  bool mIsLeaving = false; ///< responses ask callers to close their connections
+  /// When requests that still run are ended; set once this instance shuts down.
+  std::optional<TimePoint> mServesUntil{};
   bool mRejectsNewRequests = false; ///< the process ends too soon to complete new requests
   int mOpenRequests = 0;
   int mOpenPeerRequests = 0;      ///< of these, those that other instances sent
--- a/include/gentianloom/relay/RequestExchange.h
+++ b/include/gentianloom/relay/RequestExchange.h
@@ -92,7 +92,10 @@
   void ReportToGuard();
   void LogFailedAttempt(bool aWillRetry) const;
   void Log() const;
-  Micros TimeLeft() const { return mDeadline - mContext.mClock.Now(); }
+  /// Time until the deadline, or until this instance ends the requests that still run.
+  Micros TimeLeft() const;
+  /// Rejects the request because this instance shuts down.
+  void RejectLeaving();
 
   RelayContext& mContext;
   std::shared_ptr<net::Signal> mSignal;
--- a/include/gentianloom/routing/AttemptObserver.h
+++ b/include/gentianloom/routing/AttemptObserver.h
@@ -15,7 +15,8 @@
   NotReached,  ///< no byte of the request reached the endpoint
   Interrupted, ///< the connection ended before the answer was complete, or the answer was invalid
   TimedOut,    ///< the endpoint stopped sending or the deadline passed
-  CallerDisconnected ///< the caller closed its connection
+  CallerDisconnected, ///< the caller closed its connection
+  InstanceEnded       ///< this instance shut down before the answer was complete
 };
 
 /// One attempt, as the relay observed it.
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -45,6 +45,15 @@
   });
 }
 
+void CallerServer::NotifyRequests()
+{
+  for (const auto& it : mChannels) {
+    if (const auto channel = it.lock()) {
+      channel->NotifyListener();
+    }
+  }
+}
+
 CallerLimits CallerServer::Limits() const
 {
   return mRelay.mRoutes ? mRelay.mRoutes->Limits() : CallerLimits{};
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -45,6 +45,8 @@
 constexpr double kAcceptingShare = 0.35;
 /// Time reserved at the end of the termination grace period to return budget rights.
 constexpr Millis kRightsReturnTime{ 1'000 };
+/// Time for the last responses to reach the operating system.
+constexpr Millis kLastResponsesTime{ 200 };
 constexpr Millis kShutdownPollInterval{ 50 };
 
 /// Returns the boot ID of the operating system; empty if it cannot be read.
@@ -441,6 +443,7 @@
             "shutting down",
             { { "open_requests", std::to_string(mRelay.mOpenRequests) } });
   const auto serveUntil = shutdownStart + mSettings.mTerminationGracePeriod - kRightsReturnTime;
+  mRelay.mServesUntil = serveUntil;
   const auto maxAcceptingTime =
     std::chrono::duration_cast<Micros>(mSettings.mTerminationGracePeriod * kAcceptingShare);
   const auto acceptUntil =
@@ -452,6 +455,11 @@
   while (mClock.Now() < serveUntil && HasOpenWork()) {
     co_await net::Signal::Sleep(mLoop, kShutdownPollInterval);
   }
+  mPeerServer.NotifyRequests();
+  mCallerServer.NotifyRequests();
+  while (mClock.Now() < serveUntil + kLastResponsesTime && HasOpenWork()) {
+    co_await net::Signal::Sleep(mLoop, kShutdownPollInterval);
+  }
   mBudgetExchange.SettleRemoteReservations();
   co_await mRights.Close(mClock.Now() + kRightsReturnTime / 2);
   co_await mRegistration.Revoke();
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -86,7 +86,9 @@
 
 Micros EndpointAttempt::TimeLeft() const
 {
-  return mRequest.mDeadline + kDeadlineGrace - mContext.mClock.Now();
+  const auto deadline = mRequest.mDeadline + kDeadlineGrace;
+  const auto end = mContext.mServesUntil ? std::min(deadline, *mContext.mServesUntil) : deadline;
+  return end - mContext.mClock.Now();
 }
 
 void EndpointAttempt::OnFirstEvent()
@@ -228,13 +230,23 @@
     }
     const auto left = TimeLeft();
     if (left <= Micros(0)) {
-      Finish(AttemptOutcome::TimedOut, false, "no complete response before the deadline");
+      FinishLate();
       break;
     }
     co_await mSignal->WaitFor(left);
   }
 }
 
+void EndpointAttempt::FinishLate()
+{
+  const auto& end = mContext.mServesUntil;
+  if (end && *end <= mContext.mClock.Now()) {
+    Finish(AttemptOutcome::InstanceEnded, false, "this instance has shut down");
+  } else {
+    Finish(AttemptOutcome::TimedOut, false, "no complete response before the deadline");
+  }
+}
+
 bool EndpointAttempt::ProcessReceived()
 {
   const auto stateBefore = mParser.State();
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -122,13 +122,7 @@
     return false;
   }
   if (mContext.mRejectsNewRequests) {
-    auto error = MakeError(
-      ErrorCode::Leaving,
-      Step::RequestAccept,
-      "self",
-      "this instance is shutting down; the request did not run; retry on another instance");
-    error.mRetryAfter = Millis(0);
-    SendError(net::kUnavailable, error);
+    RejectLeaving();
     return false;
   }
   mRoutes = mContext.mRoutes;
@@ -152,6 +146,11 @@
   }
   const auto timeout = std::min(mRequest.mTimeout.value_or(kDefaultTimeout), mRoute->mTimeout);
   mDeadline = mStartedAt + timeout;
+  if (mContext.mServesUntil && mDeadline > *mContext.mServesUntil && !mRoute->IsRepeatable()) {
+    // It could be cut at the end of this instance, and its caller could not send it again.
+    RejectLeaving();
+    return false;
+  }
   if (mRoutes->HasAccounts()) {
     mAccount = mRoutes->AccountByKey(mRequest.mApiKey);
     if (mAccount == nullptr && !mRoute->mAllowsAnonymous) {
@@ -178,6 +177,23 @@
   return true;
 }
 
+void RequestExchange::RejectLeaving()
+{
+  auto error =
+    MakeError(ErrorCode::Leaving,
+              Step::RequestAccept,
+              "self",
+              "this instance is shutting down; the request did not run; retry on another instance");
+  error.mRetryAfter = Millis(0);
+  SendError(net::kUnavailable, error);
+}
+
+Micros RequestExchange::TimeLeft() const
+{
+  const auto& end = mContext.mServesUntil;
+  return (end ? std::min(mDeadline, *end) : mDeadline) - mContext.mClock.Now();
+}
+
 StreamKey RequestExchange::Stream() const
 {
   const auto& begunBy = mRequest.mResumedRequest.empty() ? mRequest.mId : mRequest.mResumedRequest;
@@ -403,6 +419,7 @@
     aResult.mRequestDidNotRun || (mRoute->IsRepeatable() && (!isResponseStarted || isResumable));
   if (!isRetrySafe || IsSuspect() || mWriter.IsCallerDisconnected() ||
       aResult.mOutcome == AttemptOutcome::TimedOut ||
+      aResult.mOutcome == AttemptOutcome::InstanceEnded ||
       aResult.mOutcome == AttemptOutcome::CallerDisconnected || TimeLeft() <= Micros(0)) {
     return false;
   }
@@ -455,6 +472,10 @@
                        " accepts work";
       break;
     }
+    if (mContext.mServesUntil && TimeLeft() <= Micros(0)) {
+      mFailureReason = "this instance has shut down";
+      break;
+    }
     co_await RunAttempt();
     ReportToGuard();
     mTriedEndpoints.push_back(mPlacement.mEndpoint->mEntry.mId);
--- a/src/relay/RequestExchangeLog.cpp
+++ b/src/relay/RequestExchangeLog.cpp
@@ -46,6 +46,8 @@
       return "timed-out";
     case AttemptOutcome::CallerDisconnected:
       return "caller-left";
+    case AttemptOutcome::InstanceEnded:
+      return "instance-ended";
   }
   return "unknown";
 }
--- a/tests/platform/tests.cmake
+++ b/tests/platform/tests.cmake
@@ -22,6 +22,7 @@
 gentianloom_gateway_test(process-crashing-request crashing_request_test.py)
 gentianloom_gateway_test(process-crashing-request-restart crashing_request_restart_test.py)
 gentianloom_gateway_test(process-crashing-part crashing_part_test.py)
+gentianloom_gateway_test(process-planned-stop planned_stop_test.py)
 gentianloom_gateway_test(process-leaving-endpoint leaving_endpoint_test.py)
 gentianloom_gateway_test(process-retry-after retry_after_test.py)
 gentianloom_gateway_test(process-rate-limit rate_limit_test.py)
