Parts of events of all streams are bounded together

What callers saw (a report of other operators): a faulty endpoint sent bytes without end, the instance kept them and ran out of memory, and the requests of other callers ended with it.

Cause: a head, a body, a size line, trailers and interim responses are bounded already, and bodies together as well. The first part of an event was bounded by 256 KiB for each stream, but not for all streams, and was missing from the account of what callers make the process hold.

Change: what is held of an incomplete event counts like a body that is being received. Beyond 16 MiB together a stream that holds more than 16 KiB is broken off.

--- a/include/gentianloom/relay/EndpointAttempt.h
+++ b/include/gentianloom/relay/EndpointAttempt.h
@@ -135,7 +135,10 @@
   /// not state.
   bool IsUnprovedRefusal() const;
   void OnResponseBody();
-  /// States how many bytes of the response are held until it is complete.
+  /// Whether this attempt holds more than it may, or more than a small part of what all hold if
+  /// that is too much.
+  bool IsTooMuchBuffered(std::size_t aMaxBytes, std::size_t aSmallBytes) const;
+  /// States how many bytes of the response are held until it, or its next event, is complete.
   void CountBuffered(std::size_t aBytes);
   void OnResponseComplete();
   /// Whether a stream ended where its endpoint cannot have ended it on purpose.
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -29,12 +29,15 @@
 constexpr std::size_t kMaxUnsentBytes = 64 * 1'024;
 /// Size limit of the body of a response that is not streamed.
 constexpr std::size_t kMaxResponseBytes = 8 * 1'024 * 1'024;
-/// Size limit of the bodies of all responses that are being received and not streamed.
+/// Size limit of what is held of all responses that are being received: of bodies that are not
+/// streamed, and of events that are not complete.
 constexpr std::size_t kMaxBufferedBytes = 16 * 1'024 * 1'024;
 /// Size up to which a response does not fail because of what others take.
 constexpr std::size_t kSmallResponseBytes = 512 * 1'024;
 /// Size limit of one event of a stream.
 constexpr std::size_t kMaxEventBytes = 256 * 1'024;
+/// Size up to which a part of an event does not fail because of what others take.
+constexpr std::size_t kSmallEventBytes = 16 * 1'024;
 /// Events beyond one for each output token that the request allows, such as keep-alives.
 constexpr std::int64_t kMaxExtraEvents = 4'096;
 /// Extra time after the deadline, so that a response that the endpoint completes at its own time
@@ -399,23 +402,28 @@
 {
   if (!IsStream() || !net::IsSuccess(mParser.Head().mStatus)) {
     CountBuffered(mUnforwardedBody.size());
-    const auto* memory = mContext.mCallerMemory;
-    const bool isFull = mContext.mBufferedBytes > kMaxBufferedBytes ||
-                        (memory != nullptr && !memory->HasRoomForLarge());
-    const bool isTooMuchTogether = isFull && mCountedBytes > kSmallResponseBytes;
-    if (mCountedBytes > kMaxResponseBytes || isTooMuchTogether) {
+    if (IsTooMuchBuffered(kMaxResponseBytes, kSmallResponseBytes)) {
       Finish(AttemptOutcome::Interrupted, false, "the response body is too large");
     }
     return;
   }
   ForwardEvents();
-  if (mSplitter.Incomplete().size() > kMaxEventBytes) {
+  CountBuffered(mSplitter.Incomplete().size());
+  if (IsTooMuchBuffered(kMaxEventBytes, kSmallEventBytes)) {
     Finish(AttemptOutcome::Interrupted, false, "an event of the stream is too large");
   } else if (mReceivedEvents > MaxEvents()) {
     Finish(AttemptOutcome::Interrupted, false, "the stream has more events than were asked for");
   }
 }
 
+bool EndpointAttempt::IsTooMuchBuffered(std::size_t aMaxBytes, std::size_t aSmallBytes) const
+{
+  const auto* memory = mContext.mCallerMemory;
+  const bool isFull = mContext.mBufferedBytes > kMaxBufferedBytes ||
+                      (memory != nullptr && !memory->HasRoomForLarge());
+  return mCountedBytes > aMaxBytes || (isFull && mCountedBytes > aSmallBytes);
+}
+
 void EndpointAttempt::CountBuffered(std::size_t aBytes)
 {
   mContext.mBufferedBytes += aBytes - mCountedBytes;
--- a/tests/platform/endless_response_test.py
+++ b/tests/platform/endless_response_test.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from gateway_environment import Environment
+from gateway_environment import Environment, configuration
 
 HEAD = ("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: s\r\n"
         "Connection: close\r\n")
@@ -34,6 +34,14 @@
     ("a body", "/send/x", HEAD + "\r\n", "a"),
     ("chunks", "/send/x", HEAD + "Transfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n"),
 ]
+# Streams whose first event has come in part, each within the bound of one event.
+STREAMS = 250
+PART_BYTES = 250_000
+
+
+def peak_memory_mb(process):
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
 
 
 class EndlessResponseTest(unittest.TestCase):
@@ -42,8 +50,7 @@
         self.addCleanup(self.env.close)
 
     def peak_memory_mb(self):
-        status = pathlib.Path(f"/proc/{self.env.gateway.pid}/status").read_text()
-        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+        return peak_memory_mb(self.env.gateway)
 
     def closed_connections(self):
         return sum(it[1] for it in self.env.send_command()["endless"].values())
@@ -78,6 +85,21 @@
         for it in threads:
             it.join()
 
+    # Parts of events were bounded for each stream, not for all of them together.
+    def test_parts_of_events_of_many_streams_are_bounded_together(self):
+        self.env.send_command(put="op/config", value=configuration(8, prepaid=10 ** 9))
+        self.env.wait_for_log_line(lambda it: it.get("version") == "8")
+        self.env.configure_workers(mode="raw", raw=HEAD + "\r\ndata: " + "a" * PART_BYTES, raw_end="hold")
+        threads = [threading.Thread(target=self.env.call, args=("/chat/x", f"part{n}"))
+                   for n in range(STREAMS)]
+        for it in threads:
+            it.start()
+        for it in threads:
+            it.join()
+        self.assertLess(self.peak_memory_mb(), MAX_MEMORY_MB)
+        self.env.configure_workers(mode="good")
+        self.assertEqual(200, self.env.call("/read/x", "after").status)
+
     def test_other_requests_go_on_and_the_endpoint_is_avoided(self):
         for path, raw, repeat in [("/read/x", HEAD + "\r\n", "a"),
                                   ("/resume/x", HEAD + "\r\ndata: ", "a")]:
