Responses of the key-value service are bounded together

Cause: each response was bounded by 16 MiB, but a gateway has several calls and watches under way at a time.

Evidence: EndlessStoreTest: the gateway took 85 to 103 MB on in five of nine rows (bodies, chunks, a declared length, nested lists, items); 64 are allowed.

Change: all responses that one client is receiving share the 16 MiB; beyond them a response of more than 3 MiB fails. A page of items, or a value of the largest size, is smaller.

Measured: all nine rows pass.

--- a/include/gentianloom/net/HttpClient.h
+++ b/include/gentianloom/net/HttpClient.h
@@ -44,8 +44,8 @@
 /**
  * @brief Calls one HTTP server and reuses its keep-alive connections.
  *
- * Requests and responses are held in memory as a whole. A connection on which a call failed is
- * closed and never reused.
+ * Requests and responses are held in memory as a whole, up to a limit for one response and one for
+ * all that are being received. A connection on which a call failed is closed and never reused.
  */
 class HttpClient
 {
@@ -64,6 +64,8 @@
   const BodyBytes& Bytes() const { return mBytes; }
 
 private:
+  class ReplyBuffer;
+
   Channel::Ptr TakeIdle();
   void CloseIdle();
 
@@ -72,6 +74,7 @@
   std::string mHostHeader;
   std::vector<Channel::Ptr> mIdle;
   BodyBytes mBytes;
+  std::size_t mBufferedBytes = 0; ///< of all responses that are being received
 };
 
 /**
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -14,8 +14,11 @@
 /// Limit for connecting. It is short so that a caller that retries starts a new connection early:
 /// the network path may have been restored meanwhile.
 constexpr Millis kConnectTimeout{ 500 };
-/// Size limit of the body of a response.
+/// Size limit of the body of a response, and of those of all responses that are being received.
 constexpr std::size_t kMaxReplyBytes = 16 * 1'024 * 1'024;
+/// Size up to which a response does not fail because of what others take: a page of items, or a
+/// value of the largest size.
+constexpr std::size_t kSmallReplyBytes = 3 * 1'024 * 1'024;
 
 /// Time until a deadline; negative once it has passed.
 Micros RemainingTime(TimePoint aDeadline)
@@ -25,6 +28,32 @@
 
 } // namespace
 
+/// Counts the body of a response that is being received.
+class HttpClient::ReplyBuffer
+{
+public:
+  explicit ReplyBuffer(std::size_t& aTotal)
+    : mTotal(aTotal)
+  {
+  }
+  ~ReplyBuffer() { mTotal -= mBytes; }
+  ReplyBuffer(const ReplyBuffer&) = delete;
+  ReplyBuffer& operator=(const ReplyBuffer&) = delete;
+
+  /// @brief States how large the body is by now. @return whether it may grow further
+  bool SetBytes(std::size_t aBytes)
+  {
+    mTotal += aBytes - mBytes;
+    mBytes = aBytes;
+    const bool isTooMuchTogether = mTotal > kMaxReplyBytes && mBytes > kSmallReplyBytes;
+    return mBytes <= kMaxReplyBytes && !isTooMuchTogether;
+  }
+
+private:
+  std::size_t& mTotal;
+  std::size_t mBytes = 0;
+};
+
 HttpClient::HttpClient(Loop& aLoop, Channel::Address aServer, std::string aHostHeader)
   : mLoop(aLoop)
   , mServer(std::move(aServer))
@@ -87,10 +116,11 @@
   mBytes.mSent += aCall.mBody.size();
   ResponseParser parser;
   HttpReply reply;
+  ReplyBuffer buffer(mBufferedBytes);
   while (parser.State() != ParseState::Done && parser.State() != ParseState::Failed) {
     const auto used = parser.Put(channel->Received(), reply.mBody);
     channel->Consume(used);
-    if (reply.mBody.size() > kMaxReplyBytes) {
+    if (!buffer.SetBytes(reply.mBody.size())) {
       break;
     }
     if (used > 0) {
--- a/tests/platform/endless_response_test.py
+++ b/tests/platform/endless_response_test.py
@@ -2,11 +2,13 @@
 """Responses that never end: an endpoint sends bytes until its connection is closed."""
 import pathlib
 import re
+import socket
+import subprocess
 import threading
 import time
 import unittest
 
-from gateway_environment import Environment, configuration
+from gateway_environment import BUILD, Environment, configuration
 
 HEAD = ("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: s\r\n"
         "Connection: close\r\n")
@@ -131,5 +133,74 @@
                 self.assertLess(self.peak_memory_mb(), MAX_MEMORY_MB)
 
 
+class EndlessStore:
+    """Accepts any number of connections, and answers each request with the same bytes again and again."""
+
+    def __init__(self, head, repeat):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.head, self.block = head.encode(), repeat.encode() * (65_536 // len(repeat))
+        self.sent = 0
+        self.connections = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections.append(connection)
+            threading.Thread(target=self.answer, args=(connection,), daemon=True).start()
+
+    def answer(self, connection):
+        try:
+            connection.recv(65_536)
+            connection.sendall(self.head)
+            while True:
+                connection.sendall(self.block)
+                self.sent += len(self.block)
+        except OSError:
+            pass  # closed by the gateway or the test
+
+    def close(self):
+        self.listener.close()
+        for it in self.connections:
+            it.close()
+
+
+STORE_SECONDS = 3
+STORE_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+
+class EndlessStoreTest(unittest.TestCase):
+    # What the key-value service sends without end must not take the memory of a gateway.
+    def test_endless_response_of_the_store(self):
+        rows = [("a header line", STORE_HEAD + "X-Pad: ", "a"),
+                ("interim responses", "", "HTTP/1.1 100 -\r\n\r\n"),
+                ("a body", STORE_HEAD + "\r\n", "a"),
+                ("a body with a length", STORE_HEAD + "Content-Length: 4000000000\r\n\r\n", "a"),
+                ("chunks", STORE_HEAD + "Transfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n"),
+                ("a chunk's size line", STORE_HEAD + "Transfer-Encoding: chunked\r\n\r\n4;", "a"),
+                ("trailers", STORE_HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Pad: a\r\n"),
+                ("nested lists", STORE_HEAD + "\r\n", "["),
+                ("items", STORE_HEAD + "\r\n{\"items\":[", "{},")]
+        for name, head, repeat in rows:
+            with self.subTest(name):
+                store = EndlessStore(head, repeat)
+                self.addCleanup(store.close)
+                env = Environment(start_gateway=False, store_address=store.address)
+                self.addCleanup(env.close)
+                env.log = open(pathlib.Path(env.folder.name) / "log.txt", "a+")
+                env.gateway = subprocess.Popen(
+                    [str(BUILD / "bin" / "gentianloom-gateway"), str(env.settings)], stdout=env.log)
+                time.sleep(STORE_SECONDS)
+                self.assertIsNone(env.gateway.poll())
+                self.assertGreater(store.sent, 0)
+                self.assertLess(peak_memory_mb(env.gateway), MAX_MEMORY_MB)
+                env.kill()
+                store.close()
+
+
 if __name__ == "__main__":
     unittest.main()
