Daemon: a watch of the key-value service is bounded by line

Cause: EtcdStore::Watch used an HTTP session of its own, without the limits that CallHttp and EngineStream set on their sockets, and read lines of any length.

Evidence: EtcdStoreTest TestEndlessWatch: a watch read 64 MiB of one line, until the server closed the connection.

Change: the watch's connection has the same limit for its head and for each line, 16 MiB. There is no limit on the whole watch (TestWatchOutlivesLimitOfOneLine).

Measured: external-tests, and process-ConfigurationTest, -BudgetCrashTest, -WholePathTest pass.

--- a/src/external/EtcdStore.cpp
+++ b/src/external/EtcdStore.cpp
@@ -16,6 +16,10 @@
 
 namespace {
 
+/// Limits of a watch: of its head, then of each line. It lasts for as long as lines arrive.
+constexpr ReceiveLimits kWatchLimits{ kMaxCallResponseBytes,
+                                      std::chrono::steady_clock::time_point::max() };
+
 /// The JSON mapping encodes 64-bit numbers as strings; numbers are accepted as well.
 std::int64_t ReadNumber(const Json& aObject, const char* aKey)
 {
@@ -309,11 +313,10 @@
   const auto& address = mAddresses.front();
   BOOST_OUTCOME_TRY(hostPort, ParseAddress(address));
   try {
-    Poco::Net::HTTPClientSession session(hostPort.first, hostPort.second);
+    auto socket =
+      Connect(hostPort.first, hostPort.second, { mTimeout, mTimeout, aTimeout }, kWatchLimits);
+    Poco::Net::HTTPClientSession session(socket);
     const ActiveWatch watch(*this, aPrefix, session);
-    session.setTimeout(Poco::Timespan(std::chrono::microseconds(mTimeout).count()),
-                       Poco::Timespan(std::chrono::microseconds(mTimeout).count()),
-                       Poco::Timespan(std::chrono::microseconds(aTimeout).count()));
     const Json body = { { "create_request",
                           { { "key", EncodeBase64(aPrefix) },
                             { "range_end", EncodeBase64(MakePrefixEnd(aPrefix)) },
@@ -325,10 +328,12 @@
     session.sendRequest(request) << text << std::flush;
     Poco::Net::HTTPResponse response;
     auto& in = session.receiveResponse(response);
+    auto& limits = *BoundedSocket::LimitsOf(socket);
     std::string line;
-    while (!watch.IsStopped() && std::getline(in, line)) {
-      if (!line.empty() && !HandleWatchLine(line, aOnEvents)) {
-        return success();
+    while (!watch.IsStopped()) {
+      limits.Allow(kMaxCallResponseBytes);
+      if (!std::getline(in, line) || (!line.empty() && !HandleWatchLine(line, aOnEvents))) {
+        break;
       }
     }
     return success();
