Prompt parts known of endpoints are bounded by their number

Cause: PromptCacheEstimate keeps an entry of some 100 bytes for each part and evicted by tokens only. Parts of no tokens didn't count at all, also at endpoints that are no engines.

Change: the estimates of all endpoints together hold 65,536 parts, divided by the number of endpoints, at least 256 each.

--- a/include/gentianloom/routing/EndpointLoad.h
+++ b/include/gentianloom/routing/EndpointLoad.h
@@ -5,6 +5,7 @@
 #include "gentianloom/routing/LoadTrend.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <map>
@@ -47,17 +48,30 @@
  *
  * Only prompts that this process sent are known. A part is cached together with the parts before
  * it, because an engine can reuse it only if all parts before it are the same.
+ *
+ * Callers choose the parts of their prompts, down to parts of no tokens, so the parts are bounded
+ * by their number as well as by their tokens.
  */
 class PromptCacheEstimate
 {
 public:
+  /// Parts that the estimates of all endpoints together may hold. A part takes some 100 bytes.
+  static constexpr std::size_t kMaxPartsTogether = 65'536;
+  /// Parts that each estimate may hold, however many there are.
+  static constexpr std::size_t kMinParts = 256;
+
   /// @param aCapacity number of tokens that the engine's cache holds
   explicit PromptCacheEstimate(std::int64_t aCapacity = 0)
     : mCapacity(aCapacity)
   {
   }
 
-  void SetCapacity(std::int64_t aCapacity) { mCapacity = aCapacity; }
+  /// @param aCapacity number of tokens that the engine's cache holds
+  /// @param aEndpoints number of endpoints, which divide kMaxPartsTogether among them
+  void SetCapacity(std::int64_t aCapacity, std::size_t aEndpoints);
+
+  /// @brief Number of parts that are held.
+  std::size_t Parts() const { return mRecentlyUsed.size(); }
 
   /// @brief Number of tokens at the beginning of a prompt that the engine need not compute again.
   std::int64_t CachedTokens(std::span<const PromptPart> aParts) const;
@@ -76,6 +90,7 @@
   };
 
   std::int64_t mCapacity;
+  std::size_t mMaxParts = kMinParts;
   std::int64_t mUsed = 0;              ///< tokens of all cached parts
   std::list<CachedPart> mRecentlyUsed; ///< most recently used first
   std::unordered_map<std::uint64_t, std::list<CachedPart>::iterator> mIndex;
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -378,7 +378,8 @@
     auto& model = mContext.mFirstTokenModels[mService];
     auto choice = ChooseEngineEndpoint(request, usable, *service->mEngine, model, now);
     if (choice.mEndpoint) {
-      choice.mEndpoint->mLoad.Cache().SetCapacity(service->mEngine->mCacheTokens);
+      choice.mEndpoint->mLoad.Cache().SetCapacity(service->mEngine->mCacheTokens,
+                                                  mContext.mEndpoints.All().size());
     }
     return choice;
   }
--- a/src/routing/EndpointLoad.cpp
+++ b/src/routing/EndpointLoad.cpp
@@ -28,6 +28,12 @@
 
 } // namespace
 
+void PromptCacheEstimate::SetCapacity(std::int64_t aCapacity, std::size_t aEndpoints)
+{
+  mCapacity = aCapacity;
+  mMaxParts = std::max(kMinParts, kMaxPartsTogether / std::max<std::size_t>(aEndpoints, 1));
+}
+
 std::int64_t PromptCacheEstimate::CachedTokens(std::span<const PromptPart> aParts) const
 {
   std::int64_t out = 0;
@@ -56,7 +62,7 @@
     mIndex[key] = mRecentlyUsed.begin();
     mUsed += it.mTokens;
   }
-  while (mUsed > mCapacity && !mRecentlyUsed.empty()) {
+  while ((mUsed > mCapacity || Parts() > mMaxParts) && !mRecentlyUsed.empty()) {
     mUsed -= mRecentlyUsed.back().mTokens;
     mIndex.erase(mRecentlyUsed.back().mKey);
     mRecentlyUsed.pop_back();
--- a/tests/platform/hostile_callers_test.py
+++ b/tests/platform/hostile_callers_test.py
@@ -119,6 +119,8 @@
 
 class HostileCallersTest(unittest.TestCase):
     worker = {}
+    prepaid = 100_000
+    cached_tokens = 9_000  # of each endpoint
     limits = {"max-header-bytes": HEAD_BYTES, "max-body-bytes": BODY_BYTES,
               "header-timeout-ms": 3000, "idle-timeout-ms": 15000}
 
@@ -126,8 +128,9 @@
         self.clients = []
         self.platform = Platform()
         self.addCleanup(self.platform.close)
-        config = configuration(8)
+        config = configuration(8, prepaid=self.prepaid)
         config["limits"] = self.limits
+        config["services"][0]["engine"]["kv-capacity-tokens"] = self.cached_tokens
         self.platform.send_command(put="op/config", value=config)
         self.platform.configure_workers(**self.worker)
 
@@ -274,6 +277,23 @@
                 self.check(env, way)
 
 
+# What is known of the prompts that an endpoint has in its cache was bounded by their tokens only.
+class ManyPromptPartsTest(HostileCallersTest):
+    prepaid = 10 ** 9
+    cached_tokens = 518_475
+
+    def test(self):
+        for tokens in (0, 1):
+            with self.subTest(tokens=tokens):
+                env = self.start()
+                for n in range(400):
+                    parts = ",".join(f"{n * 1300 + it:x}:{tokens}" for it in range(1300))
+                    response = env.call("/chat/x", f"parts{tokens}-{n}", {
+                        "X-Token-Usage": "1300,5", "X-Prompt-Prefix": parts})
+                    self.assertEqual(200, response.status)
+                self.check(env, f"parts of {tokens} tokens")
+
+
 # Responses were produced and queued for callers that read none.
 class UnreadResponsesTest(HostileCallersTest):
     def test(self):
--- a/tests/routing/EndpointChooserTest.cpp
+++ b/tests/routing/EndpointChooserTest.cpp
@@ -27,7 +27,7 @@
     it->mHash = StableHash(it->mEntry.mId);
     it->mEntry.mZone = n % 2 == 0 ? "near" : "far";
     it->mEntry.mSlots = 6;
-    it->mLoad.Cache().SetCapacity(500'000);
+    it->mLoad.Cache().SetCapacity(500'000, 1);
     out.push_back(std::move(it));
   }
   return out;
--- a/tests/routing/EndpointLoadTest.cpp
+++ b/tests/routing/EndpointLoadTest.cpp
@@ -11,6 +11,7 @@
 {
   CPPUNIT_TEST_SUITE(EndpointLoadTest);
   CPPUNIT_TEST(TestPromptCacheEstimate);
+  CPPUNIT_TEST(TestPartsAreBounded);
   CPPUNIT_TEST(TestReportedLoad);
   CPPUNIT_TEST(TestSuspension);
   CPPUNIT_TEST(TestSlowdownFactor);
@@ -38,6 +39,35 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, cache.CachedTokens(large));
   }
 
+  // Prompts of many parts with few tokens, or none, took a process over the memory of its machine.
+  void TestPartsAreBounded()
+  {
+    struct Row
+    {
+      std::int64_t mTokens; ///< of each part
+      std::size_t mEndpoints;
+      std::size_t mMaxParts;
+    };
+    constexpr auto kTogether = PromptCacheEstimate::kMaxPartsTogether;
+    const Row rows[] = { { 0, 1, kTogether },
+                         { 1, 1, kTogether },
+                         { 0, 16, kTogether / 16 },
+                         { 1, 16, kTogether / 16 },
+                         { 1, 100'000, PromptCacheEstimate::kMinParts },
+                         { 0, 0, kTogether } };
+    for (const auto& row : rows) {
+      PromptCacheEstimate cache;
+      cache.SetCapacity(500'000, row.mEndpoints);
+      for (std::uint64_t n = 0; n < kTogether + 100; ++n) {
+        const PromptPart part[] = { { n, row.mTokens } };
+        cache.Touch(part);
+      }
+      CPPUNIT_ASSERT_EQUAL(row.mMaxParts, cache.Parts());
+      const PromptPart last[] = { { kTogether + 99, row.mTokens } };
+      CPPUNIT_ASSERT_EQUAL(row.mTokens, cache.CachedTokens(last));
+    }
+  }
+
   void TestReportedLoad()
   {
     EndpointLoad load;
--- a/tests/routing/EvenLoadModel.h
+++ b/tests/routing/EvenLoadModel.h
@@ -74,12 +74,12 @@
         it->mHash = StableHash(it->mEntry.mId);
         it->mEntry.mZone = "z" + std::to_string(e % kZones);
         it->mEntry.mSlots = aSite.mSlots;
-        it->mLoad.Cache().SetCapacity(kCacheTokens);
+        it->mLoad.Cache().SetCapacity(kCacheTokens, 1);
         mNodes[i].mEndpoints.push_back(std::move(it));
       }
     }
     for (std::size_t e = 0; e < mEngines.size(); ++e) {
-      mEngines[e].mCache.SetCapacity(kCacheTokens);
+      mEngines[e].mCache.SetCapacity(kCacheTokens, 1);
     }
   }
 
