A late write of an endpoint's entry takes nothing back

An earlier write of the endpoint took effect seconds later. Requests that may not be repeated reached the endpoint until it exited, and were lost with it.

Cause: EndpointRegistry::Put took over each entry that a watch brought. Only copies of the store were compared by start and sequence (DropOutdated).

Evidence: EndpointRegistryTest TestLateWrites fails at its first row without the change: the endpoint is used again.

Change: an entry that was written before the one that is known, by start and sequence, changes nothing of what is known, also after the endpoint was removed. A process whose clock was set back looks earlier too, so the second entry of such a process is believed, if it is later than the first.

--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -10,6 +10,7 @@
 #include "gentianloom/routing/WarmUp.h"
 #include "gentianloom/routing/ZoneRegions.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -47,6 +48,20 @@
   Removed  ///< the endpoint is no longer registered
 };
 
+/// Order of the entries of an endpoint: its start, then the sequence of its process.
+struct EntryAge
+{
+  std::int64_t mStartedAt = 0;
+  std::int64_t mSequence = 0;
+
+  explicit EntryAge(const EndpointEntry& aEntry)
+    : mStartedAt(aEntry.mStartedAt)
+    , mSequence(aEntry.mSequence)
+  {
+  }
+  auto operator<=>(const EntryAge&) const = default;
+};
+
 /// One process of an endpoint, with the state that this instance keeps for it.
 struct Endpoint
 {
@@ -61,6 +76,7 @@
   /// The process has stated in a response that it is leaving. Unlike the entry's state, this holds
   /// until the process ends.
   bool mHasAnnouncedLeaving = false;
+  std::optional<EntryAge> mOutdated; ///< of the last entry that was written before mEntry
   EndpointLoad mLoad;
   RequestHold mHold;
   StatedRateLimit mRateLimit;
@@ -129,10 +145,15 @@
   /// while they warm up. Services that are not named have no such limit.
   void SetWarmUpLimits(std::map<std::string, double, std::less<>> aLimits);
 
-  /// @brief Adds or updates an entry. A different start time, address, service or software version
-  /// means a new process, which gets a new record.
-  /// @return false, without a change, if the entry states no start although the endpoint has stated
-  /// one before: then another program wrote it
+  /**
+   * @brief Adds or updates an entry. A different start time, address, service or software version
+   *        means a new process, which gets a new record.
+   *
+   * Writes can take effect late and out of order. An entry that was written before the one that is
+   * known, by start and sequence, changes nothing of what is known; see IsOutdated().
+   * @return false, without a change, if the entry states no start although the endpoint has stated
+   * one before: then another program wrote it
+   */
   bool Put(EndpointEntry aEntry, TimePoint aNow);
 
   /// @brief The endpoint with an id; null if it is not known or was removed.
@@ -212,6 +233,17 @@
   /// Whether an entry without a start is about an endpoint that has stated its start.
   bool LacksStart(const EndpointEntry& aEntry) const;
 
+  /// The known or removed endpoint with an id; null if there is none.
+  Ptr FindRemembered(std::string_view aId) const;
+
+  /**
+   * @brief Whether an entry was written before the one that is known of its endpoint.
+   *
+   * A process whose clock was set back, or that states no start, looks earlier as well when it
+   * starts. Unlike a late write it goes on to write, so its second entry is believed.
+   */
+  bool IsOutdated(const EndpointEntry& aEntry);
+
   /// Whether an endpoint of a service states that too many refusals would end it.
   bool IsBrittle(std::string_view aService) const;
 
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace gentianloom {
 
@@ -51,17 +52,33 @@
   return it == mWarmUpLimits.end() ? std::nullopt : std::optional(it->second);
 }
 
+EndpointRegistry::Ptr EndpointRegistry::FindRemembered(std::string_view aId) const
+{
+  const auto known = mEndpoints.find(aId);
+  if (known != mEndpoints.end()) {
+    return known->second;
+  }
+  const auto removed = mRemoved.find(aId);
+  return removed == mRemoved.end() ? nullptr : removed->second.mEndpoint;
+}
+
 bool EndpointRegistry::LacksStart(const EndpointEntry& aEntry) const
 {
-  if (aEntry.mStartedAt != 0) {
+  const auto known = FindRemembered(aEntry.mId);
+  return aEntry.mStartedAt == 0 && known && known->mEntry.mStartedAt != 0;
+}
+
+bool EndpointRegistry::IsOutdated(const EndpointEntry& aEntry)
+{
+  const auto known = FindRemembered(aEntry.mId);
+  const EntryAge age(aEntry);
+  if (!known || age >= EntryAge(known->mEntry)) {
     return false;
   }
-  const auto known = mEndpoints.find(aEntry.mId);
-  if (known != mEndpoints.end()) {
-    return known->second->mEntry.mStartedAt != 0;
-  }
-  const auto removed = mRemoved.find(aEntry.mId);
-  return removed != mRemoved.end() && removed->second.mEndpoint->mEntry.mStartedAt != 0;
+  const auto before = std::exchange(known->mOutdated, age);
+  const bool hasWrittenAgain =
+    before && before->mStartedAt == age.mStartedAt && before->mSequence < age.mSequence;
+  return !hasWrittenAgain;
 }
 
 bool EndpointRegistry::Put(EndpointEntry aEntry, TimePoint aNow)
@@ -70,6 +87,13 @@
     return false;
   }
   const auto known = mEndpoints.find(aEntry.mId);
+  if (IsOutdated(aEntry)) {
+    if (known != mEndpoints.end()) {
+      known->second->mState = EntryState::Listed;
+      known->second->mLastSeenAt = aNow;
+    }
+    return true;
+  }
   if (known != mEndpoints.end() && !IsSameProcess(known->second->mEntry, aEntry)) {
     RemoveRecord(known, aNow);
   }
@@ -161,16 +185,13 @@
 
 void EndpointRegistry::DropOutdated(std::vector<EndpointEntry>& aEntries) const
 {
-  const auto age = [](const EndpointEntry& aEntry) {
-    return std::pair(aEntry.mStartedAt, aEntry.mSequence);
-  };
   std::erase_if(aEntries, [&](const EndpointEntry& aEntry) {
     const auto it = mRemoved.find(aEntry.mId);
-    return it != mRemoved.end() && age(aEntry) <= age(it->second.mEndpoint->mEntry);
+    return it != mRemoved.end() && EntryAge(aEntry) <= EntryAge(it->second.mEndpoint->mEntry);
   });
   for (auto& it : aEntries) {
     const auto known = mEndpoints.find(it.mId);
-    if (known != mEndpoints.end() && age(it) < age(known->second->mEntry)) {
+    if (known != mEndpoints.end() && EntryAge(it) < EntryAge(known->second->mEntry)) {
       it = known->second->mEntry;
     }
   }
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(TestEntryWithoutStart);
   CPPUNIT_TEST(TestSoftwareVersions);
   CPPUNIT_TEST(TestOutdatedEntries);
+  CPPUNIT_TEST(TestLateWrites);
   CPPUNIT_TEST(TestEntryThatReturned);
   CPPUNIT_TEST(TestAnnouncedLeaving);
   CPPUNIT_TEST(TestPauses);
@@ -232,6 +233,58 @@
     }
   }
 
+  // The store did an earlier write of an endpoint late: the endpoint that was leaving, or had been
+  // removed, got requests again.
+  void TestLateWrites()
+  {
+    struct Write
+    {
+      std::int64_t mStartedAt;
+      std::int64_t mSequence;
+      bool mIsLeaving;
+    };
+    struct Row
+    {
+      std::string mName;
+      bool mIsRemoved; ///< after the first write
+      std::vector<Write> mLater;
+      bool mIsUsed;
+    };
+    constexpr Write kFirst{ 100, 5, true };
+    const Row rows[] = {
+      { "an earlier write of the process", false, { { 100, 4, false } }, false },
+      { "the same one again", false, { { 100, 4, false }, { 100, 4, false } }, false },
+      { "a write of the process before it", false, { { 50, 9, false } }, false },
+      { "a later write of the process", false, { { 100, 6, false } }, true },
+      { "the next process", false, { { 200, 1, false } }, true },
+      { "an earlier write after the removal", true, { { 100, 4, false } }, false },
+      { "a later write after the removal", true, { { 100, 6, false } }, true },
+      { "a process before it after the removal", true, { { 50, 9, false } }, false },
+      { "the next process, its clock set back",
+        false,
+        { { 90, 1, false }, { 90, 2, false } },
+        true },
+      { "two processes before it", false, { { 60, 9, false }, { 50, 9, false } }, false },
+    };
+    for (const auto& row : rows) {
+      EndpointRegistry registry;
+      const auto put = [&](const Write& aWrite) {
+        auto entry = MakeEntry("a", aWrite.mStartedAt, aWrite.mIsLeaving);
+        entry.mSequence = aWrite.mSequence;
+        CPPUNIT_ASSERT(registry.Put(std::move(entry), mNow));
+      };
+      put(kFirst);
+      if (row.mIsRemoved) {
+        registry.Remove("a", /*aAfterOutage=*/false, mNow);
+      }
+      for (const auto& it : row.mLater) {
+        put(it);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mName, std::string(row.mIsUsed ? "a" : ""), UsableIds(registry));
+    }
+  }
+
   // An endpoint whose entry had lapsed and was written again was dropped with the copy, since its
   // removal was remembered.
   void TestEntryThatReturned()
