A watch of the store that is cut is no outage

Cause: PrefixWatcher counted each failed call as an outage for 1.5 s. The removal of an entry then only marks its endpoint as missing, and the only endpoint of a service is used for 2 s more.

Evidence: PrefixWatcherTest: a deletion after a watch that was cut counts as one after an outage without the change.

Change: an outage is a time of at least 2 s without an answer, from the last answer until the call that is answered next was sent. A watch waits for 1.7 s, so one that is cut is none, and no owner that renews its entry loses it in less. The test's outage now has a length by its clock, and a call that fails at its end; before, it lasted no time.

--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -103,9 +103,11 @@
   bool CheckEra(std::int64_t aEra);
   /// Whether a call returned a response of the current era; records the result of the call.
   template<typename T>
-  bool IsCurrent(const Result<T>& aAnswer);
-  void RecordCallResult(bool aHasSucceeded, const std::string& aError);
+  bool IsCurrent(const Result<T>& aAnswer, TimePoint aSentAt);
+  void RecordCallResult(bool aHasSucceeded, const std::string& aError, TimePoint aSentAt);
   StoreAvailability Availability() const;
+  /// Whether the time since the last answer was an outage, if the service answers again by a time.
+  bool WasOutage(TimePoint aAnsweredAt) const;
 
   net::Loop& mLoop;
   AsyncStore& mStore;
@@ -129,7 +131,8 @@
   bool mHasMissedChange = false;            ///< an update of another instance shows a gap
   net::Signal mUpdateSignal;
   net::Backoff mBackoff;
-  TimePoint mLastFailureAt{};
+  std::optional<TimePoint> mLastAnswerAt;  ///< when a call of this watcher was answered
+  std::optional<TimePoint> mOutageEndedAt; ///< of the last outage
   TimePoint mConfirmedUntil{};
 };
 
--- a/tests/gateway/PrefixWatcherTest.cpp
+++ b/tests/gateway/PrefixWatcherTest.cpp
@@ -19,7 +19,7 @@
   void TestSnapshotsAndEvents()
   {
     net::Loop loop(1);
-    const ManualClock clock;
+    ManualClock clock;
     Metrics metrics;
     MemoryAsyncStore store;
     store.EnableWaiting(loop);
@@ -65,12 +65,27 @@
     store.mHistory.clear();
     store.Put("p/d", "1");
     expect("new snapshot after the store came back from a copy", "snapshot2? ");
-    const auto watches = store.mWatchCalls;
-    store.SetMode(StoreMode::Down);
-    CPPUNIT_ASSERT(testing::RunUntil(loop, [&] { return store.mWatchCalls > watches + 1; }));
-    store.SetMode(StoreMode::Up);
+    const auto awaitCalls = [&] {
+      const auto watches = store.mWatchCalls;
+      CPPUNIT_ASSERT(testing::RunUntil(loop, [&] { return store.mWatchCalls > watches + 1; }));
+    };
+    const auto fail = [&](Millis aTime) {
+      store.SetMode(StoreMode::Down);
+      awaitCalls();
+      clock.Advance(aTime);
+      awaitCalls();
+      store.SetMode(StoreMode::Up);
+    };
+    fail(Millis(3'000));
     store.Remove("p/b");
     expect("a deletion after an outage may be a lease expiry", "-p/b? ");
+    // A watch that was cut counted as an outage, and an endpoint that had left was used for longer.
+    clock.Advance(Millis(2'000));
+    store.Put("p/c", "1");
+    expect("the outage is over", "+p/c ");
+    fail(Millis(1'000));
+    store.Remove("p/c");
+    expect("a deletion after a watch that was cut is none", "-p/c ");
   }
 };
 
