Connections to the store have a longest idle time

Instances that follow the watches of others waited 1.7 s for updates, then 2.3 s on a connection that had been idle since the start of the process and had gone silent.

Cause: HttpClient reused idle connections of any age. Each wait kept its bound, their sum didn't.

Change: a connection that was idle for more than 1 s is closed instead of reused. After 1.7 s without updates an instance so asks the store on a new connection, and learns at once.

--- a/include/gentianloom/net/HttpClient.h
+++ b/include/gentianloom/net/HttpClient.h
@@ -45,11 +45,17 @@
  * @brief Calls one HTTP server and reuses its keep-alive connections.
  *
  * Requests and responses are held in memory as a whole, up to a limit for one response and one for
- * all that are being received. A connection on which a call failed is closed and never reused.
+ * all that are being received. A connection on which a call failed is closed and never reused, nor
+ * is one that was idle for longer than kMaxIdle: the network may have forgotten it without a sign.
  */
 class HttpClient
 {
 public:
+  /// Longest idle time of a connection that is reused. It is well below the 2 s in which what the
+  /// server acknowledged has to be known, since a call on a silent connection only ends by its
+  /// timeout.
+  static constexpr Millis kMaxIdle{ 1'000 };
+
   HttpClient(Loop& aLoop, Channel::Address aServer, std::string aHostHeader);
   ~HttpClient();
 
@@ -66,13 +72,19 @@
 private:
   class ReplyBuffer;
 
+  struct IdleConnection
+  {
+    Channel::Ptr mChannel;
+    TimePoint mIdleSince{};
+  };
+
   Channel::Ptr TakeIdle();
   void CloseIdle();
 
   Loop& mLoop;
   Channel::Address mServer;
   std::string mHostHeader;
-  std::vector<Channel::Ptr> mIdle;
+  std::vector<IdleConnection> mIdle;
   BodyBytes mBytes;
   std::size_t mBufferedBytes = 0; ///< of all responses that are being received
 };
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -69,7 +69,7 @@
 void HttpClient::CloseIdle()
 {
   for (const auto& it : mIdle) {
-    it->Close();
+    it.mChannel->Close();
   }
   mIdle.clear();
 }
@@ -77,12 +77,13 @@
 Channel::Ptr HttpClient::TakeIdle()
 {
   while (!mIdle.empty()) {
-    auto out = std::move(mIdle.back());
+    const auto it = std::move(mIdle.back());
     mIdle.pop_back();
-    if (out->IsUsable() && out->Received().empty()) {
-      return out;
+    const bool isRecent = SystemClock().Now() - it.mIdleSince <= kMaxIdle;
+    if (isRecent && it.mChannel->IsUsable() && it.mChannel->Received().empty()) {
+      return it.mChannel;
     }
-    out->Close();
+    it.mChannel->Close();
   }
   return nullptr;
 }
@@ -145,7 +146,7 @@
   reply.mStatus = parser.Head().mStatus;
   reply.mHeaders = parser.Head().mHeaders;
   if (parser.Head().mKeepAlive && channel->IsUsable() && channel->Received().empty()) {
-    mIdle.push_back(channel);
+    mIdle.push_back({ channel, SystemClock().Now() });
   } else {
     channel->Close();
   }
