--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -10,7 +10,6 @@
 #include "gentianloom/routing/WarmUp.h"
 #include "gentianloom/routing/ZoneRegions.h"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,6 +18,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace gentianloom {
@@ -59,7 +59,10 @@
     , mSequence(aEntry.mSequence)
   {
   }
-  auto operator<=>(const EntryAge&) const = default;
+  bool operator<(const EntryAge& aOther) const
+  {
+    return std::tie(mStartedAt, mSequence) < std::tie(aOther.mStartedAt, aOther.mSequence);
+  }
 };
 
 /// One process of an endpoint, with the state that this instance keeps for it.
--- a/src/relay/RequestExchange.cpp
+++ b/src/relay/RequestExchange.cpp
@@ -1,7 +1,6 @@
 #include "gentianloom/relay/RequestExchange.h"
 
 #include "gentianloom/base/Ids.h"
-#include "gentianloom/base/Log.h"
 #include "gentianloom/net/HttpStatus.h"
 #include "gentianloom/outcome/RetryAfter.h"
 #include "gentianloom/relay/RequestFingerprint.h"
@@ -9,7 +8,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <span>
 
 namespace gentianloom {
 
@@ -31,9 +29,6 @@
 /// Requests that this instance serves for others at a time, on top of those of its own callers.
 constexpr int kMaxPeerRequests = 96;
 
-/// Endpoints with a rate limit that may turn a request away; after them it goes to one without.
-constexpr int kMaxDenials = 3;
-
 std::string ToSecondsText(Millis aTime)
 {
   std::array<char, 32> buf{};
@@ -194,69 +189,6 @@
   return (end ? std::min(mDeadline, *end) : mDeadline) - mContext.mClock.Now();
 }
 
-StreamKey RequestExchange::Stream() const
-{
-  const auto& begunBy = mRequest.mResumedRequest.empty() ? mRequest.mId : mRequest.mResumedRequest;
-  return MakeStreamKey(mAccount == nullptr ? std::string() : mAccount->mName, begunBy);
-}
-
-net::Task<bool> RequestExchange::FindStreamOrigin()
-{
-  const bool isResume = mRequest.mResumeAfter || !mRequest.mResumedRequest.empty();
-  if (mRoute->mKind != RouteKind::Streaming || !isResume) {
-    co_return true;
-  }
-  mProgress.mLastEventId = mRequest.mResumeAfter;
-  if (!mRequest.mResumedRequest.empty() && mContext.mStreamOrigins != nullptr) {
-    mProgress.mOrigin = co_await mContext.mStreamOrigins->Find(Stream());
-  }
-  if (!mProgress.mOrigin) {
-    mProgress.mOrigin = co_await FindSoleOrigin();
-  }
-  if (!mProgress.mOrigin) {
-    RejectResume("the software version that began this stream is not known");
-    co_return false;
-  }
-  const auto& service = mProgress.mOrigin->mService;
-  const auto& services = mRoute->mServices;
-  const bool isOnRoute = std::any_of(
-    services.begin(), services.end(), [&](const auto& it) { return it.mService == service; });
-  if (!isOnRoute) {
-    RejectResume("the service that began this stream is not on its route any more");
-    co_return false;
-  }
-  mService = service;
-  co_return true;
-}
-
-net::Task<std::optional<StreamOrigin>> RequestExchange::FindSoleOrigin()
-{
-  if (!SoleOrigin()) {
-    co_return std::nullopt;
-  }
-  if (mContext.mRecordedVersions != nullptr) {
-    // Streams begin at recorded versions only, so a record that is read now names all that can have
-    // begun this one, also those that this instance has not heard of.
-    const bool isRead = co_await mContext.mRecordedVersions->Refresh();
-    if (!isRead) {
-      co_return std::nullopt;
-    }
-  }
-  co_return SoleOrigin();
-}
-
-std::optional<StreamOrigin> RequestExchange::SoleOrigin() const
-{
-  if (mRoute->mServices.size() != 1) {
-    return std::nullopt;
-  }
-  auto version = mContext.mVersionHistory.SoleVersion(mService, mContext.mClock.Now());
-  if (!version) {
-    return std::nullopt;
-  }
-  return StreamOrigin{ mService, std::move(*version) };
-}
-
 void RequestExchange::RejectResume(std::string_view aReason)
 {
   auto error = MakeError(ErrorCode::NoEndpoint,
@@ -322,94 +254,6 @@
   SendError(net::kUnavailable, error);
 }
 
-net::Task<void> RequestExchange::Place()
-{
-  for (int denials = 0;; ++denials) {
-    mPlacement = ChooseEndpoint(denials >= kMaxDenials);
-    if (mIsNoneRecorded && mContext.mRecordedVersions != nullptr) {
-      // Another instance may have recorded one that this instance has not read yet.
-      co_await mContext.mRecordedVersions->Refresh();
-      mPlacement = ChooseEndpoint(denials >= kMaxDenials);
-    }
-    const bool needsPermit = mPlacement.mEndpoint && mContext.mPermits != nullptr &&
-                             mPlacement.mEndpoint->NeedsPermit(mContext.mClock.Now());
-    if (!needsPermit) {
-      co_return;
-    }
-    mPlacement.mPermitUntil = co_await mContext.mPermits->Take(mPlacement.mEndpoint);
-    const auto now = mContext.mClock.Now();
-    // What the endpoint wants may have changed while the permit was asked for.
-    if (mPlacement.mPermitUntil && now <= *mPlacement.mPermitUntil &&
-        mPlacement.mEndpoint->AcceptsRequests(now)) {
-      co_return;
-    }
-    if (mPlacement.mPermitUntil) {
-      mContext.mMetrics.CounterOf("gentianloom_endpoint_permits_unused_total").Add();
-    }
-  }
-}
-
-PlacementChoice RequestExchange::ChooseEndpoint(bool aOnlyUnlimited)
-{
-  const auto now = mContext.mClock.Now();
-  std::optional<std::string_view> softwareVersion;
-  if (mProgress.mOrigin) {
-    softwareVersion = mProgress.mOrigin->mSoftwareVersion;
-  }
-  auto usable = mContext.mEndpoints.UsableEndpoints(mService, now, softwareVersion, mAllowedZones);
-  if (aOnlyUnlimited) {
-    std::erase_if(usable, [now](const auto& it) { return it->NeedsPermit(now); });
-  }
-  if (mRoute->mIsResumable && !mProgress.mOrigin) {
-    KeepRecordedVersions(usable);
-  }
-  PlacementRequest request;
-  request.mTieBreakHash = StableHash(mRequest.mId);
-  request.mZone = mContext.mZone;
-  request.mParts = mRequest.mPromptParts;
-  request.mTarget = mRoute->mLatencyTarget;
-  request.mTriedEndpoints = mTriedEndpoints;
-  request.mIsLoadEvened = IsLoadEvened(usable);
-  if (request.mIsLoadEvened) {
-    mContext.mMetrics.CounterOf("gentianloom_evened_choices_total").Add();
-  }
-  const auto* service = mRoutes->Service(mService);
-  if (service != nullptr && service->mEngine && !mIsTrial) {
-    auto& model = mContext.mFirstTokenModels[mService];
-    auto choice = ChooseEngineEndpoint(request, usable, *service->mEngine, model, now);
-    if (choice.mEndpoint) {
-      choice.mEndpoint->mLoad.Cache().SetCapacity(service->mEngine->mCacheTokens,
-                                                  mContext.mEndpoints.All().size());
-    }
-    return choice;
-  }
-  return ChoosePlainEndpoint(request, usable, now);
-}
-
-bool RequestExchange::IsLoadEvened(std::span<const EndpointRegistry::Ptr> aEndpoints)
-{
-  if (mContext.mEvenLoad.Observe(mService, aEndpoints)) {
-    LogChange(LogLevel::Info,
-              "routing",
-              "the load of the service's endpoints is evened out from now on",
-              { { "service", mService } });
-  }
-  return mContext.mEvenLoad.IsOn(mService) && !mIsTrial;
-}
-
-void RequestExchange::KeepRecordedVersions(std::vector<EndpointRegistry::Ptr>& aEndpoints)
-{
-  const auto firstUnrecorded =
-    std::stable_partition(aEndpoints.begin(), aEndpoints.end(), [this](const auto& it) {
-      return mContext.mVersionHistory.IsRecorded(mService, it->mEntry.mSoftwareVersion);
-    });
-  // An endpoint of an unrecorded version is better than none.
-  mIsNoneRecorded = firstUnrecorded == aEndpoints.begin() && !aEndpoints.empty();
-  if (!mIsNoneRecorded) {
-    aEndpoints.erase(firstUnrecorded, aEndpoints.end());
-  }
-}
-
 bool RequestExchange::MayRetry(const AttemptResult& aResult)
 {
   const auto attempts = static_cast<std::int64_t>(mTriedEndpoints.size());
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -72,7 +72,7 @@
 {
   const auto known = FindRemembered(aEntry.mId);
   const EntryAge age(aEntry);
-  if (!known || age >= EntryAge(known->mEntry)) {
+  if (!known || !(age < EntryAge(known->mEntry))) {
     return false;
   }
   const auto before = std::exchange(known->mOutdated, age);
@@ -187,7 +187,7 @@
 {
   std::erase_if(aEntries, [&](const EndpointEntry& aEntry) {
     const auto it = mRemoved.find(aEntry.mId);
-    return it != mRemoved.end() && EntryAge(aEntry) <= EntryAge(it->second.mEndpoint->mEntry);
+    return it != mRemoved.end() && !(EntryAge(it->second.mEndpoint->mEntry) < EntryAge(aEntry));
   });
   for (auto& it : aEntries) {
     const auto known = mEndpoints.find(it.mId);
