Records of interrupted requests are read once by each process instead of watched

The records stood below the instances' prefix, so each write ended a watch of every instance: after a crash, n events for each of the writes, and other timing of all store calls.

Now the records have a prefix of their own. A process reads them once when it starts, and writes its record again in a new era of the store. TestInterruptionsAtManyInstances counts the commits of the block's key, with the bound as before, since the store gets records of evidence as well.

--- a/include/gentianloom/gateway/CrashEvidenceRecord.h
+++ b/include/gentianloom/gateway/CrashEvidenceRecord.h
@@ -5,9 +5,9 @@
 #include "gentianloom/external/AsyncStore.h"
 #include "gentianloom/routing/CrashEvidence.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,10 +15,9 @@
 
 namespace gentianloom {
 
-/// Prefix of the records of suspects, below kBlockedRequestPrefix, so that earlier builds, which
-/// take them for blocks that were taken back, need no watch of their own and find nothing in them.
-inline constexpr std::string_view kCrashEvidencePrefix =
-  "/gentianloom/instances/blocked-requests/evidence/";
+/// Prefix of the records of suspects. No instance watches it: what a running instance has to know
+/// of them comes in crash reports.
+inline constexpr std::string_view kCrashEvidencePrefix = "/gentianloom/crash-evidence/";
 
 /// Keys of CrashEvidence with what is known against them.
 using Suspects = std::vector<std::pair<std::string, CrashEvidence::Suspect>>;
@@ -34,7 +33,7 @@
  *        instances.
  *
  * Each instance has one record in the key-value service, with the suspects of which it is one of
- * the first keepers. An instance that starts takes over all of them. Without them, a request that
+ * the first keepers. An instance that starts reads all of them once. Without them, a request that
  * crashes endpoints would be counted anew whenever all instances ended at the same time.
  *
  * A record outlives its instance: its lease ends when what it says is no longer remembered.
@@ -73,13 +72,10 @@
   /// @brief Notes that the evidence against a key has changed.
   void OnChanged(const std::string& aKey);
 
-  /// @brief Takes over all stored records when the instance has started; later only checks that the
-  /// record of this instance is still there.
+  /// @brief Reads the stored records until that has succeeded once, then writes the record of this
+  /// instance if it is due. Call it periodically.
   /// @return the keys against which more is known than before
-  std::vector<std::string> OnRecords(std::span<const KeyValue> aEntries);
-
-  /// @brief Writes the record if it is due. Call it periodically.
-  net::Task<void> Update();
+  net::Task<std::vector<std::string>> Update();
 
 private:
   /// Suspects by key and number of interruptions, without the ages, which change all the time.
@@ -90,10 +86,15 @@
   /// Whether a suspect belongs into the record of this instance.
   bool IsWanted(const std::string& aKey) const;
   void SetDue(Millis aDelay);
+  /// Takes over all stored records. Returns the keys against which more is known than before.
+  net::Task<std::vector<std::string>> Read();
+  net::Task<void> WriteIfDue();
   /// Returns the lease of the record, which lasts longer than what is written is remembered.
   net::Task<std::optional<LeaseId>> EnsureLease();
   net::Task<bool> Write(Suspects aSuspects);
   std::vector<std::string> TakeOver(const KeyValue& aEntry);
+  /// Makes the record be written again if the service has come back from an older copy.
+  void CheckEra();
 
   CrashEvidence& mEvidence;
   std::string mSelf;
@@ -103,8 +104,9 @@
   const Clock& mClock;
   Metrics& mMetrics;
   bool mHasRead = false; ///< before that, a write could replace what a predecessor knew
+  std::int64_t mEra = 0; ///< of the service, when the record was read or written
   std::optional<TimePoint> mDueAt;
-  TimePoint mNextWriteAt{};
+  TimePoint mNextCallAt{};
   Summary mWritten; ///< in the record
   std::optional<LeaseId> mLease;
   TimePoint mLeaseGrantedAt{};
--- a/include/gentianloom/gateway/CrashReportExchange.h
+++ b/include/gentianloom/gateway/CrashReportExchange.h
@@ -95,9 +95,6 @@
   /// @brief The blocked requests, which take over the stored records.
   BlockedRequests& Blocked() { return mBlocked; }
 
-  /// @brief Takes over the stored evidence, after the records of blocked requests.
-  void OnEvidenceRecords(std::span<const KeyValue> aEntries);
-
 private:
   /// A run that was interrupted at an endpoint of which it is not known yet whether it has ended.
   struct UnprovedInterruption
--- a/src/gateway/CrashEvidenceRecord.cpp
+++ b/src/gateway/CrashEvidenceRecord.cpp
@@ -48,11 +48,7 @@
                          { "first_ago_ms", AgeAt(it.mFirstAt, aNow).count() },
                          { "last_ago_ms", AgeAt(it.mLastAt, aNow).count() } });
   }
-  // Earlier builds read the fields of a blocked request: a block that was taken back.
-  const nlohmann::json out = { { "blocked", false },
-                               { "first_interruption_ago_ms", 0 },
-                               { "block_time_left_ms", 0 },
-                               { "suspects", std::move(suspects) } };
+  const nlohmann::json out = { { "suspects", std::move(suspects) } };
   return out.dump();
 }
 
@@ -137,25 +133,32 @@
   return isWritten || mIsRecorder(aKey);
 }
 
-std::vector<std::string> CrashEvidenceRecord::OnRecords(std::span<const KeyValue> aEntries)
+net::Task<std::vector<std::string>> CrashEvidenceRecord::Read()
 {
   std::vector<std::string> out;
-  bool isOwnStored = false;
-  for (const auto& it : aEntries) {
-    isOwnStored = isOwnStored || it.mKey == RecordKey();
-    if (!mHasRead) {
-      const auto keys = TakeOver(it);
-      out.insert(out.end(), keys.begin(), keys.end());
-    }
+  mNextCallAt = mClock.Now() + kMinWriteInterval;
+  const auto answer = co_await mStore.Range(std::string(kCrashEvidencePrefix));
+  if (!answer) {
+    co_return out;
   }
-  if (!isOwnStored) {
-    // The service may have come back from an older copy of its data.
-    mWritten.clear();
-    mLease.reset();
+  for (const auto& it : answer.value().mEntries) {
+    const auto keys = TakeOver(it);
+    out.insert(out.end(), keys.begin(), keys.end());
   }
   mHasRead = true;
+  mEra = mStore.Era();
   SetDue(kFirstInterruptionDelay);
-  return out;
+  co_return out;
+}
+
+void CrashEvidenceRecord::CheckEra()
+{
+  if (mEra != mStore.Era()) {
+    mEra = mStore.Era();
+    mWritten.clear();
+    mLease.reset();
+    SetDue(Millis(0));
+  }
 }
 
 std::vector<std::string> CrashEvidenceRecord::TakeOver(const KeyValue& aEntry)
@@ -218,10 +221,25 @@
   co_return true;
 }
 
-net::Task<void> CrashEvidenceRecord::Update()
+net::Task<std::vector<std::string>> CrashEvidenceRecord::Update()
+{
+  std::vector<std::string> out;
+  if (mClock.Now() < mNextCallAt) {
+    co_return out;
+  }
+  if (mHasRead) {
+    CheckEra();
+    co_await WriteIfDue();
+  } else {
+    out = co_await Read();
+  }
+  co_return out;
+}
+
+net::Task<void> CrashEvidenceRecord::WriteIfDue()
 {
   const auto now = mClock.Now();
-  if (!mHasRead || !mDueAt || now < *mDueAt || now < mNextWriteAt) {
+  if (!mDueAt || now < *mDueAt) {
     co_return;
   }
   mDueAt.reset();
@@ -235,7 +253,7 @@
     co_return;
   }
   const auto peers = static_cast<std::int64_t>(mPeerCount());
-  mNextWriteAt = now + std::max(kMinWriteInterval, kWriteIntervalPerInstance * peers);
+  mNextCallAt = now + std::max(kMinWriteInterval, kWriteIntervalPerInstance * peers);
   const bool isWritten = co_await Write(std::move(suspects));
   if (isWritten) {
     mWritten = summary;
--- a/src/gateway/CrashReportExchange.cpp
+++ b/src/gateway/CrashReportExchange.cpp
@@ -232,13 +232,6 @@
   BlockIfSufficient(aKey);
 }
 
-void CrashReportExchange::OnEvidenceRecords(std::span<const KeyValue> aEntries)
-{
-  for (const auto& it : mEvidenceRecord.OnRecords(aEntries)) {
-    BlockIfSufficient(it);
-  }
-}
-
 void CrashReportExchange::BlockIfSufficient(const std::string& aKey)
 {
   const auto suspect = mEvidence.Find(aKey);
@@ -341,7 +334,10 @@
   while (true) {
     RemoveExpired();
     co_await mBlocked.Update();
-    co_await mEvidenceRecord.Update();
+    const auto takenOver = co_await mEvidenceRecord.Update();
+    for (const auto& it : takenOver) {
+      BlockIfSufficient(it);
+    }
     co_await net::Signal::Sleep(mLoop, kUpdateInterval);
   }
 }
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -75,12 +75,7 @@
   out.mOnSnapshot = [this](const std::vector<KeyValue>& aEntries, StoreAvailability aAvailability) {
     std::vector<InstanceRecord> records;
     std::vector<KeyValue> blockedRequests;
-    std::vector<KeyValue> crashEvidence;
     for (const auto& it : aEntries) {
-      if (it.mKey.starts_with(kCrashEvidencePrefix)) {
-        crashEvidence.push_back(it);
-        continue;
-      }
       if (it.mKey.starts_with(kBlockedRequestPrefix)) {
         blockedRequests.push_back(it);
         continue;
@@ -93,13 +88,9 @@
     const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
     mInstances.Replace(std::move(records), mayBeLeaseExpiry, mClock.Now());
     mCrashReports.Blocked().OnRecords(blockedRequests);
-    mCrashReports.OnEvidenceRecords(crashEvidence);
   };
   out.mOnEvents = [this](const std::vector<WatchEvent>& aEvents, StoreAvailability aAvailability) {
     for (const auto& it : aEvents) {
-      if (it.mEntry.mKey.starts_with(kCrashEvidencePrefix)) {
-        continue; // what a running instance has to know of them comes in crash reports
-      }
       if (it.mEntry.mKey.starts_with(kBlockedRequestPrefix)) {
         it.mIsDeleted ? mCrashReports.Blocked().OnRecordDeleted(it.mEntry.mKey)
                       : mCrashReports.Blocked().OnRecord(it.mEntry);
--- a/tests/support/MemoryAsyncStore.h
+++ b/tests/support/MemoryAsyncStore.h
@@ -54,6 +54,9 @@
   net::Task<AsyncCommitResult> Commit(Transaction aTransaction) override
   {
     ++mCommitCalls;
+    for (const auto& it : aTransaction.mWrites) {
+      ++mCommitCallsByKey[it.mKey];
+    }
     AsyncCommitResult out;
     out.mCommit.mEffect = Effect::NotApplied;
     out.mCommit.mError = Failure();
@@ -156,6 +159,7 @@
   std::int64_t mEra = 1; ///< known to the client with the next response
   int mRangeCalls = 0;   ///< number of calls so far, also of failed ones
   int mCommitCalls = 0;
+  std::map<std::string, int> mCommitCallsByKey; ///< by each key that a call was to write
   int mWatchCalls = 0;
 
 private:
