--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -41,7 +41,7 @@
     std::optional<bool> out;
     Start(aLoop, "call", Call(aClient, out));
     CPPUNIT_ASSERT(testing::RunUntil(aLoop, [&] { return out.has_value(); }));
-    return *out;
+    return out.value_or(false);
   }
 
 public:
