--- a/tests/platform/interrupted_response_test.py
+++ b/tests/platform/interrupted_response_test.py
@@ -111,8 +111,8 @@
                 self.assertEqual([b"id: %d" % it for it in range(1, 6)],
                                  [it for it in response.body.split(b"\n") if it.startswith(b"id")])
 
-    # The error text of the next endpoint, or its whole head, stood in the caller's stream, or the stream ended
-    # as if it were complete.
+    # A stream broke off, and the error text of the next endpoint, or its whole head, stood in the caller's stream,
+    # or the stream ended as if it were complete.
     def test_error_after_a_stream_has_begun_is_not_part_of_it(self):
         def respond(status, fields=ECHOED + SIGNATURE + STREAM_TYPE, text=ERROR_TEXT, version="1.1"):
             return (f"HTTP/{version} {status} X\r\n{fields}Content-Length: {len(text)}\r\n\r\n{text}",
