Whether the store had an outage is a matter of all calls to it

Cause: each PrefixWatcher measured the time without an answer from its own calls only, so that 2 s without a complete watch counted as an outage of the store. The removal of an entry then only marks its endpoint as missing. The time was measured to the sending of the call that was answered next, so a call that was sent into an outage and answered after it hid it.

Change: StoreContact counts the answers of all calls of a process, whatever they are for; an outage is 2 s between two answers, unless no call was open or had failed. An instance renews its lease every second, so cut watches are no outage. Refusals (429, 5xx) and late answers of an older era are no answers. The store client gets the gateway's clock, which goes on while a machine is suspended.

--- a/include/gentianloom/external/AsyncStore.h
+++ b/include/gentianloom/external/AsyncStore.h
@@ -2,6 +2,7 @@
 #define GENTIANLOOM_EXTERNAL_ASYNC_STORE_H
 
 #include "gentianloom/external/KeyValueStore.h"
+#include "gentianloom/external/StoreContact.h"
 #include "gentianloom/net/HttpClient.h"
 #include "gentianloom/net/Task.h"
 
@@ -75,6 +76,9 @@
   /// @brief Renews a lease. @return false if it has expired or was revoked
   virtual net::Task<Result<bool>> RenewLease(LeaseId aLease) = 0;
 
+  /// @brief What all calls of this client show about outages of the service.
+  virtual const StoreContact& Contact() const = 0;
+
   /// @brief Bytes of all calls' bodies so far; zero for a store that uses no network.
   virtual net::BodyBytes Bytes() const { return {}; }
 
--- a/include/gentianloom/gateway/GatewayDaemon.h
+++ b/include/gentianloom/gateway/GatewayDaemon.h
@@ -12,9 +12,11 @@
 namespace gentianloom {
 
 /// Creates a client of the key-value service at the given address; aHost is the value of the Host
-/// header of its requests.
-using StoreFactory = std::function<
-  std::unique_ptr<AsyncStore>(net::Loop&, const net::Channel::Address&, const std::string& aHost)>;
+/// header of its requests, aClock the clock by which it judges outages.
+using StoreFactory = std::function<std::unique_ptr<AsyncStore>(net::Loop&,
+                                                               const net::Channel::Address&,
+                                                               const std::string& aHost,
+                                                               const Clock& aClock)>;
 
 /**
  * @brief Runs a gateway process until SIGTERM or SIGINT has shut it down gracefully.
--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -15,7 +15,7 @@
 namespace gentianloom {
 
 /**
- * Whether a call of the watcher to the key-value service has failed within kOutageGracePeriod.
+ * Whether the key-value service had an outage within kOutageGracePeriod, by StoreContact.
  *
  * After an outage a missing key does not mean that its owner is gone: the lease may have expired
  * because the owner could not renew it.
@@ -103,11 +103,9 @@
   bool CheckEra(std::int64_t aEra);
   /// Whether a call returned a response of the current era; records the result of the call.
   template<typename T>
-  bool IsCurrent(const Result<T>& aAnswer, TimePoint aSentAt);
-  void RecordCallResult(bool aHasSucceeded, const std::string& aError, TimePoint aSentAt);
+  bool IsCurrent(const Result<T>& aAnswer);
+  void RecordCallResult(bool aHasSucceeded, const std::string& aError);
   StoreAvailability Availability() const;
-  /// Whether the time since the last answer was an outage, if the service answers again by a time.
-  bool WasOutage(TimePoint aAnsweredAt) const;
 
   net::Loop& mLoop;
   AsyncStore& mStore;
@@ -131,8 +129,7 @@
   bool mHasMissedChange = false;            ///< an update of another instance shows a gap
   net::Signal mUpdateSignal;
   net::Backoff mBackoff;
-  std::optional<TimePoint> mLastAnswerAt;  ///< when a call of this watcher was answered
-  std::optional<TimePoint> mOutageEndedAt; ///< of the last outage
+  std::optional<TimePoint> mRestoredAt; ///< when the service was seen to be back from a copy
   TimePoint mConfirmedUntil{};
 };
 
--- a/src/gateway/GatewayDaemon.cpp
+++ b/src/gateway/GatewayDaemon.cpp
@@ -129,7 +129,7 @@
   }
   net::Loop loop(1);
   const BootClock clock;
-  const auto store = aStoreFactory(loop, storeAddress.value(), settings.mStoreAddress);
+  const auto store = aStoreFactory(loop, storeAddress.value(), settings.mStoreAddress, clock);
   Gateway gateway(loop, settings, aProtocol, *store, clock);
   const auto started = gateway.Start();
   if (!started) {
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -11,10 +11,6 @@
 
 /// A key deleted within this time after an outage may have had its lease expire in it.
 constexpr Millis kOutageGracePeriod{ 1'500 };
-/// Shortest time without an answer that counts as an outage, once calls are answered again. It is
-/// longer than a watch waits, so that one that is cut is none, and shorter than any lease that is
-/// renewed in time.
-constexpr Millis kMinOutage{ 2'000 };
 /// Interval at which an instance that follows others checks that their updates still arrive.
 constexpr Millis kFollowCheckInterval{ 100 };
 /// Share of the timeout that the watches of instances with followers wait, so that one lost update
@@ -62,15 +58,10 @@
 StoreAvailability PrefixWatcher::Availability() const
 {
   const auto now = mClock.Now();
-  const bool isOver = mOutageEndedAt && now - *mOutageEndedAt < kOutageGracePeriod;
-  const bool isInOutage = mIsUnavailable && WasOutage(now);
-  return isOver || isInOutage ? StoreAvailability::RecentlyUnavailable
-                              : StoreAvailability::Available;
-}
-
-bool PrefixWatcher::WasOutage(TimePoint aAnsweredAt) const
-{
-  return !mLastAnswerAt || aAnsweredAt - *mLastAnswerAt >= kMinOutage;
+  const bool isRestored = mRestoredAt && now - *mRestoredAt < kOutageGracePeriod;
+  return isRestored || mStore.Contact().HadOutageWithin(kOutageGracePeriod, now)
+           ? StoreAvailability::RecentlyUnavailable
+           : StoreAvailability::Available;
 }
 
 net::Task<void> PrefixWatcher::Run()
@@ -91,13 +82,13 @@
 }
 
 template<typename T>
-bool PrefixWatcher::IsCurrent(const Result<T>& aAnswer, TimePoint aSentAt)
+bool PrefixWatcher::IsCurrent(const Result<T>& aAnswer)
 {
   const bool isOutdated = aAnswer && aAnswer.value().mEra < mStore.Era();
   if (isOutdated) {
-    RecordCallResult(false, "a delayed response of an older era", aSentAt);
+    RecordCallResult(false, "a delayed response of an older era");
   } else {
-    RecordCallResult(aAnswer.has_value(), aAnswer ? "" : ToString(aAnswer.error()), aSentAt);
+    RecordCallResult(aAnswer.has_value(), aAnswer ? "" : ToString(aAnswer.error()));
   }
   return aAnswer && !isOutdated;
 }
@@ -106,7 +97,7 @@
 {
   const auto askedAt = mClock.Now();
   const auto answer = co_await mStore.Range(mPrefix);
-  if (!IsCurrent(answer, askedAt)) {
+  if (!IsCurrent(answer)) {
     co_return false;
   }
   CheckEra(answer.value().mEra);
@@ -133,7 +124,7 @@
   }
   if (mHasSynced) {
     // Keys that were written since the copy are missing until their owners write them again.
-    mOutageEndedAt = mClock.Now();
+    mRestoredAt = mClock.Now();
     mNeedsSnapshot = true;
     mIsRestored = true;
     LogChange(LogLevel::Warning,
@@ -156,9 +147,8 @@
                  : mTiming.mTimeout;
   // A watcher goes by its own calls only, so that a wrong update of one does not spread.
   const auto after = mRelay != nullptr && mRelay->IsWatcher() ? mOwnRevision : mRevision;
-  const auto sentAt = mClock.Now();
   const auto answer = co_await mStore.Watch(mPrefix, after, timeout);
-  if (!IsCurrent(answer, sentAt)) {
+  if (!IsCurrent(answer)) {
     co_return false;
   }
   const auto& it = answer.value();
@@ -282,9 +272,7 @@
   }
 }
 
-void PrefixWatcher::RecordCallResult(bool aHasSucceeded,
-                                     const std::string& aError,
-                                     TimePoint aSentAt)
+void PrefixWatcher::RecordCallResult(bool aHasSucceeded, const std::string& aError)
 {
   if (aHasSucceeded == mIsUnavailable) {
     LogChange(aHasSucceeded ? LogLevel::Info : LogLevel::Warning,
@@ -293,16 +281,11 @@
                             : "the key-value service is unavailable; continuing with cached data",
               { { "prefix", mPrefix }, { "error", aError } });
   }
+  mIsUnavailable = !aHasSucceeded;
   if (aHasSucceeded) {
-    if (mIsUnavailable && WasOutage(aSentAt)) {
-      mOutageEndedAt = mClock.Now();
-    }
-    mIsUnavailable = false;
-    mLastAnswerAt = mClock.Now();
     mBackoff.Reset();
     return;
   }
-  mIsUnavailable = true;
   mMetrics.CounterOf("gentianloom_store_failures_total", "prefix=\"" + mPrefix + "\"").Add();
 }
 
--- a/tests/gateway/PrefixWatcherTest.cpp
+++ b/tests/gateway/PrefixWatcherTest.cpp
@@ -15,6 +15,11 @@
   CPPUNIT_TEST(TestSnapshotsAndEvents);
   CPPUNIT_TEST_SUITE_END();
 
+  static net::Task<void> ReadOtherKeys(AsyncStore& aStore)
+  {
+    CPPUNIT_ASSERT(co_await aStore.RangeStale("q/"));
+  }
+
 public:
   void TestSnapshotsAndEvents()
   {
@@ -23,6 +28,7 @@
     Metrics metrics;
     MemoryAsyncStore store;
     store.EnableWaiting(loop);
+    store.SetClock(clock);
     store.Put("p/a", "1");
     std::string seen;
     const auto record = [&seen](const std::string& aText, StoreAvailability aAvailability) {
@@ -86,6 +92,17 @@
     fail(Millis(1'000));
     store.Remove("p/c");
     expect("a deletion after a watch that was cut is none", "-p/c ");
+    // Two watches that were cut counted as an outage although other calls were answered.
+    store.Put("p/c", "1");
+    expect("the outage is over", "+p/c ");
+    for (int n = 0; n < 3; ++n) {
+      fail(Millis(1'500));
+      const auto reads = store.mRangeCalls;
+      net::Start(loop, "other call", ReadOtherKeys(store));
+      CPPUNIT_ASSERT(testing::RunUntil(loop, [&] { return store.mRangeCalls > reads; }));
+    }
+    store.Remove("p/c");
+    expect("nor is one after several, if other calls were answered", "-p/c ");
   }
 };
 
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -119,7 +119,9 @@
     net::Task<Result<bool>> RenewLease(LeaseId) override { co_return true; }
     net::Task<Result<void>> RevokeLease(LeaseId) override { co_return success(); }
     std::int64_t Era() const override { return 1; }
+    const StoreContact& Contact() const override { return mContact; }
 
+    StoreContact mContact;
     WatchResponse mResponse;
     net::Signal mReturn;
   };
--- a/tests/support/MemoryAsyncStore.h
+++ b/tests/support/MemoryAsyncStore.h
@@ -27,11 +27,12 @@
 {
 public:
   std::int64_t Era() const override { return mStatedEra; }
+  const StoreContact& Contact() const override { return mContact; }
 
   net::Task<Result<RangeResponse>> Range(std::string aPrefix) override
   {
     ++mRangeCalls;
-    if (mMode == StoreMode::Down) {
+    if (!Begin()) {
       co_return Failure();
     }
     mStatedEra = mEra;
@@ -60,7 +61,7 @@
     AsyncCommitResult out;
     out.mCommit.mEffect = Effect::NotApplied;
     out.mCommit.mError = Failure();
-    if (mMode == StoreMode::Down) {
+    if (!Begin()) {
       co_return out;
     }
     mStatedEra = mEra;
@@ -91,7 +92,9 @@
                                          Millis aWait) override
   {
     ++mWatchCalls;
+    mContact.OnCall(mClock->Now());
     if (mMode == StoreMode::Down) {
+      mContact.OnFailure();
       co_return Failure();
     }
     const bool isNewEra = mStatedEra != mEra;
@@ -113,6 +116,7 @@
       co_await it->WaitFor(aWait);
       mWaiting.erase(it);
     }
+    mContact.OnAnswer(mClock->Now());
     co_return out;
   }
 
@@ -142,6 +146,9 @@
     NotifyWatch();
   }
 
+  /// @brief Sets the clock by which Contact() judges; that of the system unless it is set.
+  void SetClock(const Clock& aClock) { mClock = &aClock; }
+
   /// @brief Makes watches without events wait for a change on a loop.
   void EnableWaiting(net::Loop& aLoop) { mLoop = &aLoop; }
 
@@ -163,6 +170,18 @@
   int mWatchCalls = 0;
 
 private:
+  /// Notes a call that ends at once. Returns whether the store answers it.
+  bool Begin()
+  {
+    mContact.OnCall(mClock->Now());
+    if (mMode == StoreMode::Down) {
+      mContact.OnFailure();
+      return false;
+    }
+    mContact.OnAnswer(mClock->Now());
+    return true;
+  }
+
   void NotifyWatch()
   {
     for (auto& it : mWaiting) {
@@ -171,6 +190,9 @@
   }
 
   net::Loop* mLoop = nullptr; ///< set: watches wait
+  SystemClock mSystemClock;
+  const Clock* mClock = &mSystemClock;
+  StoreContact mContact;
   std::list<net::Signal> mWaiting;
   std::int64_t mStatedEra = 0;
 
