An instance that follows others judges an outage of the store by its own calls as well

What callers could see: a watcher of a zone that had been cut off from the store alone marked its updates as those after an outage for 1.5 s. All instances that follow it then used the only endpoint of a service for 2 s more after its entry had been deleted, although the store was up and they had reached it all the while.

Cause: PrefixWatcher::OnUpdate believed the mark of the sender. An outage of the store is one for all; a cut of one instance's link is not.

Change: the mark counts if the instance had an outage itself within 3 s, by the answers of all its calls.

--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -106,6 +106,8 @@
   bool IsCurrent(const Result<T>& aAnswer);
   void RecordCallResult(bool aHasSucceeded, const std::string& aError);
   StoreAvailability Availability() const;
+  /// Availability for the events of another instance's update.
+  StoreAvailability AvailabilityFor(const PrefixUpdate& aUpdate) const;
 
   net::Loop& mLoop;
   AsyncStore& mStore;
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -11,6 +11,9 @@
 
 /// A key deleted within this time after an outage may have had its lease expire in it.
 constexpr Millis kOutageGracePeriod{ 1'500 };
+/// Like kOutageGracePeriod, for what other instances tell: they may notice the end of an outage
+/// later than this instance by the pause between two of their calls.
+constexpr Millis kToldOutageGracePeriod{ 3'000 };
 /// Interval at which an instance that follows others checks that their updates still arrive.
 constexpr Millis kFollowCheckInterval{ 100 };
 /// Share of the timeout that the watches of instances with followers wait, so that one lost update
@@ -64,6 +67,14 @@
            : StoreAvailability::Available;
 }
 
+StoreAvailability PrefixWatcher::AvailabilityFor(const PrefixUpdate& aUpdate) const
+{
+  // The other instance may have been cut off alone. An outage of the service is one here as well.
+  const bool wasOutage = aUpdate.mIsAfterOutage &&
+                         mStore.Contact().HadOutageWithin(kToldOutageGracePeriod, mClock.Now());
+  return wasOutage ? StoreAvailability::RecentlyUnavailable : Availability();
+}
+
 net::Task<void> PrefixWatcher::Run()
 {
   while (true) {
@@ -234,9 +245,7 @@
     mUpdateSignal.Notify();
     return;
   }
-  const auto availability =
-    aUpdate.mIsAfterOutage ? StoreAvailability::RecentlyUnavailable : Availability();
-  HandleEvents(aUpdate.mEvents, availability);
+  HandleEvents(aUpdate.mEvents, AvailabilityFor(aUpdate));
   mRevision = std::max(mRevision, aUpdate.mRevision);
   const auto trueAt = mClock.Now() - aUpdate.mAge;
   mUpdatedAt = std::max(mUpdatedAt, trueAt);
