An entry that was written earlier is outdated however often one comes

Causes: EndpointRegistry believed a second outdated entry if its sequence rose, so that the next process of an endpoint whose clock was set back, or that states no start, was not ignored for good. Two late writes look the same. After a deletion a late write has a higher sequence than the known entry, since entries in which only the sequence changes are not reported. An outdated entry also counted as seeing the endpoint.

Change: CompareEntries orders entries by start and sequence alone. After a deletion that was no lease expiry of an outage, an entry under the same lease was sent before it: one that expired comes back under another lease. Instances that follow others get the lease as an optional last element of their updates. What looks like an earlier process, or has such a lease, is kept apart until it has stood for 10 s without an outage: by then the known process would have written again, and an entry that nobody renews would have lost its lease. Outdated entries get a log line of their own and leave the time at which the endpoint was last seen as it is; one that says the same lists a missing endpoint again, as before.

The rows of TestLateWrites that expected a process with an earlier start to be used at its second entry now expect it after 10 s; the row of a later entry after the removal now has another lease, and rows with the same one were added.

--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -85,6 +85,7 @@
   std::optional<std::string> DecodeEvacuatedZone(std::string_view aKey) const;
   /// Changes the evacuated zones and logs which ones are evacuated or used again by that.
   void ChangeEvacuatedZones(const std::function<void(EvacuatedZones&)>& aChange);
+  Result<EndpointEntry> DecodeEndpoint(const KeyValue& aEntry) const;
   void UpdateEndpoint(const KeyValue& aEntry);
   /// Logs that an entry names no endpoint, once until a valid entry follows.
   void LogInvalidEntry(const std::string& aId, const std::string& aError);
--- a/include/gentianloom/routing/EndpointRegistry.h
+++ b/include/gentianloom/routing/EndpointRegistry.h
@@ -2,6 +2,7 @@
 #define GENTIANLOOM_ROUTING_ENDPOINT_REGISTRY_H
 
 #include "gentianloom/base/Clock.h"
+#include "gentianloom/routing/EndpointEntry.h"
 #include "gentianloom/routing/EndpointLoad.h"
 #include "gentianloom/routing/EvacuatedZones.h"
 #include "gentianloom/routing/RateLimit.h"
@@ -18,28 +19,10 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 namespace gentianloom {
 
-/// An endpoint's entry in the key-value service.
-struct EndpointEntry
-{
-  std::string mId;
-  std::string mService;
-  std::string mAddress; ///< IP:PORT
-  std::string mZone;
-  std::int64_t mSlots = 0; ///< maximum number of concurrent requests; 0: not known
-  /// Version of the endpoint's software; not that of its weights, nor of the configuration.
-  std::string mSoftwareVersion;
-  std::int64_t mSequence = 0; ///< rises with each write of the endpoint's process
-  /// Wall-clock milliseconds; distinguishes processes with one id. 0: not stated
-  std::int64_t mStartedAt = 0;
-  bool mIsLeaving = false;
-  std::optional<Millis> mWarmUpRemaining; ///< at the time of writing; nothing: not stated
-};
-
 /// State of an entry in the registry.
 enum class EntryState : std::uint8_t
 {
@@ -48,21 +31,12 @@
   Removed  ///< the endpoint is no longer registered
 };
 
-/// Order of the entries of an endpoint: its start, then the sequence of its process.
-struct EntryAge
+/// What EndpointRegistry::Put() did with an entry.
+enum class PutResult : std::uint8_t
 {
-  std::int64_t mStartedAt = 0;
-  std::int64_t mSequence = 0;
-
-  explicit EntryAge(const EndpointEntry& aEntry)
-    : mStartedAt(aEntry.mStartedAt)
-    , mSequence(aEntry.mSequence)
-  {
-  }
-  bool operator<(const EntryAge& aOther) const
-  {
-    return std::tie(mStartedAt, mSequence) < std::tie(aOther.mStartedAt, aOther.mSequence);
-  }
+  Applied,
+  Outdated,  ///< it was written before the known one, which holds
+  LacksStart ///< it states no start although the endpoint has: another program wrote it
 };
 
 /// One process of an endpoint, with the state that this instance keeps for it.
@@ -79,7 +53,6 @@
   /// The process has stated in a response that it is leaving. Unlike the entry's state, this holds
   /// until the process ends.
   bool mHasAnnouncedLeaving = false;
-  std::optional<EntryAge> mOutdated; ///< of the last entry that was written before mEntry
   EndpointLoad mLoad;
   RequestHold mHold;
   StatedRateLimit mRateLimit;
@@ -153,11 +126,10 @@
    *        means a new process, which gets a new record.
    *
    * Writes can take effect late and out of order. An entry that was written before the one that is
-   * known, by start and sequence, changes nothing of what is known; see IsOutdated().
-   * @return false, without a change, if the entry states no start although the endpoint has stated
-   * one before: then another program wrote it
+   * known or was removed, however often it comes, changes nothing of what is known; see
+   * CompareEntries() and AcceptConfirmed().
    */
-  bool Put(EndpointEntry aEntry, TimePoint aNow);
+  PutResult Put(EndpointEntry aEntry, TimePoint aNow);
 
   /// @brief The endpoint with an id; null if it is not known or was removed.
   Ptr Find(std::string_view aId) const;
@@ -197,6 +169,11 @@
   /// periodically.
   void RemoveExpired(TimePoint aNow);
 
+  /// @brief Applies entries of processes that look earlier than known ones, but run; see
+  /// UnconfirmedEntries. Must be called periodically.
+  /// @param aConfirmedUntil time until which all changes of the key-value service were received
+  void AcceptConfirmed(TimePoint aConfirmedUntil, TimePoint aNow);
+
   /// @brief Endpoints of a service that accept requests, have not asked for a pause and whose rate
   /// limit and window leave room; missing ones only if none is listed.
   /// @param aSoftwareVersion only endpoints with this version of their software, if it is set
@@ -224,28 +201,34 @@
   std::size_t Size() const { return mEndpoints.size(); }
 
 private:
-  void RemoveRecord(std::map<std::string, Ptr, std::less<>>::iterator aEndpoint, TimePoint aNow);
+  using EndpointMap = std::map<std::string, Ptr, std::less<>>;
 
   /// An endpoint that was removed. Requests in flight still note here what it says.
   struct RemovedEndpoint
   {
     Ptr mEndpoint;
     TimePoint mRemovedAt{};
+    bool mIsDeleted = false; ///< its key was deleted while the key-value service was available
   };
 
+  /// Applies an entry that is later than the known one, or whose process runs.
+  void Apply(EndpointEntry aEntry, TimePoint aNow);
+
+  /// @param aIsDeleted see RemovedEndpoint
+  void RemoveRecord(EndpointMap::iterator aEndpoint, bool aIsDeleted, TimePoint aNow);
+
   /// Whether an entry without a start is about an endpoint that has stated its start.
   bool LacksStart(const EndpointEntry& aEntry) const;
 
   /// The known or removed endpoint with an id; null if there is none.
   Ptr FindRemembered(std::string_view aId) const;
 
-  /**
-   * @brief Whether an entry was written before the one that is known of its endpoint.
-   *
-   * A process whose clock was set back, or that states no start, looks earlier as well when it
-   * starts. Unlike a late write it goes on to write, so its second entry is believed.
-   */
-  bool IsOutdated(const EndpointEntry& aEntry);
+  /// Order of an entry against the one that is known, or was when the endpoint was removed.
+  EntryOrder OrderOf(const EndpointEntry& aEntry) const;
+
+  /// Lists an endpoint again whose key exists again. Only changes of entries are reported, so
+  /// nothing later may follow an earlier entry that says the same.
+  void RelistIfSame(const EndpointEntry& aEntry);
 
   /// Whether an endpoint of a service states that too many refusals would end it.
   bool IsBrittle(std::string_view aService) const;
@@ -255,8 +238,9 @@
   /// Creates the record of a process that was not known, or returns the one that was removed.
   Ptr AddRecord(const EndpointEntry& aEntry);
 
-  std::map<std::string, Ptr, std::less<>> mEndpoints;
+  EndpointMap mEndpoints;
   std::map<std::string, RemovedEndpoint, std::less<>> mRemoved;
+  UnconfirmedEntries mUnconfirmed;
   std::shared_ptr<EvacuatedZones> mEvacuatedZones = std::make_shared<EvacuatedZones>();
   std::function<void(const std::string&)> mOnNewProcess;
   std::map<std::string, double, std::less<>> mWarmUpLimits; ///< by service
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -396,6 +396,9 @@
   while (true) {
     ObserveSoftwareVersions();
     mRelay.mEndpoints.RemoveExpired(mClock.Now());
+    if (!mStore.Contact().HadOutageWithin(UnconfirmedEntries::kConfirmationTime, mClock.Now())) {
+      mRelay.mEndpoints.AcceptConfirmed(mEndpointWatcher.ConfirmedUntil(), mClock.Now());
+    }
     ChangeEvacuatedZones([this](EvacuatedZones& it) { it.RemoveExpired(mClock.Now()); });
     mEndpointLimits.ReportWarmUps();
     mInstances.RemoveExpired(mClock.Now());
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -31,7 +31,7 @@
     const auto prefix = mProtocol.EndpointPrefix().size();
     for (const auto& it : aEntries) {
       const auto id = it.mKey.substr(prefix);
-      auto entry = mProtocol.DecodeEndpoint(id, it.mValue);
+      auto entry = DecodeEndpoint(it);
       const auto known = mRelay.mEndpoints.Find(id);
       if (entry) {
         records.push_back(std::move(entry.value()));
@@ -148,27 +148,41 @@
               { "revision", std::to_string(aEntry.mModRevision) } });
 }
 
+Result<EndpointEntry> Gateway::DecodeEndpoint(const KeyValue& aEntry) const
+{
+  const auto id = aEntry.mKey.substr(mProtocol.EndpointPrefix().size());
+  auto out = mProtocol.DecodeEndpoint(id, aEntry.mValue);
+  if (out) {
+    out.value().mLease = aEntry.mLease;
+  }
+  return out;
+}
+
 void Gateway::UpdateEndpoint(const KeyValue& aEntry)
 {
   const auto id = aEntry.mKey.substr(mProtocol.EndpointPrefix().size());
-  auto entry = mProtocol.DecodeEndpoint(id, aEntry.mValue);
+  auto entry = DecodeEndpoint(aEntry);
   if (!entry) {
     LogInvalidEntry(id, ToString(entry.error()));
     return;
   }
   const auto decoded = entry.value();
-  if (!mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now())) {
+  const auto result = mRelay.mEndpoints.Put(std::move(entry.value()), mClock.Now());
+  if (result == PutResult::LacksStart) {
     LogInvalidEntry(id, "it lacks the start that the endpoint has stated before");
     return;
   }
   mInvalidEntries.erase(id);
   LogChange(LogLevel::Info,
             "endpoints",
-            "the entry of an endpoint changed",
+            result == PutResult::Outdated ? "ignored an entry that was written before the known one"
+                                          : "the entry of an endpoint changed",
             { { "endpoint", id },
               { "service", decoded.mService },
               { "software_version", decoded.mSoftwareVersion },
               { "started_at", std::to_string(decoded.mStartedAt) },
+              { "sequence", std::to_string(decoded.mSequence) },
+              { "lease", std::to_string(decoded.mLease) },
               { "leaving", decoded.mIsLeaving ? "yes" : "no" } });
   ObserveSoftwareVersions();
 }
--- a/src/gateway/WatchRelay.cpp
+++ b/src/gateway/WatchRelay.cpp
@@ -20,7 +20,7 @@
 /// Bytes of a datagram that are not events.
 constexpr std::size_t kEnvelopeBytes = 160;
 /// Bytes of an event beside its key and value.
-constexpr std::size_t kEventOverhead = 24;
+constexpr std::size_t kEventOverhead = 33;
 constexpr std::size_t kMaxEventBytes = PeerSocket::kMaxDatagramBytes - kEnvelopeBytes;
 constexpr std::int64_t kMaxRevision = std::numeric_limits<std::int64_t>::max();
 constexpr Millis kMaxAge{ 60'000 };
@@ -30,31 +30,56 @@
   return aEvent.mEntry.mKey.size() + aEvent.mEntry.mValue.size() + kEventOverhead;
 }
 
+/// Reads the leases of an update's events, which builds before this element do not send. Others
+/// than one number for each event are ignored.
+void ReadLeases(const nlohmann::json& aArray, std::size_t aIndex, PrefixUpdate& aUpdate)
+{
+  if (aArray.size() <= aIndex) {
+    return;
+  }
+  const auto& leases = aArray.at(aIndex);
+  if (!leases.is_array() || leases.size() != aUpdate.mEvents.size()) {
+    return;
+  }
+  for (std::size_t n = 0; n < leases.size(); ++n) {
+    const auto& it = leases.at(n);
+    aUpdate.mEvents[n].mEntry.mLease = it.is_number_integer() ? it.get<LeaseId>() : 0;
+  }
+}
+
 } // namespace
 
 std::string EncodePrefixUpdate(const PrefixUpdate& aUpdate)
 {
+  auto leases = nlohmann::json::array();
+  bool hasLeases = false;
   auto events = nlohmann::json::array();
   for (const auto& it : aUpdate.mEvents) {
     events.push_back(it.mEntry.mKey);
     events.push_back(nlohmann::json::binary({ it.mEntry.mValue.begin(), it.mEntry.mValue.end() }));
     events.push_back(it.mEntry.mModRevision);
     events.push_back(it.mIsDeleted);
+    leases.push_back(it.mEntry.mLease);
+    hasLeases = hasLeases || it.mEntry.mLease != 0;
+  }
+  auto json = nlohmann::json::array({ static_cast<int>(PeerMessageKind::PrefixUpdate),
+                                      aUpdate.mPrefix,
+                                      aUpdate.mEra,
+                                      aUpdate.mAfter,
+                                      aUpdate.mRevision,
+                                      aUpdate.mAge.count(),
+                                      aUpdate.mIsAfterOutage,
+                                      std::move(events) });
+  if (hasLeases) {
+    json.push_back(std::move(leases));
   }
-  const auto json = nlohmann::json::array({ static_cast<int>(PeerMessageKind::PrefixUpdate),
-                                            aUpdate.mPrefix,
-                                            aUpdate.mEra,
-                                            aUpdate.mAfter,
-                                            aUpdate.mRevision,
-                                            aUpdate.mAge.count(),
-                                            aUpdate.mIsAfterOutage,
-                                            std::move(events) });
   return EncodeDatagram(json);
 }
 
 Result<PrefixUpdate> DecodePrefixUpdate(std::string_view aBytes)
 {
   constexpr std::size_t kFieldsOfEvent = 4;
+  constexpr std::size_t kLeasesElement = 8;
   return DecodeDatagram(aBytes, [&](const nlohmann::json& aArray) {
     PrefixUpdate out;
     out.mPrefix = aArray.at(1).get<std::string>();
@@ -73,6 +98,7 @@
       event.mIsDeleted = events.at(n + 3).get<bool>();
       out.mEvents.push_back(std::move(event));
     }
+    ReadLeases(aArray, kLeasesElement, out);
     return out;
   });
 }
--- a/src/routing/EndpointRegistry.cpp
+++ b/src/routing/EndpointRegistry.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <set>
-#include <utility>
 
 namespace gentianloom {
 
@@ -68,34 +67,56 @@
   return aEntry.mStartedAt == 0 && known && known->mEntry.mStartedAt != 0;
 }
 
-bool EndpointRegistry::IsOutdated(const EndpointEntry& aEntry)
+EntryOrder EndpointRegistry::OrderOf(const EndpointEntry& aEntry) const
 {
-  const auto known = FindRemembered(aEntry.mId);
-  const EntryAge age(aEntry);
-  if (!known || !(age < EntryAge(known->mEntry))) {
-    return false;
+  const auto known = mEndpoints.find(aEntry.mId);
+  if (known != mEndpoints.end()) {
+    return CompareEntries(known->second->mEntry, aEntry, /*aIsDeleted=*/false);
+  }
+  const auto removed = mRemoved.find(aEntry.mId);
+  return removed == mRemoved.end()
+           ? EntryOrder::Later
+           : CompareEntries(removed->second.mEndpoint->mEntry, aEntry, removed->second.mIsDeleted);
+}
+
+void EndpointRegistry::RelistIfSame(const EndpointEntry& aEntry)
+{
+  const auto it = mEndpoints.find(aEntry.mId);
+  if (it == mEndpoints.end()) {
+    return;
+  }
+  auto& known = *it->second;
+  const bool saysTheSame =
+    IsSameProcess(known.mEntry, aEntry) && known.mEntry.mIsLeaving == aEntry.mIsLeaving;
+  if (known.mState == EntryState::Missing && saysTheSame) {
+    known.mState = EntryState::Listed;
   }
-  const auto before = std::exchange(known->mOutdated, age);
-  const bool hasWrittenAgain =
-    before && before->mStartedAt == age.mStartedAt && before->mSequence < age.mSequence;
-  return !hasWrittenAgain;
 }
 
-bool EndpointRegistry::Put(EndpointEntry aEntry, TimePoint aNow)
+PutResult EndpointRegistry::Put(EndpointEntry aEntry, TimePoint aNow)
 {
   if (LacksStart(aEntry)) {
-    return false;
+    return PutResult::LacksStart;
   }
-  const auto known = mEndpoints.find(aEntry.mId);
-  if (IsOutdated(aEntry)) {
-    if (known != mEndpoints.end()) {
-      known->second->mState = EntryState::Listed;
-      known->second->mLastSeenAt = aNow;
-    }
-    return true;
+  const auto order = OrderOf(aEntry);
+  if (order == EntryOrder::Unconfirmed) {
+    mUnconfirmed.Put(aEntry, aNow);
+  } else {
+    mUnconfirmed.Remove(aEntry.mId);
+  }
+  if (order != EntryOrder::Later) {
+    RelistIfSame(aEntry);
+    return PutResult::Outdated;
   }
+  Apply(std::move(aEntry), aNow);
+  return PutResult::Applied;
+}
+
+void EndpointRegistry::Apply(EndpointEntry aEntry, TimePoint aNow)
+{
+  const auto known = mEndpoints.find(aEntry.mId);
   if (known != mEndpoints.end() && !IsSameProcess(known->second->mEntry, aEntry)) {
-    RemoveRecord(known, aNow);
+    RemoveRecord(known, /*aIsDeleted=*/false, aNow);
   }
   auto& it = mEndpoints[aEntry.mId];
   if (!it) {
@@ -108,7 +129,13 @@
   it->mEntry = std::move(aEntry);
   it->mState = EntryState::Listed;
   it->mLastSeenAt = aNow;
-  return true;
+}
+
+void EndpointRegistry::AcceptConfirmed(TimePoint aConfirmedUntil, TimePoint aNow)
+{
+  for (auto& it : mUnconfirmed.TakeConfirmed(aConfirmedUntil)) {
+    Apply(std::move(it), aNow);
+  }
 }
 
 EndpointRegistry::Ptr EndpointRegistry::Find(std::string_view aId) const
@@ -151,12 +178,13 @@
 
 void EndpointRegistry::Remove(std::string_view aId, bool aAfterOutage, TimePoint aNow)
 {
+  mUnconfirmed.Remove(aId);
   const auto it = mEndpoints.find(aId);
   if (it == mEndpoints.end()) {
     return;
   }
   if (!aAfterOutage) {
-    RemoveRecord(it, aNow);
+    RemoveRecord(it, /*aIsDeleted=*/true, aNow);
   } else if (it->second->mState == EntryState::Listed) {
     it->second->mState = EntryState::Missing;
     it->second->mMissingSince = aNow;
@@ -172,6 +200,7 @@
     listed.insert(it.mId);
     Put(std::move(it), aNow);
   }
+  mUnconfirmed.KeepOnly(listed);
   std::vector<std::string> missing;
   for (const auto& [id, it] : mEndpoints) {
     if (!listed.contains(id)) {
@@ -212,7 +241,7 @@
     return;
   }
   const auto address = it->second->mEntry.mAddress;
-  RemoveRecord(it, aNow);
+  RemoveRecord(it, /*aIsDeleted=*/false, aNow);
   if (mOnNewProcess) {
     mOnNewProcess(address);
   }
@@ -246,7 +275,7 @@
     const auto next = std::next(it);
     if (endpoint.mState == EntryState::Missing &&
         aNow - endpoint.mMissingSince >= kRenewalGracePeriod) {
-      RemoveRecord(it, aNow);
+      RemoveRecord(it, /*aIsDeleted=*/false, aNow);
     }
     it = next;
   }
@@ -296,12 +325,13 @@
   return out;
 }
 
-void EndpointRegistry::RemoveRecord(std::map<std::string, Ptr, std::less<>>::iterator aEndpoint,
+void EndpointRegistry::RemoveRecord(EndpointMap::iterator aEndpoint,
+                                    bool aIsDeleted,
                                     TimePoint aNow)
 {
   // Requests in flight still refer to the record and must see that it was removed.
   aEndpoint->second->mState = EntryState::Removed;
-  mRemoved[aEndpoint->first] = { aEndpoint->second, aNow };
+  mRemoved[aEndpoint->first] = { aEndpoint->second, aNow, aIsDeleted };
   mEndpoints.erase(aEndpoint);
 }
 
--- a/tests/gateway/RecordedMessagesTest.cpp
+++ b/tests/gateway/RecordedMessagesTest.cpp
@@ -242,6 +242,16 @@
       "696e7374616e6365732f61c4077b2278223a317d2ac2b82f67656e7469616e6c6f6f6d2f696e7374616e6365732f"
       "62c4002bc3",
       MakeCodec(DecodePrefixUpdate, EncodePrefixUpdate, HasPrefixFields) },
+    // With the leases of the events, which the form above lacks.
+    { Kind::PrefixUpdate,
+      "990cb72f67656e7469616e6c6f6f6d2f696e7374616e6365732f02292b0cc398b82f67656e7469616e6c6f6f6d2f"
+      "696e7374616e6365732f61c4077b2278223a317d2ac2b82f67656e7469616e6c6f6f6d2f696e7374616e6365732f"
+      "62c4002bc392ce00012d4000",
+      MakeCodec(DecodePrefixUpdate,
+                EncodePrefixUpdate,
+                [](const PrefixUpdate& it) {
+                  return HasPrefixFields(it) && it.mEvents.front().mEntry.mLease == 77'120;
+                }) },
     { Kind::EndpointLimit,
       "980e00a27731cf0000019aec3cd100cd30d4cd05dcc200",
       MakeCodec(DecodeEndpointLimit,
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(TestFollowerBecomesWatcher);
   CPPUNIT_TEST(TestOtherPrefix);
   CPPUNIT_TEST(TestParts);
+  CPPUNIT_TEST(TestLeases);
   CPPUNIT_TEST(TestMalformedDatagrams);
   CPPUNIT_TEST_SUITE_END();
 
@@ -494,6 +495,18 @@
     }
   }
 
+  // An instance that follows others did not know the lease of an entry, by which a late write after
+  // a deletion is told from a new one.
+  void TestLeases()
+  {
+    auto update = MakeUpdate(1, 3, { MakeEvent("p/a", 2), MakeEvent("p/b", 3) });
+    update.mEvents.front().mEntry.mLease = 77'120;
+    const auto decoded = DecodePrefixUpdate(EncodePrefixUpdate(update));
+    CPPUNIT_ASSERT(decoded);
+    CPPUNIT_ASSERT_EQUAL(LeaseId{ 77'120 }, decoded.value().mEvents.front().mEntry.mLease);
+    CPPUNIT_ASSERT_EQUAL(LeaseId{ 0 }, decoded.value().mEvents.back().mEntry.mLease);
+  }
+
   // A datagram that is cut or was not sent by an instance must not be taken for an update.
   void TestMalformedDatagrams()
   {
--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(TestSoftwareVersions);
   CPPUNIT_TEST(TestOutdatedEntries);
   CPPUNIT_TEST(TestLateWrites);
+  CPPUNIT_TEST(TestUnconfirmedEntryIsDeleted);
+  CPPUNIT_TEST(TestLateWriteOfMissingEntry);
   CPPUNIT_TEST(TestEntryThatReturned);
   CPPUNIT_TEST(TestAnnouncedLeaving);
   CPPUNIT_TEST(TestPauses);
@@ -123,13 +125,13 @@
   {
     EndpointRegistry registry;
     registry.Put(MakeEntry("a", 5, /*aIsLeaving=*/true), mNow);
-    CPPUNIT_ASSERT(!registry.Put(MakeEntry("a", 0), mNow));
+    CPPUNIT_ASSERT(registry.Put(MakeEntry("a", 0), mNow) == PutResult::LacksStart);
     CPPUNIT_ASSERT_EQUAL(std::string(), UsableIds(registry));
     registry.Remove("a", /*aAfterOutage=*/false, mNow);
-    CPPUNIT_ASSERT(!registry.Put(MakeEntry("a", 0), mNow));
+    CPPUNIT_ASSERT(registry.Put(MakeEntry("a", 0), mNow) == PutResult::LacksStart);
     CPPUNIT_ASSERT_EQUAL(std::string(), UsableIds(registry));
-    CPPUNIT_ASSERT(registry.Put(MakeEntry("a", 6), mNow));
-    CPPUNIT_ASSERT(registry.Put(MakeEntry("b", 0), mNow));
+    CPPUNIT_ASSERT(registry.Put(MakeEntry("a", 6), mNow) == PutResult::Applied);
+    CPPUNIT_ASSERT(registry.Put(MakeEntry("b", 0), mNow) == PutResult::Applied);
     CPPUNIT_ASSERT_EQUAL(std::string("ab"), UsableIds(registry));
   }
 
@@ -233,8 +235,9 @@
     }
   }
 
-  // The store did an earlier write of an endpoint late: the endpoint that was leaving, or had been
-  // removed, got requests again.
+  // The store did earlier writes of an endpoint late, one or several, in any order: the endpoint
+  // that was leaving, or had been removed, got requests again. The next process of an endpoint
+  // whose clock was set back must get requests in the end.
   void TestLateWrites()
   {
     struct Write
@@ -242,46 +245,135 @@
       std::int64_t mStartedAt;
       std::int64_t mSequence;
       bool mIsLeaving;
+      std::int64_t mLease = 7;
     };
     struct Row
     {
       std::string mName;
       bool mIsRemoved; ///< after the first write
       std::vector<Write> mLater;
-      bool mIsUsed;
+      bool mIsUsed;      ///< at once
+      bool mIsUsedLater; ///< if the last write stands
     };
     constexpr Write kFirst{ 100, 5, true };
     const Row rows[] = {
-      { "an earlier write of the process", false, { { 100, 4, false } }, false },
-      { "the same one again", false, { { 100, 4, false }, { 100, 4, false } }, false },
-      { "a write of the process before it", false, { { 50, 9, false } }, false },
-      { "a later write of the process", false, { { 100, 6, false } }, true },
-      { "the next process", false, { { 200, 1, false } }, true },
-      { "an earlier write after the removal", true, { { 100, 4, false } }, false },
-      { "a later write after the removal", true, { { 100, 6, false } }, true },
-      { "a process before it after the removal", true, { { 50, 9, false } }, false },
+      { "an earlier write of the process", false, { { 100, 4, false } }, false, false },
+      { "the same one again", false, { { 100, 4, false }, { 100, 4, false } }, false, false },
+      { "two, in their order", false, { { 100, 3, false }, { 100, 4, false } }, false, false },
+      { "two, the later one first", false, { { 100, 4, false }, { 100, 3, false } }, false, false },
+      { "three", false, { { 100, 2, false }, { 100, 3, false }, { 100, 4, false } }, false, false },
+      { "one between two of its beats",
+        false,
+        { { 100, 3, false }, { 100, 6, true }, { 100, 4, false } },
+        false,
+        false },
+      { "a write of the process before it", false, { { 50, 9, false } }, false, true },
+      { "a later write of the process", false, { { 100, 6, false } }, true, true },
+      { "the next process", false, { { 200, 1, false } }, true, true },
+      { "an earlier write after the removal", true, { { 100, 4, false } }, false, false },
+      { "two of them", true, { { 100, 3, false }, { 100, 4, false } }, false, false },
+      { "a later write after the removal, under another lease",
+        true,
+        { { 100, 6, false, 8 } },
+        true,
+        true },
+      { "a later write after the removal, without a lease",
+        true,
+        { { 100, 6, false, 0 } },
+        true,
+        true },
+      { "a write under the lease of before the removal", true, { { 100, 6, false } }, false, true },
+      { "two of them, in their order",
+        true,
+        { { 100, 6, false }, { 100, 7, false } },
+        false,
+        true },
+      { "the next process after the removal", true, { { 200, 1, false } }, true, true },
+      { "a process before it after the removal", true, { { 50, 9, false } }, false, true },
       { "the next process, its clock set back",
         false,
         { { 90, 1, false }, { 90, 2, false } },
+        false,
         true },
-      { "two processes before it", false, { { 60, 9, false }, { 50, 9, false } }, false },
+      { "a process before it, then a beat of this one",
+        false,
+        { { 90, 1, false }, { 90, 2, false }, { 100, 6, true } },
+        false,
+        false },
+      { "two processes before it", false, { { 60, 9, false }, { 50, 9, false } }, false, true },
     };
+    constexpr Millis kStep{ 1'000 };
     for (const auto& row : rows) {
       EndpointRegistry registry;
+      auto now = mNow;
       const auto put = [&](const Write& aWrite) {
         auto entry = MakeEntry("a", aWrite.mStartedAt, aWrite.mIsLeaving);
         entry.mSequence = aWrite.mSequence;
-        CPPUNIT_ASSERT(registry.Put(std::move(entry), mNow));
+        entry.mLease = aWrite.mLease;
+        return registry.Put(std::move(entry), now);
       };
       put(kFirst);
       if (row.mIsRemoved) {
-        registry.Remove("a", /*aAfterOutage=*/false, mNow);
+        registry.Remove("a", /*aAfterOutage=*/false, now);
       }
       for (const auto& it : row.mLater) {
+        now += kStep;
         put(it);
       }
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(
-        row.mName, std::string(row.mIsUsed ? "a" : ""), UsableIds(registry));
+      const auto expect = [&](bool aIsUsed) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.mName, std::string(aIsUsed ? "a" : ""), UsableIds(registry));
+      };
+      expect(row.mIsUsed);
+      const auto stands = now + UnconfirmedEntries::kConfirmationTime;
+      const auto begin = now - kStep * static_cast<int>(row.mLater.size() - 1);
+      registry.AcceptConfirmed(begin + UnconfirmedEntries::kConfirmationTime - Millis(1), stands);
+      expect(row.mIsUsed);
+      registry.AcceptConfirmed(stands, stands);
+      expect(row.mIsUsedLater);
+    }
+  }
+
+  // A late entry that was deleted again, with its lease or in a snapshot, is none that stands.
+  void TestUnconfirmedEntryIsDeleted()
+  {
+    for (const bool isSnapshot : { false, true }) {
+      EndpointRegistry registry;
+      registry.Put(MakeEntry("a", 100, /*aIsLeaving=*/true), mNow);
+      registry.Remove("a", /*aAfterOutage=*/false, mNow);
+      CPPUNIT_ASSERT(registry.Put(MakeEntry("a", 90), mNow) == PutResult::Outdated);
+      if (isSnapshot) {
+        registry.Replace({ MakeEntry("b") }, /*aAfterOutage=*/false, mNow);
+      } else {
+        registry.Remove("a", /*aAfterOutage=*/false, mNow);
+        registry.Put(MakeEntry("b"), mNow);
+      }
+      const auto later = mNow + UnconfirmedEntries::kConfirmationTime;
+      registry.AcceptConfirmed(later, later);
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), UsableIds(registry));
+    }
+  }
+
+  // An entry that expired in an outage came back by a late write that differs in its sequence only.
+  // Later beats are no change of it, so that the endpoint, which runs, was dropped. What it says
+  // stays that of the later entry.
+  void TestLateWriteOfMissingEntry()
+  {
+    for (const bool isLeaving : { false, true }) {
+      EndpointRegistry registry;
+      auto entry = MakeEntry("a", 100, isLeaving);
+      entry.mSequence = 5;
+      registry.Put(entry, mNow);
+      registry.Remove("a", /*aAfterOutage=*/true, mNow);
+      auto late = MakeEntry("a", 100);
+      late.mSequence = 4;
+      const auto later = mNow + EndpointRegistry::kRenewalGracePeriod;
+      CPPUNIT_ASSERT(registry.Put(late, mNow + Millis(1'000)) == PutResult::Outdated);
+      registry.RemoveExpired(later);
+      CPPUNIT_ASSERT_EQUAL(std::string(isLeaving ? "" : "a"), UsableIds(registry));
+      const auto known = registry.Find("a");
+      CPPUNIT_ASSERT(isLeaving == (known == nullptr));
+      CPPUNIT_ASSERT(isLeaving || known->mLastSeenAt == mNow);
     }
   }
 
