Daemon: a response that ends within its head is none

What callers could get: an endpoint of the daemon that stopped in the middle of its response's head and closed seemed to have answered with the fields so far. A service's `Content-Length: 0`, a 204 and a response to HEAD counted as whole, an engine's status below 500 as "not run", after which the request ran again.

Cause: Poco's HTTPClientSession takes the end of a connection for the end of a head, and of the status line's text.

Change: BoundedSocket notes that the peer has ended the connection, and ReceiveHead throws if it had by the end of the head: nothing behind a whole head is read before the body is. CallHttp (services, engine control, load reports, lists, etcd), EngineStream and the watch of etcd use it.

The gateway is not affected: its parser reads a head as a whole. HttpParserTest TestCutResponseHeads holds that, after each byte; it passes without a change.

--- a/include/gentianloom/external/BoundedSocket.h
+++ b/include/gentianloom/external/BoundedSocket.h
@@ -1,11 +1,14 @@
 #ifndef GENTIANLOOM_EXTERNAL_BOUNDED_SOCKET_H
 #define GENTIANLOOM_EXTERNAL_BOUNDED_SOCKET_H
 
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/StreamSocketImpl.h>
 
 #include <chrono>
 #include <cstddef>
+#include <istream>
 
 namespace gentianloom {
 
@@ -30,6 +33,9 @@
   /// @brief Sets how many bytes may be received from now on; the deadline stays the same.
   void Allow(std::size_t aBytes) { mLimits.mBytes = aBytes; }
 
+  /// @brief Whether the peer has ended the connection, as far as it was read.
+  bool HasEnded() const { return mHasEnded; }
+
   using StreamSocketImpl::receiveBytes;
   /// @throws Poco::TimeoutException after the deadline, Poco::Net::NetException once as many bytes
   ///   as allowed were received
@@ -37,6 +43,7 @@
 
 private:
   ReceiveLimits mLimits;
+  bool mHasEnded = false;
 };
 
 /// A stream socket with a BoundedSocketImpl. Copies share its limits.
@@ -49,6 +56,15 @@
   static BoundedSocketImpl* LimitsOf(const Poco::Net::Socket& aSocket);
 };
 
+/**
+ * @brief Receives the head of a response. Poco takes the end of a connection for the end of a head.
+ * @param aSession session over a BoundedSocket
+ * @return the stream of the body
+ * @throws Poco::Net::MessageException if the connection ended within the head
+ */
+std::istream& ReceiveHead(Poco::Net::HTTPClientSession& aSession,
+                          Poco::Net::HTTPResponse& aResponse);
+
 } // namespace gentianloom
 
 #endif
--- a/src/external/BoundedSocket.cpp
+++ b/src/external/BoundedSocket.cpp
@@ -18,6 +18,7 @@
   const auto length = std::min(static_cast<std::size_t>(aLength), mLimits.mBytes);
   const int n = StreamSocketImpl::receiveBytes(aBuffer, static_cast<int>(length), aFlags);
   mLimits.mBytes -= static_cast<std::size_t>(std::max(n, 0));
+  mHasEnded = mHasEnded || (n == 0 && length > 0);
   return n;
 }
 
@@ -32,4 +33,15 @@
   return dynamic_cast<BoundedSocketImpl*>(aSocket.impl());
 }
 
+std::istream& ReceiveHead(Poco::Net::HTTPClientSession& aSession,
+                          Poco::Net::HTTPResponse& aResponse)
+{
+  auto& out = aSession.receiveResponse(aResponse);
+  // Of a whole head, nothing behind it is read before the body is.
+  if (BoundedSocket::LimitsOf(aSession.socket())->HasEnded()) {
+    throw Poco::Net::MessageException("the connection ended within the head of the response");
+  }
+  return out;
+}
+
 } // namespace gentianloom
--- a/src/external/EtcdStore.cpp
+++ b/src/external/EtcdStore.cpp
@@ -327,7 +327,7 @@
     request.setContentLength(static_cast<std::streamsize>(text.size()));
     session.sendRequest(request) << text << std::flush;
     Poco::Net::HTTPResponse response;
-    auto& in = session.receiveResponse(response);
+    auto& in = ReceiveHead(session, response);
     auto& limits = *BoundedSocket::LimitsOf(socket);
     std::string line;
     while (!watch.IsStopped()) {
--- a/src/external/HttpCall.cpp
+++ b/src/external/HttpCall.cpp
@@ -77,7 +77,7 @@
     auto& out = session.sendRequest(request);
     out << aRequest.mBody << std::flush;
     Poco::Net::HTTPResponse response;
-    auto& in = session.receiveResponse(response);
+    auto& in = ReceiveHead(session, response);
     HttpResponse answer;
     answer.mStatus = response.getStatus();
     Poco::StreamCopier::copyToString(in, answer.mBody);
--- a/src/serving/EngineStream.cpp
+++ b/src/serving/EngineStream.cpp
@@ -139,7 +139,7 @@
 {
   try {
     Poco::Net::HTTPResponse response;
-    mState->mIn = &mState->mSession.receiveResponse(response);
+    mState->mIn = &ReceiveHead(mState->mSession, response);
     return static_cast<int>(response.getStatus());
   } catch (const Poco::Exception& ex) {
     return MakeError(
--- a/tests/net/HttpParserTest.cpp
+++ b/tests/net/HttpParserTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(TestLimits);
   CPPUNIT_TEST(TestResponses);
   CPPUNIT_TEST(TestInterimResponse);
+  CPPUNIT_TEST(TestCutResponseHeads);
   CPPUNIT_TEST(TestChunkedBodyInFragments);
   CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +262,34 @@
     CPPUNIT_ASSERT_EQUAL(std::string("ab"), body);
   }
 
+  // A response that ends in the middle of its head must not count as one with the fields so far and
+  // no body, whatever it has stated by then.
+  void TestCutResponseHeads()
+  {
+    const std::string heads[] = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Server: a\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Server: a\r\nContent-Length: 800\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Server: a\r\n\r\n",
+      "HTTP/1.0 200 OK\r\nX-Server: a\r\n\r\n",
+      "HTTP/1.1 204 No Content\r\nX-Server: a\r\n\r\n",
+      "HTTP/1.1 503 Service Unavailable\r\nX-Server: a\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    };
+    for (const auto& head : heads) {
+      for (const bool hasNoBody : { false, true }) {
+        for (std::size_t n = 0; n < head.size(); ++n) {
+          ResponseParser parser(hasNoBody);
+          std::string body;
+          PutInFragments(
+            head.substr(0, n), [&](std::string_view it) { return parser.Put(it, body); }, true);
+          parser.PutEof();
+          CPPUNIT_ASSERT_MESSAGE(head.substr(0, n), parser.State() == ParseState::Failed);
+          CPPUNIT_ASSERT_EQUAL(std::string(), body);
+        }
+      }
+    }
+  }
+
   // A last chunk that arrived in parts, right after the head, ended the process.
   void TestChunkedBodyInFragments()
   {
@@ -292,7 +321,7 @@
   /// Passes bytes one by one, together with those that were not consumed, and each state twice, as
   /// a loop does that is also notified of other events.
   template<typename Function>
-  static void PutInFragments(const std::string& aBytes, Function aPut)
+  static void PutInFragments(const std::string& aBytes, Function aPut, bool aIsCut = false)
   {
     std::string pending;
     for (const auto it : aBytes) {
@@ -300,7 +329,7 @@
       pending.erase(0, aPut(pending));
       pending.erase(0, aPut(pending));
     }
-    CPPUNIT_ASSERT(pending.empty());
+    CPPUNIT_ASSERT(aIsCut || pending.empty());
   }
 };
 
--- a/tests/serving/EngineStreamTest.cpp
+++ b/tests/serving/EngineStreamTest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(EngineStreamTest);
   CPPUNIT_TEST(TestLastEventIsNotDelayed);
   CPPUNIT_TEST(TestStreamEnd);
+  CPPUNIT_TEST(TestCutHeads);
   CPPUNIT_TEST(TestUnresponsiveEngine);
   CPPUNIT_TEST(TestEndlessResponse);
   CPPUNIT_TEST(TestEndlessStream);
@@ -86,6 +87,31 @@
     CPPUNIT_ASSERT(response.error().mProgress == CallProgress::Sent);
   }
 
+  /// An engine that stopped in the middle of its response's head and closed seemed to have answered
+  /// with the status so far: one below 500 counted as "not run", and the request ran again.
+  void TestCutHeads()
+  {
+    const std::string heads[] = {
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+      "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Service Unavailable\r\n\r\n",
+    };
+    for (const auto& head : heads) {
+      for (std::size_t n = 0; n < head.size(); ++n) {
+        testing::ScriptedEngine engine;
+        const HttpRequest request{ "POST", "/v1/chat/completions", "{}" };
+        const auto stream =
+          EngineStream::Start(engine.Address(), request, ServingSettings{}, kMaxDuration);
+        CPPUNIT_ASSERT(stream.has_value());
+        engine.AcceptOnly();
+        const auto cut = head.substr(0, n);
+        engine.Send(cut);
+        engine.FinishSending();
+        CPPUNIT_ASSERT_MESSAGE(cut, !stream.value()->ReadStatus());
+      }
+    }
+  }
+
   /// A response counts as complete only if its end marker was read. A stream that ends without it,
   /// within an event or with an invalid chunk must be reported as broken, never as done.
   void TestStreamEnd()
--- a/tests/support/ScriptedEngine.h
+++ b/tests/support/ScriptedEngine.h
@@ -51,6 +51,9 @@
     mConnection.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
   }
 
+  /// @brief Ends the response without a reset, although the request was not read.
+  void FinishSending() { mConnection.shutdownSend(); }
+
   /// @brief Closes the connection without the final chunk.
   void Close() { mConnection.close(); }
 
