Traffic log: bytes and connections by purpose, and the longest delay of the loop

CONFIG and RECOVER on the tills' site could not be told apart by what was logged: a full link, too little processor time and a store that does not answer all show as calls without a response. The log said how many bytes the store and the load messages took, but nothing of callers and endpoints, which are most of a link of 10 Mbit/s.

Added: a line every 5 s with the connections and bytes of callers, endpoints and requests that instances hand to each other, and the longest delay of the event loop; gauges with the totals.

--- a/include/gentianloom/gateway/TrafficLog.h
+++ b/include/gentianloom/gateway/TrafficLog.h
@@ -4,6 +4,7 @@
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/external/AsyncStore.h"
 #include "gentianloom/net/HttpClient.h"
+#include "gentianloom/net/Traffic.h"
 
 #include <functional>
 #include <string>
@@ -11,10 +12,12 @@
 namespace gentianloom {
 
 /**
- * @brief Logs at a fixed interval how many bytes a gateway exchanged apart from callers' requests,
- *        its calls to the key-value service by kind, and its transactions of budgets.
+ * @brief Logs at a fixed interval how many bytes a gateway exchanged by purpose, its calls to the
+ *        key-value service by kind, its transactions of budgets, and the longest delay of its loop.
  *
- * The totals are served as the gauges `gentianloom_store_bytes` and `gentianloom_load_news_bytes`.
+ * Together they tell a full link from a process with too little processor time. The totals are
+ * served as the gauges `gentianloom_store_bytes`, `gentianloom_load_news_bytes`,
+ * `gentianloom_caller_bytes`, `gentianloom_endpoint_bytes` and `gentianloom_forwarding_bytes`.
  */
 class TrafficLog
 {
@@ -26,6 +29,10 @@
     std::function<net::BodyBytes()> mPeers; ///< exchanged with the other instances
     std::function<int()> mOpenRequests;
     std::function<StoreCalls()> mCalls; ///< to the key-value service
+    const net::Traffic& mCallers;
+    const net::Traffic& mEndpoints;
+    const net::Traffic& mInstances;                ///< requests that instances hand to each other
+    std::function<Micros()> mTakeLongestLoopDelay; ///< since the last call
   };
 
   TrafficLog(net::Loop& aLoop, Sources aSources, Metrics& aMetrics);
@@ -42,12 +49,18 @@
   };
 
   net::Task<void> Run();
+  /// Logs the bytes and connections of callers, endpoints and other instances.
+  void LogConnections();
   BudgetWrites CountBudgetWrites();
   void SetGauges(const std::string& aName, const net::BodyBytes& aBytes);
+  void SetGauges(const std::string& aName, const net::Traffic& aTraffic);
 
   net::Loop& mLoop;
   Sources mSources;
   Metrics& mMetrics;
+  net::Traffic mLastCallers;
+  net::Traffic mLastEndpoints;
+  net::Traffic mLastInstances;
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/net/Channel.h
+++ b/include/gentianloom/net/Channel.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/net/CallerMemory.h"
 #include "gentianloom/net/Signal.h"
+#include "gentianloom/net/Traffic.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -100,6 +101,13 @@
    */
   void CloseAfterSending();
 
+  /// @brief Counts the channel and its bytes from now on. The counts must live longer than it.
+  void CountTraffic(Traffic& aTraffic)
+  {
+    mTraffic = &aTraffic;
+    ++mTraffic->mConnections;
+  }
+
   /// @brief The share in the account of what callers hold; null for a channel without one.
   CallerShare* Share() const { return mShare.get(); }
 
@@ -138,6 +146,7 @@
   std::size_t mSent = 0;
   bool mCloseAfterSending = false;
   std::unique_ptr<CallerShare> mShare;
+  Traffic* mTraffic = nullptr; ///< null: not counted
 };
 
 } // namespace gentianloom::net
--- a/include/gentianloom/net/LoopMonitor.h
+++ b/include/gentianloom/net/LoopMonitor.h
@@ -5,6 +5,8 @@
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/net/Task.h"
 
+#include <utility>
+
 namespace gentianloom::net {
 
 /**
@@ -25,6 +27,9 @@
   /// @brief Returns the last measured delay.
   Micros Delay() const { return mDelay; }
 
+  /// @brief Returns the longest delay since the last call, and forgets it.
+  Micros TakeLongestDelay() { return std::exchange(mLongestDelay, Micros(0)); }
+
 private:
   Task<void> Run();
   void LogDelay();
@@ -33,6 +38,7 @@
   const Clock& mClock;
   Histogram& mHistogram;
   Micros mDelay{ 0 };
+  Micros mLongestDelay{ 0 };
   TimePoint mLoggedAt{};
 };
 
--- a/include/gentianloom/relay/RelayContext.h
+++ b/include/gentianloom/relay/RelayContext.h
@@ -62,6 +62,9 @@
   int mOpenRequests = 0;
   int mOpenPeerRequests = 0;      ///< of these, those that other instances sent
   std::size_t mBufferedBytes = 0; ///< of responses that are forwarded once they are complete
+  net::Traffic mCallerTraffic{};
+  net::Traffic mEndpointTraffic{};
+  net::Traffic mInstanceTraffic{}; ///< of requests that instances hand to each other
 };
 
 } // namespace gentianloom
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -35,6 +35,8 @@
     mPruneSize = std::max(kMinPruneSize, 2 * mChannels.size());
   }
   mChannels.push_back(aChannel);
+  const bool isCaller = mSourceOf(aChannel->PeerHost()) == RequestSource::Caller;
+  aChannel->CountTraffic(isCaller ? mRelay.mCallerTraffic : mRelay.mInstanceTraffic);
 }
 
 bool CallerServer::HasUnsentBytes() const
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -211,7 +211,11 @@
                 { [this] { return mStore.Bytes(); },
                   [this] { return mPeerSocket.Bytes(); },
                   [this] { return mRelay.mOpenRequests; },
-                  [this] { return mStore.Calls(); } },
+                  [this] { return mStore.Calls(); },
+                  mRelay.mCallerTraffic,
+                  mRelay.mEndpointTraffic,
+                  mRelay.mInstanceTraffic,
+                  [this] { return mLoopMonitor.TakeLongestDelay(); } },
                 mMetrics)
 {
   mRelay.mCallerMemory = &mCallerMemory;
--- a/src/gateway/TrafficLog.cpp
+++ b/src/gateway/TrafficLog.cpp
@@ -9,6 +9,16 @@
 
 constexpr Millis kInterval{ 5'000 };
 
+/// Returns what was counted since the last call with the same second argument.
+net::Traffic TakeNew(const net::Traffic& aNow, net::Traffic& aLast)
+{
+  const net::Traffic out{ aNow.mSent - aLast.mSent,
+                          aNow.mReceived - aLast.mReceived,
+                          aNow.mConnections - aLast.mConnections };
+  aLast = aNow;
+  return out;
+}
+
 } // namespace
 
 TrafficLog::TrafficLog(net::Loop& aLoop, Sources aSources, Metrics& aMetrics)
@@ -52,6 +62,7 @@
         { "store_leases", std::to_string(calls.mLeases - lastCalls.mLeases) },
         { "budget_writes", std::to_string(writes.mAll - lastWrites.mAll) },
         { "budget_conflicts", std::to_string(writes.mConflicts - lastWrites.mConflicts) } });
+    LogConnections();
     lastStore = store;
     lastPeers = peers;
     lastCalls = calls;
@@ -59,6 +70,30 @@
   }
 }
 
+void TrafficLog::LogConnections()
+{
+  const auto callers = TakeNew(mSources.mCallers, mLastCallers);
+  const auto endpoints = TakeNew(mSources.mEndpoints, mLastEndpoints);
+  const auto instances = TakeNew(mSources.mInstances, mLastInstances);
+  const auto delay = std::chrono::duration_cast<Millis>(mSources.mTakeLongestLoopDelay());
+  SetGauges("gentianloom_caller_bytes", mSources.mCallers);
+  SetGauges("gentianloom_endpoint_bytes", mSources.mEndpoints);
+  SetGauges("gentianloom_forwarding_bytes", mSources.mInstances);
+  LogChange(LogLevel::Info,
+            "net",
+            "connections since the last such line",
+            { { "caller_connections", std::to_string(callers.mConnections) },
+              { "caller_sent_bytes", std::to_string(callers.mSent) },
+              { "caller_received_bytes", std::to_string(callers.mReceived) },
+              { "endpoint_connections", std::to_string(endpoints.mConnections) },
+              { "endpoint_sent_bytes", std::to_string(endpoints.mSent) },
+              { "endpoint_received_bytes", std::to_string(endpoints.mReceived) },
+              { "forwarding_connections", std::to_string(instances.mConnections) },
+              { "forwarding_sent_bytes", std::to_string(instances.mSent) },
+              { "forwarding_received_bytes", std::to_string(instances.mReceived) },
+              { "longest_loop_delay_ms", std::to_string(delay.count()) } });
+}
+
 TrafficLog::BudgetWrites TrafficLog::CountBudgetWrites()
 {
   return { mMetrics.CounterOf("gentianloom_budget_writes_total").Value(),
@@ -72,4 +107,9 @@
     .Set(static_cast<std::int64_t>(aBytes.mReceived));
 }
 
+void TrafficLog::SetGauges(const std::string& aName, const net::Traffic& aTraffic)
+{
+  SetGauges(aName, net::BodyBytes{ aTraffic.mSent, aTraffic.mReceived });
+}
+
 } // namespace gentianloom
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -133,6 +133,9 @@
       ec = aSelf->ReadAvailable();
     }
     const auto bytes = aSelf->mReceived.size() - sizeBefore;
+    if (aSelf->mTraffic != nullptr) {
+      aSelf->mTraffic->mReceived += bytes;
+    }
     if (aSelf->mCloseAfterSending) {
       aSelf->mReceived.clear();
     }
@@ -232,6 +235,9 @@
       written += n;
       aSelf->mSent += n;
       aSelf->mUnsent -= n;
+      if (aSelf->mTraffic != nullptr) {
+        aSelf->mTraffic->mSent += n;
+      }
       if (aSelf->mShare) {
         aSelf->mShare->AddProgress(n);
       }
--- a/src/net/LoopMonitor.cpp
+++ b/src/net/LoopMonitor.cpp
@@ -37,6 +37,7 @@
     const auto startedAt = mClock.Now();
     co_await Signal::Sleep(mLoop, kProbeInterval);
     mDelay = std::max(Micros(0), mClock.Now() - startedAt - kProbeInterval);
+    mLongestDelay = std::max(mLongestDelay, mDelay);
     mHistogram.Observe(std::chrono::duration<double>(mDelay).count());
     LogDelay();
   }
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -117,6 +117,7 @@
     co_return false;
   }
   mConnection = mContext.mConnections.Connect(address.value());
+  mConnection->CountTraffic(IsAtPeer() ? mContext.mInstanceTraffic : mContext.mEndpointTraffic);
   mConnection->SetListener(mSignal);
   mContext.mMetrics.CounterOf("gentianloom_endpoint_connections_total").Add();
   const auto timeout = IsAtPeer() ? kPeerConnectTimeout : kConnectTimeout;
