Callers wait while an instance's link is full of what they send

Of a large organisation's requests that it got, most ended with 503 or passed their deadline.

Causes weighed, and what tells them apart: - an event loop that does not come round, or too little processor time: its longest delay in 5 s is 0 to 7 ms; - store or peers' traffic that fills the link: 80 KB and 350 KB in 5 s, of 6.25 MB; - a store that does not answer: it answered other instances; - a link that is full of callers' requests: 5.9 MB received from them in 5 s, 9.4 of 10 Mbit/s; no connection to an endpoint and no call to the store came through, since their handshakes queue behind. This is the cause.

What callers send cannot be served then, they repeat it, and the link stays full. Longer timeouts of the store's calls (a trial) did not end it.

Change: LinkBudget counts all received bytes against three quarters of the link (setting link_mbps, from the platform's limits). Beyond that, callers' connections are accepted when the share has carried what came, and at least ten a second, and few may wait: a connection that is not taken costs the link its opening packet.

--- a/include/gentianloom/gateway/CallerServer.h
+++ b/include/gentianloom/gateway/CallerServer.h
@@ -8,12 +8,20 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace gentianloom {
 
+/// When connections are accepted; see net::ListenOptions.
+struct AcceptPolicy
+{
+  std::optional<int> mBacklog{};
+  std::function<Micros()> mTimeUntilAccept{};
+};
+
 /**
  * @brief HTTP server for callers, and for instances that send callers' requests on: reads the
  * requests of each connection in turn and serves each with a RequestExchange.
@@ -40,7 +48,7 @@
   }
 
   /// @brief Starts listening. @return ErrorCode::BadSettings if the address cannot be bound
-  Result<void> Start(const net::Channel::Address& aAddress);
+  Result<void> Start(const net::Channel::Address& aAddress, const AcceptPolicy& aPolicy = {});
 
   /// @brief Whether a part of a response is queued that the system has not taken yet.
   bool HasUnsentBytes() const;
--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -20,6 +20,7 @@
 #include "gentianloom/membership/InstanceDirectory.h"
 #include "gentianloom/membership/RegionPreference.h"
 #include "gentianloom/net/HttpService.h"
+#include "gentianloom/net/LinkBudget.h"
 #include "gentianloom/net/LoopMonitor.h"
 
 #include <functional>
@@ -99,6 +100,10 @@
   net::ServiceReply HandleAddressQuery(const net::ServiceRequest& aRequest) const;
   /// The regions of a caller and of the host that it asks for.
   RegionPreference MakeRegionPreference(const AddressQuery& aQuery) const;
+  /// Callers wait while the link is full of what they send.
+  AcceptPolicy MakeAcceptPolicy();
+  /// Bytes that this instance has received since its start, as far as they are counted.
+  std::uint64_t ReceivedBytes() const;
   net::Task<void> RunHousekeeping();
   /// Whether a request is open, or a response is not sent yet, here or for another instance.
   bool HasOpenWork() const;
@@ -112,6 +117,7 @@
   Metrics mMetrics;
   net::CallerMemory mCallerMemory;
   CallerMemoryMonitor mCallerMemoryMonitor;
+  net::LinkBudget mLinkBudget;
   net::LoopMonitor mLoopMonitor;
   InstanceRecord mSelf;
   InstanceDirectory mInstances;
--- a/include/gentianloom/gateway/GatewaySettings.h
+++ b/include/gentianloom/gateway/GatewaySettings.h
@@ -44,6 +44,9 @@
   EvenLoadMode mEvenLoad = EvenLoadMode::ByReports;
   /// Memory of the machine in MB; 0: not stated.
   double mMemoryMb = 0;
+  /// Capacity of the machine's link in megabits per second; 0: not known, callers are not held
+  /// back.
+  double mLinkMbps = 0;
   /// File descriptors that the process may open; 0: the limit of the operating system.
   double mMaxDescriptors = 0;
   /// Region of each availability zone; empty: no zone is in a region.
--- a/include/gentianloom/net/HttpService.h
+++ b/include/gentianloom/net/HttpService.h
@@ -7,6 +7,7 @@
 #include "gentianloom/net/HttpParser.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace gentianloom::net {
@@ -29,20 +30,28 @@
 using ServiceHandler = std::function<ServiceReply(const ServiceRequest&)>;
 using ChannelHandler = std::function<void(Channel::Ptr)>;
 
+/// How a listener accepts connections.
+struct ListenOptions
+{
+  /// Account of what callers hold, or null for none. If it has no room for a connection, the
+  /// connection is closed.
+  CallerMemory* mMemory = nullptr;
+  std::size_t mMaxReceivedBytes = kMaxReceivedBytes; ///< see Channel::Accepted()
+  std::optional<int> mBacklog{};                     ///< unset: what the system allows
+  /// Returns the time until the next connection may be accepted; empty: always zero.
+  std::function<Micros()> mTimeUntilAccept{};
+};
+
 /**
  * @brief Listens on an address and passes each accepted connection to a handler.
  *
  * Accepts connections until the event loop stops.
  *
- * @param aMemory account of what callers hold, or null for none. If it has no room for a
- * connection, the connection is closed.
- * @param aMaxReceivedBytes see Channel::Accepted()
  * @return ErrorCode::BadSettings if the socket cannot be bound to the address
  */
 Result<void> Listen(Loop& aLoop,
                     const Channel::Address& aAddress,
-                    CallerMemory* aMemory,
-                    std::size_t aMaxReceivedBytes,
+                    ListenOptions aOptions,
                     ChannelHandler aHandler);
 
 /**
--- a/src/gateway/CallerServer.cpp
+++ b/src/gateway/CallerServer.cpp
@@ -19,13 +19,17 @@
 
 } // namespace
 
-Result<void> CallerServer::Start(const net::Channel::Address& aAddress)
+Result<void> CallerServer::Start(const net::Channel::Address& aAddress, const AcceptPolicy& aPolicy)
 {
   const auto serve = [this](net::Channel::Ptr aChannel) {
     AddChannel(aChannel);
     net::Start(mRelay.mLoop, "caller", Serve(std::move(aChannel)));
   };
-  return net::Listen(mRelay.mLoop, aAddress, mRelay.mCallerMemory, net::kMaxReceivedBytes, serve);
+  return net::Listen(
+    mRelay.mLoop,
+    aAddress,
+    { mRelay.mCallerMemory, net::kMaxReceivedBytes, aPolicy.mBacklog, aPolicy.mTimeUntilAccept },
+    serve);
 }
 
 void CallerServer::AddChannel(const net::Channel::Ptr& aChannel)
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -48,6 +48,7 @@
 /// Time for the last responses to reach the operating system.
 constexpr Millis kLastResponsesTime{ 200 };
 constexpr Millis kShutdownPollInterval{ 50 };
+constexpr double kBytesPerMbit = 1e6 / 8;
 
 /// Returns the boot ID of the operating system; empty if it cannot be read.
 std::string ReadBootId()
@@ -86,6 +87,7 @@
   , mClock(aClock)
   , mCallerMemory(MakeCallerMemoryLimits(mSettings, ReadDescriptorLimit()), aClock)
   , mCallerMemoryMonitor(mCallerMemory, mMetrics)
+  , mLinkBudget(mSettings.mLinkMbps * kBytesPerMbit)
   , mLoopMonitor(aLoop, aClock, mMetrics)
   , mSelf{ mSettings.mInstance,      MakeId("run"),          mSettings.mZone,
            mSettings.mCallerAddress, mSettings.mPeerAddress, false }
@@ -273,7 +275,7 @@
   if (!callers) {
     return callers.error();
   }
-  BOOST_OUTCOME_TRY(mCallerServer.Start(callers.value()));
+  BOOST_OUTCOME_TRY(mCallerServer.Start(callers.value(), MakeAcceptPolicy()));
   BOOST_OUTCOME_TRY(ServeAuxiliaryHttp());
   if (!mSettings.mPeerAddress.empty()) {
     BOOST_OUTCOME_TRY(mPeerSocket.Start(mSettings.mPeerAddress));
@@ -395,6 +397,32 @@
            mProtocol.EncodeAddresses(addresses, mSettings.mAddressTtl) };
 }
 
+AcceptPolicy Gateway::MakeAcceptPolicy()
+{
+  if (mSettings.mLinkMbps <= 0) {
+    return {};
+  }
+  return { mLinkBudget.Backlog(), [this] {
+            const auto now = mClock.Now();
+            mLinkBudget.OnTotal(ReceivedBytes(), now);
+            const auto out = mLinkBudget.TimeUntilAccept(now);
+            if (out <= Micros(0)) {
+              mLinkBudget.OnAccept(now);
+            }
+            return out;
+          } };
+}
+
+std::uint64_t Gateway::ReceivedBytes() const
+{
+  auto out = mStore.Bytes().mReceived + mPeerSocket.Bytes().mReceived;
+  for (const auto* it :
+       { &mRelay.mCallerTraffic, &mRelay.mEndpointTraffic, &mRelay.mInstanceTraffic }) {
+    out += it->mReceived + it->mConnections * net::LinkBudget::kConnectionBytes;
+  }
+  return out;
+}
+
 net::Task<void> Gateway::RunHousekeeping()
 {
   while (true) {
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -144,6 +144,8 @@
 constexpr double kNotStated = -1;
 constexpr double kMaxWarmUpBound = 1e6;
 constexpr double kMinMemoryMb = 16;
+constexpr double kMinLinkMbps = 0.1;
+constexpr double kMaxLinkMbps = 1e7;
 constexpr double kMaxMemoryMb = 1e7;
 constexpr double kMinDescriptors = 64;
 constexpr double kMaxDescriptors = 1e7;
@@ -201,6 +203,7 @@
   }
   it.mEvenLoad = reader.ReadEvenLoad("even_load");
   it.mMemoryMb = reader.ReadNumber("memory_mb", 0, kMinMemoryMb, kMaxMemoryMb);
+  it.mLinkMbps = reader.ReadNumber("link_mbps", 0, kMinLinkMbps, kMaxLinkMbps);
   it.mMaxDescriptors = reader.ReadNumber("max_fds", 0, kMinDescriptors, kMaxDescriptors);
   it.mRegionOfZone = reader.ReadTable("zones", out.mSkipped);
   return out;
--- a/src/net/HttpService.cpp
+++ b/src/net/HttpService.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace gentianloom::net {
 
 namespace {
@@ -16,6 +18,8 @@
 
 /// Delay after a failed accept, for example while the process is out of file descriptors.
 constexpr Millis kAcceptRetryDelay{ 20 };
+/// Longest pause after which it is looked again whether a connection may be accepted.
+constexpr Millis kMaxAcceptPause{ 20 };
 /// A connection is closed if the next request is not complete after this time.
 constexpr Millis kRequestTimeout{ 30'000 };
 /// Largest accepted request; none of them needs a body.
@@ -30,8 +34,7 @@
 {
   Loop& mLoop;
   Acceptor mAcceptor;
-  CallerMemory* mMemory;
-  std::size_t mMaxReceivedBytes;
+  ListenOptions mOptions;
   ChannelHandler mHandler;
   LogLimiter mErrorLog{};
 };
@@ -46,10 +49,23 @@
   }
 }
 
+/// Waits until the next connection may be accepted.
+Task<void> AwaitAccept(const Listener& aListener)
+{
+  while (aListener.mOptions.mTimeUntilAccept) {
+    const auto time = aListener.mOptions.mTimeUntilAccept();
+    if (time <= Micros(0)) {
+      break;
+    }
+    co_await Signal::Sleep(aListener.mLoop, std::min<Micros>(time, kMaxAcceptPause));
+  }
+}
+
 Task<void> AcceptConnections(std::shared_ptr<Listener> aListener)
 {
   auto& loop = aListener->mLoop;
   while (true) {
+    co_await AwaitAccept(*aListener);
     boost::system::error_code ec;
     Channel::Socket socket(loop);
     co_await aListener->mAcceptor.async_accept(
@@ -62,12 +78,12 @@
       co_await Signal::Sleep(loop, kAcceptRetryDelay);
       continue;
     }
-    auto* memory = aListener->mMemory;
+    auto* memory = aListener->mOptions.mMemory;
     if (memory != nullptr && !memory->MakeRoomForConnection()) {
       continue; // closes the socket
     }
     aListener->mHandler(
-      Channel::Accepted(loop, std::move(socket), memory, aListener->mMaxReceivedBytes));
+      Channel::Accepted(loop, std::move(socket), memory, aListener->mOptions.mMaxReceivedBytes));
   }
 }
 
@@ -183,12 +199,11 @@
 
 Result<void> Listen(Loop& aLoop,
                     const Channel::Address& aAddress,
-                    CallerMemory* aMemory,
-                    std::size_t aMaxReceivedBytes,
+                    ListenOptions aOptions,
                     ChannelHandler aHandler)
 {
   auto listener = std::make_shared<Listener>(
-    Listener{ aLoop, Acceptor(aLoop), aMemory, aMaxReceivedBytes, std::move(aHandler) });
+    Listener{ aLoop, Acceptor(aLoop), std::move(aOptions), std::move(aHandler) });
   auto& acceptor = listener->mAcceptor;
   boost::system::error_code ec;
   acceptor.open(aAddress.protocol(), ec);
@@ -197,7 +212,8 @@
     acceptor.bind(aAddress, ec);
   }
   if (!ec) {
-    acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+    constexpr auto kLongest = boost::asio::socket_base::max_listen_connections;
+    acceptor.listen(listener->mOptions.mBacklog.value_or(kLongest), ec);
   }
   if (ec) {
     const auto name = aAddress.address().to_string() + ":" + std::to_string(aAddress.port());
@@ -218,7 +234,7 @@
   const auto serve = [&aLoop, handler = std::move(aHandler)](Channel::Ptr aChannel) {
     Start(aLoop, "service", ServeConnection(aLoop, std::move(aChannel), handler));
   };
-  return Listen(aLoop, aAddress, aMemory, kMaxServiceReceivedBytes, serve);
+  return Listen(aLoop, aAddress, { aMemory, kMaxServiceReceivedBytes }, serve);
 }
 
 } // namespace gentianloom::net
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -39,11 +39,13 @@
     json["retry_slack"] = 52;
     json["memory_mb"] = "88";
     json["max_fds"] = "";
+    json["link_mbps"] = "10.0";
     json["unknown_key"] = 1;
     json["even_load"] = "off";
     const auto parsed = ParseGatewaySettings("// a comment\n" + json.dump(), "file");
     CPPUNIT_ASSERT(parsed.mErrors.empty());
     CPPUNIT_ASSERT(parsed.mSettings.mTerminationGracePeriod == Millis(9'500));
+    CPPUNIT_ASSERT_EQUAL(10.0, parsed.mSettings.mLinkMbps);
     CPPUNIT_ASSERT_EQUAL(0.2, parsed.mSettings.mRetryShare);
     CPPUNIT_ASSERT_EQUAL(52.0, parsed.mSettings.mRetrySlack);
     CPPUNIT_ASSERT(parsed.mSettings.mEvenLoad == EvenLoadMode::Off);
@@ -96,6 +98,8 @@
                          { "memory_mb", "much", ErrorCode::WrongType },
                          { "memory_mb", 8, ErrorCode::OutOfRange },
                          { "max_fds", -1, ErrorCode::OutOfRange },
+                         { "link_mbps", "fast", ErrorCode::WrongType },
+                         { "link_mbps", -1, ErrorCode::OutOfRange },
                          { "leave_time_s", "soon", ErrorCode::WrongType },
                          { "leave_time_s", 0, ErrorCode::OutOfRange },
                          { "rights_window_s", -1, ErrorCode::OutOfRange },
