Traffic log: how often connections waited for the link

Whether callers wait for the link was only to be seen from what they send. The counter gentianloom_accept_pauses_total and the field accept_pauses of the line `connections since the last such line` tell it.

--- a/include/gentianloom/gateway/TrafficLog.h
+++ b/include/gentianloom/gateway/TrafficLog.h
@@ -61,6 +61,7 @@
   net::Traffic mLastCallers;
   net::Traffic mLastEndpoints;
   net::Traffic mLastInstances;
+  std::uint64_t mLastPauses = 0; ///< before connections of callers were accepted, see LinkBudget
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/net/LinkBudget.h
+++ b/include/gentianloom/net/LinkBudget.h
@@ -48,7 +48,7 @@
   Micros TimeUntilAccept(TimePoint aNow) const;
 
   /// @brief Connections that may wait to be accepted: those whose requests fit into 60 ms of the
-  /// share, if each sends 4 KiB. Nothing without a limit, or if the system allows no more anyway.
+  /// share, if each sends 4 KiB. Nothing if there is no limit or the link is wide.
   std::optional<int> Backlog() const;
 
 private:
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -408,6 +408,8 @@
             const auto out = mLinkBudget.TimeUntilAccept(now);
             if (out <= Micros(0)) {
               mLinkBudget.OnAccept(now);
+            } else {
+              mMetrics.CounterOf("gentianloom_accept_pauses_total").Add();
             }
             return out;
           } };
--- a/src/gateway/TrafficLog.cpp
+++ b/src/gateway/TrafficLog.cpp
@@ -3,6 +3,8 @@
 #include "gentianloom/base/Log.h"
 #include "gentianloom/net/Signal.h"
 
+#include <utility>
+
 namespace gentianloom {
 
 namespace {
@@ -76,6 +78,7 @@
   const auto endpoints = TakeNew(mSources.mEndpoints, mLastEndpoints);
   const auto instances = TakeNew(mSources.mInstances, mLastInstances);
   const auto delay = std::chrono::duration_cast<Millis>(mSources.mTakeLongestLoopDelay());
+  const auto pauses = mMetrics.CounterOf("gentianloom_accept_pauses_total").Value();
   SetGauges("gentianloom_caller_bytes", mSources.mCallers);
   SetGauges("gentianloom_endpoint_bytes", mSources.mEndpoints);
   SetGauges("gentianloom_forwarding_bytes", mSources.mInstances);
@@ -91,6 +94,7 @@
               { "forwarding_connections", std::to_string(instances.mConnections) },
               { "forwarding_sent_bytes", std::to_string(instances.mSent) },
               { "forwarding_received_bytes", std::to_string(instances.mReceived) },
+              { "accept_pauses", std::to_string(pauses - std::exchange(mLastPauses, pauses)) },
               { "longest_loop_delay_ms", std::to_string(delay.count()) } });
 }
 
--- a/src/net/LinkBudget.cpp
+++ b/src/net/LinkBudget.cpp
@@ -10,7 +10,7 @@
 constexpr Millis kBacklogTime{ 60 };
 constexpr double kRequestBytes = 4'096;
 constexpr int kMinBacklog = 16;
-/// Above this a listener takes what the system allows.
+/// A larger backlog is left to the system.
 constexpr double kMaxBacklog = 4'096;
 
 } // namespace
