--- a/tests/routing/EndpointRegistryTest.cpp
+++ b/tests/routing/EndpointRegistryTest.cpp
@@ -312,13 +312,17 @@
         entry.mLease = aWrite.mLease;
         return registry.Put(std::move(entry), now);
       };
-      put(kFirst);
+      CPPUNIT_ASSERT_MESSAGE(row.mName, put(kFirst) == PutResult::Applied);
       if (row.mIsRemoved) {
         registry.Remove("a", /*aAfterOutage=*/false, now);
       }
       for (const auto& it : row.mLater) {
         now += kStep;
-        put(it);
+        const auto result = put(it);
+        CPPUNIT_ASSERT_MESSAGE(row.mName, result != PutResult::LacksStart);
+        const bool isLast = &it == &row.mLater.back();
+        const bool isApplied = row.mIsUsed || it.mIsLeaving;
+        CPPUNIT_ASSERT_MESSAGE(row.mName, !isLast || isApplied == (result == PutResult::Applied));
       }
       const auto expect = [&](bool aIsUsed) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
