Log how old an instance's view of the store is, and how long datagrams wait in its queue

Nothing in the log told them apart: an instance that follows its zone's watchers logged neither where a change came from, nor that it turned to its own call and why, nor how old its view was.

Line "read changes" with source, revision and age of the view; line "an instance that follows others watches ... itself" with the reason (gap, silence), at most one a second; fields longest_peer_queue_ms and oldest_view_ms of the line "connections since the last such line"; gauges gentianloom_view_age_milliseconds and gentianloom_peer_queue_milliseconds.

--- a/include/gentianloom/gateway/Gateway.h
+++ b/include/gentianloom/gateway/Gateway.h
@@ -144,6 +144,7 @@
   TrafficLog mTrafficLog;
   std::set<std::string> mInvalidEntries; ///< ids of endpoints whose last entry is invalid
   TimePoint mStartedAt{};
+  Millis mOldestView{ 0 }; ///< greatest age of what is watched, since the last line of the log
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLOOM_GATEWAY_PEER_SOCKET_H
 #define GENTIANLOOM_GATEWAY_PEER_SOCKET_H
 
+#include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/gateway/MalformedSenders.h"
@@ -14,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace gentianloom {
 
@@ -70,7 +72,7 @@
   /// IP and UDP header of a datagram.
   static constexpr std::size_t kHeaderBytes = 28;
 
-  PeerSocket(net::Loop& aLoop, Metrics& aMetrics);
+  PeerSocket(net::Loop& aLoop, const Clock& aClock, Metrics& aMetrics);
 
   /// @brief Sets what is called with the datagrams of a kind.
   void SetHandler(PeerMessageKind aKind, Handler aHandler);
@@ -93,17 +95,31 @@
   /// @brief Bytes of all datagrams sent and received so far, without their headers.
   net::BodyBytes Bytes() const { return mBytes; }
 
+  /**
+   * @brief Returns the longest time that a datagram may have waited in the socket's queue before it
+   *        was handled, since the last call, and forgets it.
+   *
+   * It is measured from the last moment at which the queue was seen empty.
+   */
+  Micros TakeLongestQueueTime() { return std::exchange(mLongestQueueTime, Micros(0)); }
+
 private:
   net::Task<void> RunReceiver();
+  /// Looks at regular intervals whether the queue is empty, since an idle socket wakes nobody.
+  net::Task<void> RunQueueCheck();
+  void NoteIfEmpty();
   /// Gives a datagram to the handler of its kind.
   void Dispatch(std::string_view aBytes, const Address& aSender);
 
   net::Loop& mLoop;
+  const Clock& mClock;
   Metrics& mMetrics;
   boost::asio::ip::udp::socket mSocket;
   std::array<Handler, kPeerMessageKinds> mHandlers; ///< by PeerMessageKind
   MalformedSenders mMalformedSenders;
   net::BodyBytes mBytes;
+  TimePoint mEmptyAt{}; ///< when the socket's queue was last seen empty
+  Micros mLongestQueueTime{ 0 };
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/gateway/PrefixWatcher.h
+++ b/include/gentianloom/gateway/PrefixWatcher.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLOOM_GATEWAY_PREFIX_WATCHER_H
 #define GENTIANLOOM_GATEWAY_PREFIX_WATCHER_H
 
+#include "gentianloom/base/LogLimiter.h"
 #include "gentianloom/base/Metrics.h"
 #include "gentianloom/external/AsyncStore.h"
 #include "gentianloom/gateway/WatchRelay.h"
@@ -77,6 +78,10 @@
   /// @brief Time until which all changes have been received.
   TimePoint ConfirmedUntil() const { return mConfirmedUntil; }
 
+  /// @brief Time since ConfirmedUntil(), which is also set as the gauge
+  /// `gentianloom_view_age_milliseconds`; zero before the first snapshot.
+  Millis ReportAge();
+
 private:
   net::Task<void> Run();
   /// Reads all keys with the prefix. Returns whether the call succeeded.
@@ -97,7 +102,12 @@
   /// Tells other instances of all changes after one revision and up to another one.
   void Publish(Revision aAfter, Revision aUpTo, std::vector<WatchEvent> aEvents);
   /// Hands events to their handler, but for those that were handled before.
-  void HandleEvents(std::vector<WatchEvent> aEvents, StoreAvailability aAvailability);
+  /// @param aSource where they were read, for the log
+  void HandleEvents(std::vector<WatchEvent> aEvents,
+                    StoreAvailability aAvailability,
+                    std::string_view aSource);
+  /// Logs why an instance that follows others calls the service itself.
+  void LogOwnCall();
   /// Makes the next call read a snapshot if the service has come back from an older copy, since
   /// revisions are then given out a second time. Returns whether it has.
   bool CheckEra(std::int64_t aEra);
@@ -131,6 +141,7 @@
   bool mHasMissedChange = false;            ///< an update of another instance shows a gap
   net::Signal mUpdateSignal;
   net::Backoff mBackoff;
+  LogLimiter mOwnCallLog;
   std::optional<TimePoint> mRestoredAt; ///< when the service was seen to be back from a copy
   TimePoint mConfirmedUntil{};
 };
--- a/include/gentianloom/gateway/TrafficLog.h
+++ b/include/gentianloom/gateway/TrafficLog.h
@@ -33,6 +33,9 @@
     const net::Traffic& mEndpoints;
     const net::Traffic& mInstances;                ///< requests that instances hand to each other
     std::function<Micros()> mTakeLongestLoopDelay; ///< since the last call
+    std::function<Micros()> mTakeLongestPeerQueue; ///< see PeerSocket::TakeLongestQueueTime()
+    std::function<Millis()>
+      mTakeOldestView; ///< greatest age of what is watched, since the last call
   };
 
   TrafficLog(net::Loop& aLoop, Sources aSources, Metrics& aMetrics);
--- a/include/gentianloom/gateway/WatchRelay.h
+++ b/include/gentianloom/gateway/WatchRelay.h
@@ -23,6 +23,7 @@
   Millis mAge{ 0 };            ///< time since the service stated this
   bool mIsAfterOutage = false; ///< deleted keys may belong to leases that expired in an outage
   std::vector<WatchEvent> mEvents;
+  std::string mSender{}; ///< address, set by the receiver
 };
 
 /// @brief Encodes an update as MessagePack.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <fstream>
+#include <utility>
 
 namespace gentianloom {
 
@@ -102,7 +103,7 @@
             MakeRightsLinks(),
             aClock,
             mMetrics)
-  , mPeerSocket(aLoop, mMetrics)
+  , mPeerSocket(aLoop, aClock, mMetrics)
   , mBudgetExchange(aLoop, mPeerSocket, mBudgetKeepers, mRights, aClock, mMetrics)
   , mRelay{ aLoop,
             aClock,
@@ -217,7 +218,9 @@
                   mRelay.mCallerTraffic,
                   mRelay.mEndpointTraffic,
                   mRelay.mInstanceTraffic,
-                  [this] { return mLoopMonitor.TakeLongestDelay(); } },
+                  [this] { return mLoopMonitor.TakeLongestDelay(); },
+                  [this] { return mPeerSocket.TakeLongestQueueTime(); },
+                  [this] { return std::exchange(mOldestView, Millis(0)); } },
                 mMetrics)
 {
   mRelay.mCallerMemory = &mCallerMemory;
@@ -441,6 +444,9 @@
       ComputeRetryBurst(mSettings.mRetrySlack, mInstances.Size(mSelf.mName)));
     mMetrics.GaugeOf("gentianloom_open_requests").Set(mRelay.mOpenRequests);
     mCallerMemoryMonitor.Report(mClock.Now());
+    for (auto* it : { &mOperatorWatcher, &mEndpointWatcher, &mInstanceWatcher }) {
+      mOldestView = std::max(mOldestView, it->ReportAge());
+    }
     co_await net::Signal::Sleep(mLoop, kHousekeepingInterval);
   }
 }
--- a/src/gateway/PeerSocket.cpp
+++ b/src/gateway/PeerSocket.cpp
@@ -1,17 +1,22 @@
 #include "gentianloom/gateway/PeerSocket.h"
 
 #include "gentianloom/base/Log.h"
+#include "gentianloom/net/Signal.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <exception>
 
 namespace gentianloom {
 
 namespace {
 
+/// Interval at which the queue is looked at while no datagram arrives.
+constexpr Millis kQueueCheckInterval{ 100 };
+
 /// Names by PeerMessageKind.
 constexpr std::array<std::string_view, kPeerMessageKinds> kKindNames = {
   "load",
@@ -75,8 +80,9 @@
   return kKindNames.at(static_cast<std::size_t>(aKind));
 }
 
-PeerSocket::PeerSocket(net::Loop& aLoop, Metrics& aMetrics)
+PeerSocket::PeerSocket(net::Loop& aLoop, const Clock& aClock, Metrics& aMetrics)
   : mLoop(aLoop)
+  , mClock(aClock)
   , mMetrics(aMetrics)
   , mSocket(aLoop)
 {
@@ -106,7 +112,9 @@
                      "cannot bind UDP address " + std::string(aAddress) + ": " + ec.message());
   }
   mSocket.non_blocking(true, ec);
+  mEmptyAt = mClock.Now();
   net::Start(mLoop, "peer receiver", RunReceiver());
+  net::Start(mLoop, "peer queue check", RunQueueCheck());
   return success();
 }
 
@@ -142,7 +150,26 @@
     }
     mBytes.mReceived += n;
     const std::string_view bytes(buf.data(), n);
+    mLongestQueueTime = std::max(mLongestQueueTime, mClock.Now() - mEmptyAt);
     Dispatch(bytes, sender);
+    NoteIfEmpty();
+  }
+}
+
+net::Task<void> PeerSocket::RunQueueCheck()
+{
+  while (mSocket.is_open()) {
+    NoteIfEmpty();
+    co_await net::Signal::Sleep(mLoop, kQueueCheckInterval);
+  }
+}
+
+void PeerSocket::NoteIfEmpty()
+{
+  boost::system::error_code ec;
+  const auto now = mClock.Now();
+  if (mSocket.available(ec) == 0 && !ec) {
+    mEmptyAt = now;
   }
 }
 
--- a/src/gateway/PrefixWatcher.cpp
+++ b/src/gateway/PrefixWatcher.cpp
@@ -152,6 +152,7 @@
   if (CheckEra(mStore.Era())) {
     co_return true;
   }
+  LogOwnCall();
   const bool hasFollowers = mRelay != nullptr && mRelay->HasFollowers();
   const auto timeout =
     hasFollowers ? std::chrono::duration_cast<Millis>(mTiming.mTimeout * kWatcherTimeoutShare)
@@ -174,7 +175,7 @@
     mNeedsSnapshot = true;
     co_return true;
   }
-  HandleEvents(it.mEvents, Availability());
+  HandleEvents(it.mEvents, Availability(), "own watch");
   mRevision = std::max(mRevision, it.mRevision);
   mConfirmedUntil = mClock.Now();
   mHasMissedChange = false;
@@ -188,6 +189,32 @@
   co_return true;
 }
 
+void PrefixWatcher::LogOwnCall()
+{
+  if (mRelay == nullptr || mRelay->IsWatcher() || mUpdatedAt == TimePoint{}) {
+    return;
+  }
+  const auto calls = mOwnCallLog.Add(mClock.Now());
+  if (calls) {
+    LogChange(LogLevel::Info,
+              "store",
+              "an instance that follows others watches the key-value service itself",
+              { { "prefix", mPrefix },
+                { "reason", mHasMissedChange ? "gap" : "silence" },
+                { "view_age_ms", std::to_string(ReportAge().count()) },
+                { "calls", std::to_string(*calls) } });
+  }
+}
+
+Millis PrefixWatcher::ReportAge()
+{
+  const auto age = mHasSynced ? mClock.Now() - mConfirmedUntil : Micros(0);
+  const auto out = std::chrono::duration_cast<Millis>(age);
+  mMetrics.GaugeOf("gentianloom_view_age_milliseconds", "prefix=\"" + mPrefix + "\"")
+    .Set(out.count());
+  return out;
+}
+
 void PrefixWatcher::RecordOwnWatch(Revision aAfter, const WatchResponse& aResponse)
 {
   if (aAfter > mOwnRevision) {
@@ -199,7 +226,9 @@
   }
 }
 
-void PrefixWatcher::HandleEvents(std::vector<WatchEvent> aEvents, StoreAvailability aAvailability)
+void PrefixWatcher::HandleEvents(std::vector<WatchEvent> aEvents,
+                                 StoreAvailability aAvailability,
+                                 std::string_view aSource)
 {
   std::sort(aEvents.begin(), aEvents.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.mEntry.mModRevision < aRight.mEntry.mModRevision;
@@ -212,6 +241,14 @@
     return isKnown;
   });
   if (!aEvents.empty()) {
+    LogChange(LogLevel::Info,
+              "store",
+              "read changes",
+              { { "prefix", mPrefix },
+                { "source", std::string(aSource) },
+                { "changes", std::to_string(aEvents.size()) },
+                { "revision", std::to_string(aEvents.back().mEntry.mModRevision) },
+                { "view_age_ms", std::to_string(ReportAge().count()) } });
     mHandlers.mOnEvents(aEvents, aAvailability);
   }
   if (mHandled.size() > kMaxHandledKeys) {
@@ -245,7 +282,7 @@
     mUpdateSignal.Notify();
     return;
   }
-  HandleEvents(aUpdate.mEvents, AvailabilityFor(aUpdate));
+  HandleEvents(aUpdate.mEvents, AvailabilityFor(aUpdate), aUpdate.mSender);
   mRevision = std::max(mRevision, aUpdate.mRevision);
   const auto trueAt = mClock.Now() - aUpdate.mAge;
   mUpdatedAt = std::max(mUpdatedAt, trueAt);
--- a/src/gateway/TrafficLog.cpp
+++ b/src/gateway/TrafficLog.cpp
@@ -78,6 +78,9 @@
   const auto endpoints = TakeNew(mSources.mEndpoints, mLastEndpoints);
   const auto instances = TakeNew(mSources.mInstances, mLastInstances);
   const auto delay = std::chrono::duration_cast<Millis>(mSources.mTakeLongestLoopDelay());
+  const auto peerQueue = std::chrono::duration_cast<Millis>(mSources.mTakeLongestPeerQueue());
+  const auto oldestView = mSources.mTakeOldestView();
+  mMetrics.GaugeOf("gentianloom_peer_queue_milliseconds").Set(peerQueue.count());
   const auto pauses = mMetrics.CounterOf("gentianloom_accept_pauses_total").Value();
   SetGauges("gentianloom_caller_bytes", mSources.mCallers);
   SetGauges("gentianloom_endpoint_bytes", mSources.mEndpoints);
@@ -95,7 +98,9 @@
               { "forwarding_sent_bytes", std::to_string(instances.mSent) },
               { "forwarding_received_bytes", std::to_string(instances.mReceived) },
               { "accept_pauses", std::to_string(pauses - std::exchange(mLastPauses, pauses)) },
-              { "longest_loop_delay_ms", std::to_string(delay.count()) } });
+              { "longest_loop_delay_ms", std::to_string(delay.count()) },
+              { "longest_peer_queue_ms", std::to_string(peerQueue.count()) },
+              { "oldest_view_ms", std::to_string(oldestView.count()) } });
 }
 
 TrafficLog::BudgetWrites TrafficLog::CountBudgetWrites()
--- a/src/gateway/WatchRelay.cpp
+++ b/src/gateway/WatchRelay.cpp
@@ -202,7 +202,7 @@
 
 void WatchRelay::OnDatagram(std::string_view aBytes, const PeerSocket::Address& aSender)
 {
-  const auto update = DecodePrefixUpdate(aBytes);
+  auto update = DecodePrefixUpdate(aBytes);
   if (!update) {
     mMetrics.CounterOf("gentianloom_prefix_updates_total", "outcome=\"malformed\"").Add();
     mSocket.OnMalformed(aBytes, aSender, ToString(update.error()));
@@ -217,6 +217,7 @@
     return;
   }
   mMetrics.CounterOf("gentianloom_prefix_updates_total", "outcome=\"received\"").Add();
+  update.value().mSender = sender;
   handler->second(update.value());
 }
 
--- a/tests/gateway/BudgetExchangeTest.cpp
+++ b/tests/gateway/BudgetExchangeTest.cpp
@@ -41,7 +41,7 @@
 struct Instance
 {
   Instance(Fleet& aFleet, const std::string& aName)
-    : mSocket(aFleet.mLoop, mMetrics)
+    : mSocket(aFleet.mLoop, aFleet.mClock, mMetrics)
     , mAddress(testing::FreeLoopbackAddress(aFleet.mLoop))
     , mKeepers(
         mAddress,
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -39,7 +39,7 @@
   struct Instance
   {
     explicit Instance(CrashReportExchangeTest& aTest)
-      : mSocket(aTest.mLoop, mMetrics)
+      : mSocket(aTest.mLoop, aTest.mClock, mMetrics)
       , mAddress(testing::FreeLoopbackAddress(aTest.mLoop))
       , mEnds(
           aTest.mLoop,
--- a/tests/gateway/EndpointLimitExchangeTest.cpp
+++ b/tests/gateway/EndpointLimitExchangeTest.cpp
@@ -40,7 +40,7 @@
   struct Instance
   {
     explicit Instance(EndpointLimitExchangeTest& aTest)
-      : mSocket(aTest.mLoop, mMetrics)
+      : mSocket(aTest.mLoop, aTest.mClock, mMetrics)
       , mAddress(testing::FreeLoopbackAddress(aTest.mLoop))
       , mExchange(aTest.mLoop,
                   mSocket,
--- a/tests/gateway/PeerLoadExchangeTest.cpp
+++ b/tests/gateway/PeerLoadExchangeTest.cpp
@@ -133,7 +133,7 @@
     boost::asio::ip::udp::socket peer(loop, { boost::asio::ip::address_v4::loopback(), 0 });
     const auto address = "127.0.0.1:" + std::to_string(peer.local_endpoint().port());
     std::vector<std::string> peers(kPeers, address);
-    PeerSocket socket(loop, metrics);
+    PeerSocket socket(loop, clock, metrics);
     CPPUNIT_ASSERT(socket.Start("127.0.0.1:" + std::to_string(FreeUdpPort(loop))));
     const EndpointContacts contacts;
     PeerLoadExchange exchange(
@@ -183,7 +183,7 @@
       auto& load = registry.All().at("e")->mLoad;
       boost::asio::ip::udp::socket peer(loop, { boost::asio::ip::address_v4::loopback(), 0 });
       const auto address = "127.0.0.1:" + std::to_string(peer.local_endpoint().port());
-      PeerSocket socket(loop, metrics);
+      PeerSocket socket(loop, clock, metrics);
       CPPUNIT_ASSERT(socket.Start("127.0.0.1:" + std::to_string(FreeUdpPort(loop))));
       PeerLoadExchange exchange(
         loop,
--- a/tests/gateway/RecordedMessagesTest.cpp
+++ b/tests/gateway/RecordedMessagesTest.cpp
@@ -416,6 +416,7 @@
   CPPUNIT_TEST_SUITE_END();
 
   net::Loop mLoop{ 1 };
+  SystemClock mClock;
   Metrics mMetrics;
 
   std::uint64_t CountMalformed(std::string_view aKind)
@@ -556,8 +557,8 @@
   // otherwise the instance hears of no peer any more.
   void TestReceiverGoesOn()
   {
-    PeerSocket receiver(mLoop, mMetrics);
-    PeerSocket sender(mLoop, mMetrics);
+    PeerSocket receiver(mLoop, mClock, mMetrics);
+    PeerSocket sender(mLoop, mClock, mMetrics);
     const auto address = testing::FreeLoopbackAddress(mLoop);
     CPPUNIT_ASSERT(receiver.Start(address));
     CPPUNIT_ASSERT(sender.Start(testing::FreeLoopbackAddress(mLoop)));
--- a/tests/gateway/StreamOriginTest.cpp
+++ b/tests/gateway/StreamOriginTest.cpp
@@ -26,7 +26,7 @@
   struct Instance
   {
     Instance(net::Loop& aLoop, const Clock& aClock, std::vector<std::string>& aPeers)
-      : mSocket(aLoop, mMetrics)
+      : mSocket(aLoop, aClock, mMetrics)
       , mAddress(testing::FreeLoopbackAddress(aLoop))
       , mExchange(
           aLoop,
--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -42,7 +42,7 @@
   struct Instance
   {
     Instance(WatchRelayTest& aTest, AsyncStore& aStore, std::string_view aPrefix = kPrefix)
-      : mSocket(aTest.mLoop, mMetrics)
+      : mSocket(aTest.mLoop, aTest.mClock, mMetrics)
       , mAddress(testing::FreeLoopbackAddress(aTest.mLoop))
       , mRelay(
           mSocket,
