WatchRelayTest: updates that waited in the queue are not new (fails, KNOWN-RED)

The test sends five updates without changes, each behind datagrams that take 0.8 s to handle, and changes a key.

--- a/tests/gateway/WatchRelayTest.cpp
+++ b/tests/gateway/WatchRelayTest.cpp
@@ -1,6 +1,8 @@
 #include "gentianloom/gateway/WatchRelay.h"
 
 #include "gentianloom/base/Ids.h"
+#include "gentianloom/gateway/Datagram.h"
+#include "gentianloom/gateway/PeerLoadExchange.h"
 #include "gentianloom/gateway/PrefixWatcher.h"
 #include "gentianloom/membership/Keepers.h"
 
@@ -14,6 +16,7 @@
 #include <iterator>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace gentianloom {
@@ -25,6 +28,7 @@
   CPPUNIT_TEST(TestUpdates);
   CPPUNIT_TEST(TestUpdateAfterOutage);
   CPPUNIT_TEST(TestSilence);
+  CPPUNIT_TEST(TestUpdatesThatWaitedAreNotNew);
   CPPUNIT_TEST(TestOwnWatchEndsAfterAnUpdate);
   CPPUNIT_TEST(TestWrongUpdate);
   CPPUNIT_TEST(TestFollowerBecomesWatcher);
@@ -376,6 +380,46 @@
     CPPUNIT_ASSERT(mStore.mWatchCalls > calls);
   }
 
+  // DRAIN: an instance with little processor time handled datagrams seconds after they had arrived.
+  // Old updates without changes kept it from asking, and it used an endpoint that had left.
+  void TestUpdatesThatWaitedAreNotNew()
+  {
+    struct Row
+    {
+      std::string mName;
+      PeerMessageKind mSlowKind; ///< that takes the instance long to handle
+    };
+    const Row rows[] = {
+      { "load reports", PeerMessageKind::Load },
+      { "messages that are handled in their order", PeerMessageKind::CrashReport },
+    };
+    constexpr int kUpdates = 5;
+    constexpr int kSlowBeforeEach = 40;
+    constexpr Millis kHandlingTime{ 20 };
+    for (const auto& row : rows) {
+      mUnused.push_back(std::move(mFollower));
+      StartFollower();
+      KeepFollowing();
+      mFollower->mSocket.SetHandler(row.mSlowKind, [=](std::string_view, const auto&) {
+        std::this_thread::sleep_for(kHandlingTime);
+      });
+      const auto slow = row.mSlowKind == PeerMessageKind::Load
+                          ? EncodePeerLoad({ "run-1", 1, {} })
+                          : EncodeDatagram({ static_cast<int>(row.mSlowKind) });
+      const auto update = EncodePrefixUpdate(MakeUpdate(mStore.mRevision, mStore.mRevision));
+      for (int n = 0; n < kUpdates; ++n) {
+        for (int it = 0; it < kSlowBeforeEach; ++it) {
+          mPeers.back()->mSocket.Send(mFollower->mAddress, slow);
+        }
+        mPeers.front()->mSocket.Send(mFollower->mAddress, update);
+      }
+      mStore.Put("p/a", "v");
+      RunBriefly(kTimeout + Millis(800));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mName, std::string("+p/a "), mFollower->mSeen);
+      mStore.Remove("p/a");
+    }
+  }
+
   // A watcher that had learned more from another one than its own watch then returned told its
   // followers that it had told them of all changes, and they missed one.
   void TestOwnWatchEndsAfterAnUpdate()
