Datagrams are read together, load reports last, and the time in the queue counts to an update's age

Cause: PeerSocket read one datagram for each pass of the event loop. Load reports come some 1,000 times a second; where a pass takes longer than a millisecond, the queue grows without an end. Its head was up to 13 s old, and the age that a watcher states in its update leaves the wait out: updates without changes of 10 s ago kept followers from asking the store for as long.

Change: all datagrams that have arrived are read together, for 5 ms at most in a turn. Load reports are handled after all others, and only the last one of each sender, since each replaces the one before. What remains in the queue counts: QueueTime(), measured from the moment at which the queue was last seen empty, is added to an update's age, and to that of a load report.

--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -4,6 +4,7 @@
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
 #include "gentianloom/base/Metrics.h"
+#include "gentianloom/gateway/LatestDatagrams.h"
 #include "gentianloom/gateway/MalformedSenders.h"
 #include "gentianloom/net/HttpClient.h"
 #include "gentianloom/net/Task.h"
@@ -60,6 +61,10 @@
  * @brief The UDP socket through which an instance talks to its peers.
  *
  * Datagrams can be lost and arrive out of order; whoever uses them has to make up for that.
+ *
+ * All that have arrived are read together. Load reports are handled after all others, and only the
+ * last one of each sender: they are most of the traffic, and with little processor time the others
+ * would wait behind them for seconds.
  */
 class PeerSocket
 {
@@ -96,15 +101,31 @@
   net::BodyBytes Bytes() const { return mBytes; }
 
   /**
-   * @brief Returns the longest time that a datagram may have waited in the socket's queue before it
-   *        was handled, since the last call, and forgets it.
+   * @brief Returns the longest time that the datagram which is being handled may have waited in
+   * this process and in the socket's queue.
    *
-   * It is measured from the last moment at which the queue was seen empty.
+   * What its sender states the age of is older by that time at most, and by the time on the way. It
+   * is measured from the last moment at which the queue was seen empty.
+   */
+  Micros QueueTime() const { return mClock.Now() - mArrivedAfter; }
+
+  /**
+   * @brief Returns the longest QueueTime() with which a datagram was handled since the last call,
+   *        and forgets it.
    */
   Micros TakeLongestQueueTime() { return std::exchange(mLongestQueueTime, Micros(0)); }
 
 private:
   net::Task<void> RunReceiver();
+  /// Waits for a datagram and takes it. @return whether the socket is still open
+  net::Task<bool> Receive();
+  /// Takes the datagrams that have arrived, until there is none or a time has come.
+  void ReceiveAvailable(TimePoint aUntil);
+  /// Handles a datagram at once, or lets a load report wait.
+  void Accept(std::string_view aBytes, const Address& aSender);
+  /// Handles one waiting load report, and further ones until a time has come.
+  void HandleLoads(TimePoint aUntil);
+  void Handle(std::string_view aBytes, const Address& aSender, TimePoint aArrivedAfter);
   /// Looks at regular intervals whether the queue is empty, since an idle socket wakes nobody.
   net::Task<void> RunQueueCheck();
   void NoteIfEmpty();
@@ -118,7 +139,10 @@
   std::array<Handler, kPeerMessageKinds> mHandlers; ///< by PeerMessageKind
   MalformedSenders mMalformedSenders;
   net::BodyBytes mBytes;
-  TimePoint mEmptyAt{}; ///< when the socket's queue was last seen empty
+  std::array<char, kMaxDatagramBytes> mBuffer{}; ///< of the datagram that is being received
+  LatestDatagrams mWaitingLoads;
+  TimePoint mEmptyAt{};      ///< when the socket's queue was last seen empty
+  TimePoint mArrivedAfter{}; ///< earliest arrival of the datagram that is being handled
   Micros mLongestQueueTime{ 0 };
 };
 
--- a/include/gentianloom/gateway/WatchRelay.h
+++ b/include/gentianloom/gateway/WatchRelay.h
@@ -17,10 +17,10 @@
 struct PrefixUpdate
 {
   std::string mPrefix;
-  std::int64_t mEra = 0;       ///< of the service, see AsyncStore::Era()
-  Revision mAfter = 0;         ///< all changes of the prefix after this revision ...
-  Revision mRevision = 0;      ///< ... and up to this one are in mEvents
-  Millis mAge{ 0 };            ///< time since the service stated this
+  std::int64_t mEra = 0;  ///< of the service, see AsyncStore::Era()
+  Revision mAfter = 0;    ///< all changes of the prefix after this revision ...
+  Revision mRevision = 0; ///< ... and up to this one are in mEvents
+  Millis mAge{ 0 }; ///< time since the service stated this, at the sender until it is received
   bool mIsAfterOutage = false; ///< deleted keys may belong to leases that expired in an outage
   std::vector<WatchEvent> mEvents;
   std::string mSender{}; ///< address, set by the receiver
--- a/src/gateway/PeerLoadExchange.cpp
+++ b/src/gateway/PeerLoadExchange.cpp
@@ -262,7 +262,7 @@
     return;
   }
   lastSequence = message.value().mSequence;
-  ApplyPeerLoad(message.value(), mEndpoints, mClock.Now());
+  ApplyPeerLoad(message.value(), mEndpoints, mClock.Now() - mSocket.QueueTime());
 }
 
 } // namespace gentianloom
--- a/src/gateway/PeerSocket.cpp
+++ b/src/gateway/PeerSocket.cpp
@@ -4,6 +4,7 @@
 #include "gentianloom/net/Signal.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -16,6 +17,8 @@
 
 /// Interval at which the queue is looked at while no datagram arrives.
 constexpr Millis kQueueCheckInterval{ 100 };
+/// Time for which datagrams are received and handled before other work of the loop has its turn.
+constexpr Millis kMaxTurn{ 5 };
 
 /// Names by PeerMessageKind.
 constexpr std::array<std::string_view, kPeerMessageKinds> kKindNames = {
@@ -134,28 +137,78 @@
 
 net::Task<void> PeerSocket::RunReceiver()
 {
-  std::array<char, kMaxDatagramBytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  while (true) {
+  while (mSocket.is_open()) {
+    if (mWaitingLoads.IsEmpty()) {
+      if (!co_await Receive()) {
+        co_return;
+      }
+    } else {
+      co_await boost::asio::post(mLoop, boost::asio::use_awaitable);
+    }
+    const auto until = mClock.Now() + kMaxTurn;
+    ReceiveAvailable(until);
+    HandleLoads(until);
+  }
+}
+
+net::Task<bool> PeerSocket::Receive()
+{
+  Address sender;
+  boost::system::error_code ec;
+  const auto n = co_await mSocket.async_receive_from(
+    boost::asio::buffer(mBuffer),
+    sender,
+    boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+  if (!ec) { // else an ICMP error for an earlier datagram: a peer's port is closed
+    Accept({ mBuffer.data(), n }, sender);
+  }
+  co_return ec != boost::asio::error::operation_aborted;
+}
+
+void PeerSocket::ReceiveAvailable(TimePoint aUntil)
+{
+  for (auto now = mClock.Now(); now < aUntil; now = mClock.Now()) {
     Address sender;
     boost::system::error_code ec;
-    const auto n = co_await mSocket.async_receive_from(
-      boost::asio::buffer(buf),
-      sender,
-      boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-    if (ec == boost::asio::error::operation_aborted) {
-      co_return;
+    const auto n = mSocket.receive_from(boost::asio::buffer(mBuffer), sender, 0, ec);
+    if (ec == boost::asio::error::would_block) {
+      mEmptyAt = now;
+      return;
     }
-    if (ec) {
-      continue; // ICMP error for an earlier datagram: a peer's port is closed
+    if (!ec) {
+      Accept({ mBuffer.data(), n }, sender);
     }
-    mBytes.mReceived += n;
-    const std::string_view bytes(buf.data(), n);
-    mLongestQueueTime = std::max(mLongestQueueTime, mClock.Now() - mEmptyAt);
-    Dispatch(bytes, sender);
-    NoteIfEmpty();
   }
 }
 
+void PeerSocket::Accept(std::string_view aBytes, const Address& aSender)
+{
+  mBytes.mReceived += aBytes.size();
+  if (FindPeerMessageKind(aBytes) != PeerMessageKind::Load) {
+    Handle(aBytes, aSender, mEmptyAt);
+  } else if (!mWaitingLoads.Put(aSender, aBytes, mEmptyAt)) {
+    mMetrics.CounterOf("gentianloom_peer_loads_replaced_total").Add();
+  }
+}
+
+void PeerSocket::HandleLoads(TimePoint aUntil)
+{
+  do {
+    const auto it = mWaitingLoads.Take();
+    if (!it) {
+      return;
+    }
+    Handle(it->mBytes, it->mSender, it->mArrivedAfter);
+  } while (mClock.Now() < aUntil);
+}
+
+void PeerSocket::Handle(std::string_view aBytes, const Address& aSender, TimePoint aArrivedAfter)
+{
+  mArrivedAfter = aArrivedAfter;
+  mLongestQueueTime = std::max(mLongestQueueTime, QueueTime());
+  Dispatch(aBytes, aSender);
+}
+
 net::Task<void> PeerSocket::RunQueueCheck()
 {
   while (mSocket.is_open()) {
--- a/src/gateway/WatchRelay.cpp
+++ b/src/gateway/WatchRelay.cpp
@@ -218,6 +218,8 @@
   }
   mMetrics.CounterOf("gentianloom_prefix_updates_total", "outcome=\"received\"").Add();
   update.value().mSender = sender;
+  // The sender cannot know how long the update waited here.
+  update.value().mAge += std::chrono::ceil<Millis>(mSocket.QueueTime());
   handler->second(update.value());
 }
 
