A response without a length is complete only once its request was written

What callers saw (MIXED, reported of other systems): an endpoint answered a long request at once, without a length, sent a part of the body, and its connection was reset while the request was being written; the caller got that part as a complete answer.

Here a reset alone was told apart in 200 of 200 runs and 5 of 5 of each kind of route, but an end of the endpoint's side that a reset follows was not: 5 of 5 callers got 200 with a part of the body, on routes that may repeat and that may not. By reading, a reset alone can look the same: the write that fails takes the error of the socket, and a read before the writer has handled it returns the end.

Cause: the end of the stream was believed while the request was still being written. Class: an error that one of two users of a connection consumes. Now it ends a body without a length only once the whole request was written; a write that fails ends the connection, and the response is incomplete. HttpClient (calls to the store) had the same fault and uses the same function; the daemon takes no response without a length for complete.

HttpClientTest TestEndWhileSending failed before ("closed, then reset, run 8"), as did the process test (10 of 30 calls); both pass now.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianloom/base/Address.h"
 #include "gentianloom/net/HttpParser.h"
+#include "gentianloom/net/ResponseEnd.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -127,11 +128,11 @@
     if (used > 0) {
       continue;
     }
-    if (channel->State() == ChannelState::PeerClosed) {
+    if (IsResponseOver(*channel, parser)) {
       parser.PutEof();
       continue;
     }
-    if (channel->State() != ChannelState::Open || RemainingTime(deadline) <= Micros(0)) {
+    if (channel->State() == ChannelState::Closed || RemainingTime(deadline) <= Micros(0)) {
       break;
     }
     co_await signal->WaitFor(RemainingTime(deadline));
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianloom/net/HttpClient.h"
 #include "gentianloom/net/HttpStatus.h"
+#include "gentianloom/net/ResponseEnd.h"
 
 #include <algorithm>
 #include <array>
@@ -243,7 +244,7 @@
   if (consumed > 0 && mContact != nullptr) {
     mContact->OnBytesReceived();
   }
-  if (consumed == 0 && mConnection->State() == net::ChannelState::PeerClosed) {
+  if (consumed == 0 && net::IsResponseOver(*mConnection, mParser)) {
     mParser.PutEof();
   }
   const auto state = mParser.State();
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -16,14 +16,15 @@
 {
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(TestIdleConnections);
+  CPPUNIT_TEST(TestEndWhileSending);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::string_view kResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
   static constexpr Millis kTimeout{ 1'500 };
 
-  static Task<void> Call(HttpClient& aClient, std::optional<bool>& aIsAnswered)
+  static Task<void> Call(HttpClient& aClient, std::string aBody, std::optional<bool>& aIsAnswered)
   {
-    HttpCall call{ "GET", "/", "" };
+    HttpCall call{ aBody.empty() ? "GET" : "POST", "/", std::move(aBody) };
     const auto reply = co_await aClient.Call(std::move(call), kTimeout);
     aIsAnswered = reply.has_value();
   }
@@ -36,10 +37,10 @@
   }
 
   /// Makes one call. @return whether it was answered
-  static bool CallOnce(Loop& aLoop, HttpClient& aClient)
+  static bool CallOnce(Loop& aLoop, HttpClient& aClient, std::string aBody = {})
   {
     std::optional<bool> out;
-    Start(aLoop, "call", Call(aClient, out));
+    Start(aLoop, "call", Call(aClient, std::move(aBody), out));
     CPPUNIT_ASSERT(testing::RunUntil(aLoop, [&] { return out.has_value(); }));
     return out.value_or(false);
   }
@@ -84,6 +85,60 @@
       CPPUNIT_ASSERT(isAnswered);
     }
   }
+
+  // MIXED: a response without a length, whose connection was reset while the request was being
+  // written, counted as complete: the failed write takes the error, and the next read returns the
+  // end of the stream.
+  void TestEndWhileSending()
+  {
+    enum class End
+    {
+      Reset,
+      Close,         ///< the server closes its side and reads on
+      CloseAndReset, ///< it closes its side, and both a moment later
+    };
+    struct Row
+    {
+      std::string mName;
+      End mEnd;
+      bool mIsComplete;
+    };
+    const Row rows[] = {
+      { "reset", End::Reset, false },
+      { "closed, reads on", End::Close, true },
+      { "closed, then reset", End::CloseAndReset, false },
+    };
+    constexpr int kRuns = 200;
+    constexpr std::size_t kBodyBytes = 4 * 1'024 * 1'024;
+    constexpr int kMaxPauseMicros = 400;
+    for (const auto& row : rows) {
+      for (int n = 0; n < kRuns; ++n) {
+        gentianloom::testing::ScriptedEngine server;
+        Loop loop(1);
+        const auto address = ParseSocketAddress(server.Address()).value();
+        auto client = std::make_unique<HttpClient>(loop, address, server.Address());
+        std::thread thread([&] {
+          const Micros pause(n * kMaxPauseMicros / kRuns);
+          server.AcceptOnly();
+          server.Send("HTTP/1.1 200 OK\r\n\r\npart");
+          std::this_thread::sleep_for(pause);
+          if (row.mEnd != End::Reset) {
+            server.FinishSending();
+          }
+          if (row.mEnd == End::Close) {
+            server.ReadToEnd(kBodyBytes);
+          }
+          server.Reset();
+        });
+        const bool isAnswered = CallOnce(loop, *client, std::string(kBodyBytes, 'x'));
+        thread.join();
+        client = nullptr;
+        Finish(loop);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.mName + ", run " + std::to_string(n), row.mIsComplete, isAnswered);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
--- a/tests/platform/interrupted_response_test.py
+++ b/tests/platform/interrupted_response_test.py
@@ -3,7 +3,7 @@
 import time
 import unittest
 
-from gateway_environment import Environment
+from gateway_environment import Environment, configuration
 
 SIGNED = ("HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: s\r\n"
           "Content-Type: text/event-stream\r\n")
@@ -19,6 +19,9 @@
 ERROR_TEXT = "id: 3\ndata: error\n\nInternal error\n\n"  # reads like events
 # Callers hear of it well before the 4 s of their route have passed.
 MAX_SECONDS = 2
+# More than the operating system takes from the gateway while the endpoint does not read.
+UPLOAD = b"x" * 8_000_000
+UPLOADS = 5
 
 
 def chunk(text):
@@ -97,6 +100,21 @@
                     if status == 200:
                         self.assertEqual(b"body", response.body)
 
+    # MIXED: the connection of an endpoint that answered a long request at once, without a length, was reset while
+    # the request was being written; the part of the answer that had come was handed on as a whole one.
+    def test_response_that_is_reset_while_the_request_is_written_is_not_complete(self):
+        limits = {**configuration()["limits"], "max-body-bytes": 2 * len(UPLOAD)}
+        self.env.send_command(put="op/config", value={**configuration(version=8), "limits": limits})
+        self.env.wait_for_log_line(lambda it: it.get("version") == "8")
+        rows = [("reset", 502), ("close, then reset", 502), ("close, and reads on", 200)]
+        for path in ("/read/x", "/send/x"):
+            for name, status in rows:
+                self.env.configure_workers(mode="raw-early", raw=UNTIL_CLOSE + "part", raw_end=name)
+                for n in range(UPLOADS):
+                    with self.subTest(name, path=path):
+                        response = self.env.call(path, f"upload{path[1]}{name[-1]}{n}", body=UPLOAD)
+                        self.assertEqual((status, True), (response.status, response.is_complete))
+
     def test_interrupted_stream_is_resumed_after_its_last_whole_event(self):
         self.env.call("/resume/x", "first")
         executed = self.env.send_command()["executed"]
--- a/tests/platform/standin_worker.py
+++ b/tests/platform/standin_worker.py
@@ -23,7 +23,8 @@
     A stream pauses after event `hold_after` until that is set to 0. In mode "raw", the bytes of `raw`
     are sent as they are (`{attempt}` is replaced by the request's id), and `raw_end` says what
     follows: "close" (an orderly close), "reset", "hold" (nothing), or "endless" (`raw_repeat` again
-    and again).
+    and again). In mode "raw-early" they are sent before the request's body is read, and `raw_end` is
+    "reset", "close, then reset" or "close, and reads on".
 
     A run whose path, organisation and body are in `crashing` ends the endpoint, see `crash`; so does one
     with a part of its prompt, but the last, in `crashing_parts`, as it begins to write its response.
@@ -137,6 +138,8 @@
 
     def serve(self):
         worker = self.server.state
+        if worker.mode == "raw-early":
+            return self.send_raw_early(worker)
         body = self.body()
         attempt = self.headers.get("X-Attempt-Id", "")
         common = [("X-Attempt-Id", attempt), ("X-Instance-Load", "1,0,8")]
@@ -250,6 +253,18 @@
         except OSError:
             worker.endless_closed += 1  # the caller has closed the connection
 
+    def send_raw_early(self, worker):
+        self.close_connection = True
+        self.wfile.write(worker.raw.replace("{attempt}", self.headers.get("X-Attempt-Id", "")).encode())
+        time.sleep(RAW_RESET_DELAY_S)
+        if worker.raw_end != "reset":
+            self.connection.shutdown(socket.SHUT_WR)
+            time.sleep(RAW_RESET_DELAY_S)
+        if worker.raw_end == "close, and reads on":
+            return self.body()
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        return os.close(self.connection.detach())
+
     def wait_for_close(self):
         """Blocks until the client has closed the connection."""
         try:
--- a/tests/support/ScriptedEngine.h
+++ b/tests/support/ScriptedEngine.h
@@ -57,6 +57,23 @@
   /// @brief Closes the connection without the final chunk.
   void Close() { mConnection.close(); }
 
+  /// @brief Resets the connection.
+  void Reset()
+  {
+    mConnection.setLinger(true, 0);
+    mConnection.close();
+  }
+
+  /// @brief Reads until the client closes its side, or at least so many bytes of it.
+  void ReadToEnd(std::size_t aMinBytes)
+  {
+    std::array<char, 65'536> buf; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    int n = 1;
+    for (std::size_t read = 0; n > 0 && read < aMinBytes; read += static_cast<std::size_t>(n)) {
+      n = mConnection.receiveBytes(buf.data(), static_cast<int>(buf.size()));
+    }
+  }
+
 private:
   Poco::Net::ServerSocket mServer;
   Poco::Net::StreamSocket mConnection;
