A number that is no status makes a response invalid

Here the gateway took a status below 100 for that of an interim response, skipped its head and went on to read: a response that followed on the connection counted, and without one the request was held up to its deadline. It handed 600 and 999 on to callers, signed, and so did the daemon.

Cause: the parsers read three digits and nothing looked at their range. IsStatus() (100 to 599) is now checked where each of the two clients reads a head, so the response is none, like one that isn't HTTP: 502, or another endpoint where the request may be repeated.

--- a/include/gentianloom/external/BoundedSocket.h
+++ b/include/gentianloom/external/BoundedSocket.h
@@ -60,7 +60,8 @@
  * @brief Receives the head of a response. Poco takes the end of a connection for the end of a head.
  * @param aSession session over a BoundedSocket
  * @return the stream of the body
- * @throws Poco::Net::MessageException if the connection ended within the head
+ * @throws Poco::Net::MessageException if the connection ended within the head, or the head states a
+ *   number that is no status
  */
 std::istream& ReceiveHead(Poco::Net::HTTPClientSession& aSession,
                           Poco::Net::HTTPResponse& aResponse);
--- a/include/gentianloom/net/HttpParser.h
+++ b/include/gentianloom/net/HttpParser.h
@@ -101,6 +101,7 @@
  *
  * Interim responses (1xx) are skipped. Too many of them, and a head, a chunk's size line or
  * trailers that do not end within 64 KiB, make the parser fail, so that what it holds is bounded.
+ * So does a number that is no status, see IsStatus().
  * The size of the body is not limited.
  */
 class ResponseParser
--- a/include/gentianloom/net/HttpStatus.h
+++ b/include/gentianloom/net/HttpStatus.h
@@ -24,6 +24,15 @@
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
 
+inline constexpr int kFirstStatus = 100;
+inline constexpr int kEndOfStatuses = 600;
+
+/// @brief Whether a number is a status code of HTTP; a server in trouble may send others.
+constexpr bool IsStatus(int aNumber)
+{
+  return aNumber >= kFirstStatus && aNumber < kEndOfStatuses;
+}
+
 /// @brief Whether a status is that of a success.
 constexpr bool IsSuccess(int aStatus)
 {
--- a/src/external/BoundedSocket.cpp
+++ b/src/external/BoundedSocket.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/external/BoundedSocket.h"
 
+#include "gentianloom/net/HttpStatus.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 
@@ -41,6 +43,9 @@
   if (BoundedSocket::LimitsOf(aSession.socket())->HasEnded()) {
     throw Poco::Net::MessageException("the connection ended within the head of the response");
   }
+  if (!net::IsStatus(static_cast<int>(aResponse.getStatus()))) {
+    throw Poco::Net::MessageException("the response has no valid status");
+  }
   return out;
 }
 
--- a/src/net/HttpParser.cpp
+++ b/src/net/HttpParser.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/net/HttpParser.h"
 
+#include "gentianloom/net/HttpStatus.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -231,6 +233,10 @@
 {
   auto& parser = mImpl->mParser;
   const auto status = static_cast<int>(parser.get().result_int());
+  if (!IsStatus(status)) {
+    mState = ParseState::Failed;
+    return;
+  }
   if (status < kFirstFinalStatus) {
     if (++mInterimResponses > kMaxInterimResponses) {
       mState = ParseState::Failed;
--- a/tests/external/HttpCallTest.cpp
+++ b/tests/external/HttpCallTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(HttpCallTest);
   CPPUNIT_TEST(TestCutHeads);
   CPPUNIT_TEST(TestWholeResponses);
+  CPPUNIT_TEST(TestNoStatus);
   CPPUNIT_TEST_SUITE_END();
 
   using CallResult = boost::outcome_v2::checked<HttpResponse, CallFailure>;
@@ -85,6 +86,17 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.mResponse, row.mIsComplete, response.value().mIsComplete);
     }
   }
+
+  // MIXED: a response whose status is none, such as 000, was handed on as an answer.
+  void TestNoStatus()
+  {
+    for (const auto* it : { "000", "099", "600", "999" }) {
+      const auto response =
+        Call(std::string("HTTP/1.1 ") + it + " X\r\nContent-Length: 2\r\n\r\nab", "POST");
+      CPPUNIT_ASSERT_MESSAGE(it, !response);
+      CPPUNIT_ASSERT_MESSAGE(it, response.error().mProgress == CallProgress::Sent);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpCallTest);
--- a/tests/platform/interrupted_response_test.py
+++ b/tests/platform/interrupted_response_test.py
@@ -100,6 +100,18 @@
                     if status == 200:
                         self.assertEqual(b"body", response.body)
 
+    # MIXED: an answer whose status is none came to the caller, or held its request up to the deadline.
+    def test_response_without_a_status_is_none(self):
+        for path in ("/read/x", "/send/x", "/chat/x"):
+            for n, status in enumerate(("000", "099", "600", "999")):
+                raw = (f"HTTP/1.1 {status} X\r\n{ECHOED}{SIGNATURE}{STREAM_TYPE}"
+                       f"Content-Length: {len(EVENTS)}\r\n\r\n{EVENTS}")
+                with self.subTest(status, path=path):
+                    start = time.monotonic()
+                    response = self.call(path, f"status{path[1]}{n}", raw, "hold")
+                    self.assertEqual((502, True), (response.status, response.is_complete))
+                    self.assertLess(time.monotonic() - start, MAX_SECONDS)
+
     # MIXED: the connection of an endpoint that answered a long request at once, without a length, was reset while
     # the request was being written; the part of the answer that had come was handed on as a whole one.
     def test_response_that_is_reset_while_the_request_is_written_is_not_complete(self):
