--- a/tests/gateway/PeerSocketTest.cpp
+++ b/tests/gateway/PeerSocketTest.cpp
@@ -29,6 +29,15 @@
     return { boost::asio::ip::address_v4::loopback(), aPort };
   }
 
+  /// Checks which datagram has waited longest, and takes it.
+  static void CheckNext(LatestDatagrams& aWaiting, const LatestDatagrams::Datagram& aExpected)
+  {
+    const auto it = aWaiting.Take().value_or(LatestDatagrams::Datagram{});
+    CPPUNIT_ASSERT_EQUAL(aExpected.mBytes, it.mBytes);
+    CPPUNIT_ASSERT(aExpected.mSender == it.mSender);
+    CPPUNIT_ASSERT(aExpected.mArrivedAfter == it.mArrivedAfter);
+  }
+
   /// A datagram of a kind with a text that the test recognises.
   static std::string MakeDatagram(PeerMessageKind aKind, const std::string& aText)
   {
@@ -83,15 +92,10 @@
     CPPUNIT_ASSERT(waiting.Put(MakeAddress(1), "a1", TimePoint(Millis(1))));
     CPPUNIT_ASSERT(waiting.Put(MakeAddress(2), "b1", TimePoint(Millis(2))));
     CPPUNIT_ASSERT(!waiting.Put(MakeAddress(1), "a2", TimePoint(Millis(3))));
-    const auto first = waiting.Take();
-    CPPUNIT_ASSERT(first && first->mBytes == "a2");
-    CPPUNIT_ASSERT(first->mSender == MakeAddress(1));
-    CPPUNIT_ASSERT(first->mArrivedAfter == TimePoint(Millis(3)));
+    CheckNext(waiting, { MakeAddress(1), "a2", TimePoint(Millis(3)) });
     CPPUNIT_ASSERT(waiting.Put(MakeAddress(1), "a3", TimePoint(Millis(4))));
-    const auto second = waiting.Take();
-    CPPUNIT_ASSERT(second && second->mBytes == "b1");
-    const auto third = waiting.Take();
-    CPPUNIT_ASSERT(third && third->mBytes == "a3");
+    CheckNext(waiting, { MakeAddress(2), "b1", TimePoint(Millis(2)) });
+    CheckNext(waiting, { MakeAddress(1), "a3", TimePoint(Millis(4)) });
     CPPUNIT_ASSERT(waiting.IsEmpty());
     for (std::size_t n = 0; n <= LatestDatagrams::kMaxSenders; ++n) {
       const bool isAdded = waiting.Put(MakeAddress(static_cast<std::uint16_t>(n)), "x", {});
