--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -78,6 +79,9 @@
   static constexpr std::size_t kHeaderBytes = 28;
 
   PeerSocket(net::Loop& aLoop, const Clock& aClock, Metrics& aMetrics);
+  ~PeerSocket() { *mIsAlive = false; }
+  PeerSocket(const PeerSocket&) = delete;
+  PeerSocket& operator=(const PeerSocket&) = delete;
 
   /// @brief Sets what is called with the datagrams of a kind.
   void SetHandler(PeerMessageKind aKind, Handler aHandler);
@@ -117,8 +121,8 @@
 
 private:
   net::Task<void> RunReceiver();
-  /// Waits for a datagram and takes it. @return whether the socket is still open
-  net::Task<bool> Receive();
+  /// Waits for a datagram and takes it.
+  net::Task<void> Receive();
   /// Takes the datagrams that have arrived, until there is none or a time has come.
   void ReceiveAvailable(TimePoint aUntil);
   /// Handles a datagram at once, or lets a load report wait.
@@ -144,6 +148,7 @@
   TimePoint mEmptyAt{};      ///< when the socket's queue was last seen empty
   TimePoint mArrivedAfter{}; ///< earliest arrival of the datagram that is being handled
   Micros mLongestQueueTime{ 0 };
+  std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true); ///< for the coroutines
 };
 
 } // namespace gentianloom
--- a/include/gentianloom/gateway/TrafficLog.h
+++ b/include/gentianloom/gateway/TrafficLog.h
@@ -34,8 +34,7 @@
     const net::Traffic& mInstances;                ///< requests that instances hand to each other
     std::function<Micros()> mTakeLongestLoopDelay; ///< since the last call
     std::function<Micros()> mTakeLongestPeerQueue; ///< see PeerSocket::TakeLongestQueueTime()
-    std::function<Millis()>
-      mTakeOldestView; ///< greatest age of what is watched, since the last call
+    std::function<Millis()> mTakeOldestView;       ///< greatest age of a view, likewise
   };
 
   TrafficLog(net::Loop& aLoop, Sources aSources, Metrics& aMetrics);
--- a/include/gentianloom/gateway/WatchRelay.h
+++ b/include/gentianloom/gateway/WatchRelay.h
@@ -20,7 +20,7 @@
   std::int64_t mEra = 0;  ///< of the service, see AsyncStore::Era()
   Revision mAfter = 0;    ///< all changes of the prefix after this revision ...
   Revision mRevision = 0; ///< ... and up to this one are in mEvents
-  Millis mAge{ 0 }; ///< time since the service stated this, at the sender until it is received
+  Millis mAge{ 0 };       ///< time since the service stated this; the receiver adds its queue time
   bool mIsAfterOutage = false; ///< deleted keys may belong to leases that expired in an outage
   std::vector<WatchEvent> mEvents;
   std::string mSender{}; ///< address, set by the receiver
--- a/src/gateway/PeerSocket.cpp
+++ b/src/gateway/PeerSocket.cpp
@@ -137,32 +137,35 @@
 
 net::Task<void> PeerSocket::RunReceiver()
 {
-  while (mSocket.is_open()) {
+  const auto isAlive = mIsAlive;
+  while (true) {
     if (mWaitingLoads.IsEmpty()) {
-      if (!co_await Receive()) {
-        co_return;
-      }
+      co_await Receive();
     } else {
       co_await boost::asio::post(mLoop, boost::asio::use_awaitable);
     }
+    if (!*isAlive) {
+      co_return;
+    }
     const auto until = mClock.Now() + kMaxTurn;
     ReceiveAvailable(until);
     HandleLoads(until);
   }
 }
 
-net::Task<bool> PeerSocket::Receive()
+net::Task<void> PeerSocket::Receive()
 {
+  const auto isAlive = mIsAlive;
   Address sender;
   boost::system::error_code ec;
   const auto n = co_await mSocket.async_receive_from(
     boost::asio::buffer(mBuffer),
     sender,
     boost::asio::redirect_error(boost::asio::use_awaitable, ec));
-  if (!ec) { // else an ICMP error for an earlier datagram: a peer's port is closed
+  // An error is an ICMP message for an earlier datagram: a peer's port is closed.
+  if (*isAlive && !ec) {
     Accept({ mBuffer.data(), n }, sender);
   }
-  co_return ec != boost::asio::error::operation_aborted;
 }
 
 void PeerSocket::ReceiveAvailable(TimePoint aUntil)
@@ -211,9 +214,11 @@
 
 net::Task<void> PeerSocket::RunQueueCheck()
 {
-  while (mSocket.is_open()) {
+  auto& loop = mLoop;
+  const auto isAlive = mIsAlive;
+  while (*isAlive) {
     NoteIfEmpty();
-    co_await net::Signal::Sleep(mLoop, kQueueCheckInterval);
+    co_await net::Signal::Sleep(loop, kQueueCheckInterval);
   }
 }
 
