A response without a length whose endpoint closed its side and reads nothing more is complete after 0.5 s

What callers saw, since: such an answer was held until the request's deadline and lost. A reset of a server that has ended arrives within a few round trips of the bytes that are still written to it; a server that only stops reading sends none (TimeUntilResponseEnd).

PeerSocket waits for a datagram only right after its queue was seen empty, so that none is taken out of the queue and handled a turn later.

--- a/include/gentianloom/gateway/LatestDatagrams.h
+++ b/include/gentianloom/gateway/LatestDatagrams.h
@@ -37,9 +37,8 @@
     TimePoint mArrivedAfter{}; ///< earliest time at which it may have arrived
   };
 
-  /// @brief Adds a datagram behind those of other senders.
-  /// @return whether all that were added are still waiting; false if this one replaced another one
-  ///   of its sender, in whose place it waits, or was dropped
+  /// @brief Adds a datagram behind all others, or in the place of an earlier one of its sender.
+  /// @return false if an earlier datagram was replaced, or if this one was dropped
   bool Put(const Address& aSender, std::string_view aBytes, TimePoint aArrivedAfter);
 
   /// @brief Removes the datagram that has waited longest. @return it, or nothing if none waits
--- a/include/gentianloom/gateway/PeerSocket.h
+++ b/include/gentianloom/gateway/PeerSocket.h
@@ -123,8 +123,8 @@
   net::Task<void> RunReceiver();
   /// Waits for a datagram and takes it.
   net::Task<void> Receive();
-  /// Takes the datagrams that have arrived, until there is none or a time has come.
-  void ReceiveAvailable(TimePoint aUntil);
+  /// Takes the datagrams that have arrived, until a time has come. @return whether none is left
+  bool ReceiveAvailable(TimePoint aUntil);
   /// Handles a datagram at once, or lets a load report wait.
   void Accept(std::string_view aBytes, const Address& aSender);
   /// Handles one waiting load report, and further ones until a time has come.
--- a/include/gentianloom/net/Channel.h
+++ b/include/gentianloom/net/Channel.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -67,6 +68,8 @@
   void NotifyListener();
 
   ChannelState State() const { return mState; }
+  /// @brief Time since the state became PeerClosed; zero if it never did.
+  Micros TimeSincePeerClosed() const;
   bool IsUsable() const { return mState == ChannelState::Open; }
 
   /// @brief Bytes that were received and not yet consumed.
@@ -145,6 +148,7 @@
   std::size_t mQueued = 0; ///< as mUnsent, but with the part of the first text that was written
   std::size_t mSent = 0;
   bool mCloseAfterSending = false;
+  std::optional<TimePoint> mPeerClosedAt;
   std::unique_ptr<CallerShare> mShare;
   Traffic* mTraffic = nullptr; ///< null: not counted
 };
--- a/include/gentianloom/net/ResponseEnd.h
+++ b/include/gentianloom/net/ResponseEnd.h
@@ -6,20 +6,19 @@
 
 namespace gentianloom::net {
 
+/// Time within which the reset of a server that has ended arrives: a few round trips of a busy
+/// link. A server that only stops reading sends none.
+inline constexpr Millis kMaxResetDelay{ 500 };
+
 /**
- * @brief Whether no more of a response can follow because the peer has closed its side.
+ * @brief Returns the time until no more of a response can follow because the peer has closed its
+ * side; zero if that is so, Micros::max() if the peer has not.
  *
- * A body that ends with the connection is complete only once the whole request was written. Until
- * then the end of the stream may be a reset: the write that fails takes the error, and a read after
- * it returns the end of the stream.
+ * While the request is still being written, the end of a body that ends with the connection may be
+ * a reset: the write that fails takes the error, and a read after it returns the end of the stream.
+ * Such a body is complete once the request was written, or no reset came for kMaxResetDelay.
  */
-inline bool IsResponseOver(const Channel& aChannel, const ResponseParser& aParser)
-{
-  if (aChannel.State() != ChannelState::PeerClosed) {
-    return false;
-  }
-  return aParser.BodyFraming() != Framing::UntilClose || aChannel.Unsent() == 0;
-}
+Micros TimeUntilResponseEnd(const Channel& aChannel, const ResponseParser& aParser);
 
 } // namespace gentianloom::net
 
--- a/src/gateway/PeerSocket.cpp
+++ b/src/gateway/PeerSocket.cpp
@@ -138,8 +138,11 @@
 net::Task<void> PeerSocket::RunReceiver()
 {
   const auto isAlive = mIsAlive;
+  // Waits for a datagram only right after the queue was seen empty: one that the operation took out
+  // of the queue at once would be handled a turn later, and NoteIfEmpty() would overlook it.
+  bool isIdle = false;
   while (true) {
-    if (mWaitingLoads.IsEmpty()) {
+    if (isIdle) {
       co_await Receive();
     } else {
       co_await boost::asio::post(mLoop, boost::asio::use_awaitable);
@@ -148,7 +151,8 @@
       co_return;
     }
     const auto until = mClock.Now() + kMaxTurn;
-    ReceiveAvailable(until);
+    const bool isQueueEmpty = ReceiveAvailable(until);
+    isIdle = isQueueEmpty && mWaitingLoads.IsEmpty();
     HandleLoads(until);
   }
 }
@@ -168,7 +172,7 @@
   }
 }
 
-void PeerSocket::ReceiveAvailable(TimePoint aUntil)
+bool PeerSocket::ReceiveAvailable(TimePoint aUntil)
 {
   for (auto now = mClock.Now(); now < aUntil; now = mClock.Now()) {
     Address sender;
@@ -176,12 +180,13 @@
     const auto n = mSocket.receive_from(boost::asio::buffer(mBuffer), sender, 0, ec);
     if (ec == boost::asio::error::would_block) {
       mEmptyAt = now;
-      return;
+      return true;
     }
     if (!ec) {
       Accept({ mBuffer.data(), n }, sender);
     }
   }
+  return false;
 }
 
 void PeerSocket::Accept(std::string_view aBytes, const Address& aSender)
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -145,6 +145,7 @@
     }
     if (ec == boost::asio::error::eof) {
       aSelf->mState = ChannelState::PeerClosed;
+      aSelf->mPeerClosedAt = SystemClock().Now();
       aSelf->NotifyListener();
       aSelf->mWriterWake.Notify();
       co_return;
@@ -259,6 +260,11 @@
   }
 }
 
+Micros Channel::TimeSincePeerClosed() const
+{
+  return mPeerClosedAt ? SystemClock().Now() - *mPeerClosedAt : Micros(0);
+}
+
 void Channel::Consume(std::size_t aBytes)
 {
   mReceived.erase(0, aBytes);
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
+
 namespace gentianloom::net {
 
 namespace {
@@ -128,14 +130,15 @@
     if (used > 0) {
       continue;
     }
-    if (IsResponseOver(*channel, parser)) {
+    const auto untilEnd = TimeUntilResponseEnd(*channel, parser);
+    if (untilEnd == Micros(0)) {
       parser.PutEof();
       continue;
     }
     if (channel->State() == ChannelState::Closed || RemainingTime(deadline) <= Micros(0)) {
       break;
     }
-    co_await signal->WaitFor(RemainingTime(deadline));
+    co_await signal->WaitFor(std::min(untilEnd, RemainingTime(deadline)));
   }
   channel->SetListener(nullptr);
   mBytes.mReceived += reply.mBody.size();
--- a/src/relay/EndpointAttempt.cpp
+++ b/src/relay/EndpointAttempt.cpp
@@ -222,7 +222,7 @@
       FinishLate();
       break;
     }
-    co_await mSignal->WaitFor(left);
+    co_await mSignal->WaitFor(std::min(left, net::TimeUntilResponseEnd(*mConnection, mParser)));
   }
 }
 
@@ -244,7 +244,7 @@
   if (consumed > 0 && mContact != nullptr) {
     mContact->OnBytesReceived();
   }
-  if (consumed == 0 && net::IsResponseOver(*mConnection, mParser)) {
+  if (consumed == 0 && net::TimeUntilResponseEnd(*mConnection, mParser) == Micros(0)) {
     mParser.PutEof();
   }
   const auto state = mParser.State();
--- a/tests/gateway/PeerSocketTest.cpp
+++ b/tests/gateway/PeerSocketTest.cpp
@@ -17,27 +17,10 @@
 class PeerSocketTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(PeerSocketTest);
-  CPPUNIT_TEST(TestLatestDatagrams);
   CPPUNIT_TEST(TestOrder);
   CPPUNIT_TEST(TestQueueTime);
   CPPUNIT_TEST_SUITE_END();
 
-  using Address = LatestDatagrams::Address;
-
-  static Address MakeAddress(std::uint16_t aPort)
-  {
-    return { boost::asio::ip::address_v4::loopback(), aPort };
-  }
-
-  /// Checks which datagram has waited longest, and takes it.
-  static void CheckNext(LatestDatagrams& aWaiting, const LatestDatagrams::Datagram& aExpected)
-  {
-    const auto it = aWaiting.Take().value_or(LatestDatagrams::Datagram{});
-    CPPUNIT_ASSERT_EQUAL(aExpected.mBytes, it.mBytes);
-    CPPUNIT_ASSERT(aExpected.mSender == it.mSender);
-    CPPUNIT_ASSERT(aExpected.mArrivedAfter == it.mArrivedAfter);
-  }
-
   /// A datagram of a kind with a text that the test recognises.
   static std::string MakeDatagram(PeerMessageKind aKind, const std::string& aText)
   {
@@ -49,7 +32,7 @@
   /// Makes the receiver note the texts of a kind, in the order in which they are handled.
   void Record(PeerMessageKind aKind, Micros aHandlingTime = Micros(0))
   {
-    mReceiver->SetHandler(aKind, [this, aHandlingTime](std::string_view aBytes, const Address&) {
+    mReceiver->SetHandler(aKind, [this, aHandlingTime](std::string_view aBytes, const auto&) {
       const auto array = nlohmann::json::from_msgpack(aBytes.begin(), aBytes.end());
       mHandled.push_back(array.back().get<std::string>());
       mQueueTimes.push_back(mReceiver->QueueTime());
@@ -84,25 +67,6 @@
   std::vector<Micros> mQueueTimes;
 
 public:
-  // A later datagram takes the place of an earlier one of its sender, so none waits for ever.
-  void TestLatestDatagrams()
-  {
-    LatestDatagrams waiting;
-    CPPUNIT_ASSERT(!waiting.Take());
-    CPPUNIT_ASSERT(waiting.Put(MakeAddress(1), "a1", TimePoint(Millis(1))));
-    CPPUNIT_ASSERT(waiting.Put(MakeAddress(2), "b1", TimePoint(Millis(2))));
-    CPPUNIT_ASSERT(!waiting.Put(MakeAddress(1), "a2", TimePoint(Millis(3))));
-    CheckNext(waiting, { MakeAddress(1), "a2", TimePoint(Millis(3)) });
-    CPPUNIT_ASSERT(waiting.Put(MakeAddress(1), "a3", TimePoint(Millis(4))));
-    CheckNext(waiting, { MakeAddress(2), "b1", TimePoint(Millis(2)) });
-    CheckNext(waiting, { MakeAddress(1), "a3", TimePoint(Millis(4)) });
-    CPPUNIT_ASSERT(waiting.IsEmpty());
-    for (std::size_t n = 0; n <= LatestDatagrams::kMaxSenders; ++n) {
-      const bool isAdded = waiting.Put(MakeAddress(static_cast<std::uint16_t>(n)), "x", {});
-      CPPUNIT_ASSERT_EQUAL(n < LatestDatagrams::kMaxSenders, isAdded);
-    }
-  }
-
   // DRAIN: updates of the endpoints waited behind thousands of load reports.
   void TestOrder()
   {
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -1,4 +1,5 @@
 #include "gentianloom/net/HttpClient.h"
+#include "gentianloom/net/ResponseEnd.h"
 
 #include "support/RunLoop.h"
 #include "support/ScriptedEngine.h"
@@ -96,29 +97,32 @@
       Reset,
       Close,         ///< the server closes its side and reads on
       CloseAndReset, ///< it closes its side, and both a moment later
+      CloseAndHold,  ///< it closes its side and reads nothing more
     };
     struct Row
     {
       std::string mName;
       End mEnd;
       bool mIsComplete;
+      int mRuns;
     };
     const Row rows[] = {
-      { "reset", End::Reset, false },
-      { "closed, reads on", End::Close, true },
-      { "closed, then reset", End::CloseAndReset, false },
+      { "reset", End::Reset, false, 100 },
+      { "closed, reads on", End::Close, true, 100 },
+      { "closed, then reset", End::CloseAndReset, false, 100 },
+      { "closed, reads nothing", End::CloseAndHold, true, 2 },
     };
-    constexpr int kRuns = 100;
+    constexpr Millis kHoldTime = 2 * kMaxResetDelay;
     constexpr std::size_t kBodyBytes = 4 * 1'024 * 1'024;
     constexpr int kMaxPauseMicros = 400;
     for (const auto& row : rows) {
-      for (int n = 0; n < kRuns; ++n) {
+      for (int n = 0; n < row.mRuns; ++n) {
         gentianloom::testing::ScriptedEngine server;
         Loop loop(1);
         const auto address = ParseSocketAddress(server.Address()).value();
         auto client = std::make_unique<HttpClient>(loop, address, server.Address());
         std::thread thread([&] {
-          const Micros pause(n * kMaxPauseMicros / kRuns);
+          const Micros pause(n * kMaxPauseMicros / row.mRuns);
           server.AcceptOnly();
           server.Send("HTTP/1.1 200 OK\r\n\r\npart");
           std::this_thread::sleep_for(pause);
@@ -127,6 +131,8 @@
           }
           if (row.mEnd == End::Close) {
             server.ReadToEnd(kBodyBytes);
+          } else if (row.mEnd == End::CloseAndHold) {
+            std::this_thread::sleep_for(kHoldTime);
           }
           server.Reset();
         });
--- a/tests/platform/interrupted_response_test.py
+++ b/tests/platform/interrupted_response_test.py
@@ -118,7 +118,8 @@
         limits = {**configuration()["limits"], "max-body-bytes": 2 * len(UPLOAD)}
         self.env.send_command(put="op/config", value={**configuration(version=8), "limits": limits})
         self.env.wait_for_log_line(lambda it: it.get("version") == "8")
-        rows = [("reset", 502), ("close, then reset", 502), ("close, and reads on", 200)]
+        rows = [("reset", 502), ("close, then reset", 502), ("close, and reads on", 200),
+                ("close, and holds", 200)]
         for path in ("/read/x", "/send/x"):
             for name, status in rows:
                 self.env.configure_workers(mode="raw-early", raw=UNTIL_CLOSE + "part", raw_end=name)
--- a/tests/platform/standin_worker.py
+++ b/tests/platform/standin_worker.py
@@ -11,6 +11,8 @@
 
 # Time between the last byte and a reset, so that the other side reads the bytes first.
 RAW_RESET_DELAY_S = 0.1
+# For which an endpoint that has closed its side keeps the connection without reading from it.
+RAW_HOLD_S = 1
 ENDLESS_BLOCK_BYTES = 65536
 # From the begin of a run that ends its endpoint until the end, and until the endpoint is back.
 CRASH_DELAY_S = 0.075
@@ -24,7 +26,7 @@
     are sent as they are (`{attempt}` is replaced by the request's id), and `raw_end` says what
     follows: "close" (an orderly close), "reset", "hold" (nothing), or "endless" (`raw_repeat` again
     and again). In mode "raw-early" they are sent before the request's body is read, and `raw_end` is
-    "reset", "close, then reset" or "close, and reads on".
+    "reset", "close, then reset", "close, and reads on", or "close, and holds" (reads nothing more for a while).
 
     A run whose path, organisation and body are in `crashing` ends the endpoint, see `crash`; so does one
     with a part of its prompt, but the last, in `crashing_parts`, as it begins to write its response.
@@ -262,6 +264,8 @@
             time.sleep(RAW_RESET_DELAY_S)
         if worker.raw_end == "close, and reads on":
             return self.body()
+        if worker.raw_end == "close, and holds":
+            time.sleep(RAW_HOLD_S)
         self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         return os.close(self.connection.detach())
 
--- a/tests/serving/EngineStreamTest.cpp
+++ b/tests/serving/EngineStreamTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(TestLastEventIsNotDelayed);
   CPPUNIT_TEST(TestStreamEnd);
   CPPUNIT_TEST(TestCutHeads);
+  CPPUNIT_TEST(TestNoStatus);
   CPPUNIT_TEST(TestUnresponsiveEngine);
   CPPUNIT_TEST(TestEndlessResponse);
   CPPUNIT_TEST(TestEndlessStream);
@@ -70,6 +71,20 @@
     }
   }
 
+  // MIXED: a number that is no status counted as the status of an engine's response.
+  void TestNoStatus()
+  {
+    for (const auto* it : { "000", "099", "600", "999" }) {
+      testing::ScriptedEngine engine;
+      HttpRequest request{ "POST", "/v1/chat/completions", "{}" };
+      auto stream = EngineStream::Start(engine.Address(), request, ServingSettings{}, kMaxDuration);
+      CPPUNIT_ASSERT(stream.has_value());
+      engine.AcceptOnly();
+      engine.Send(std::string("HTTP/1.1 ") + it + " X\r\nContent-Length: 0\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(it, !stream.value()->ReadStatus());
+    }
+  }
+
   /// An engine that accepts the connection and never responds must not block its caller forever:
   /// EngineStream and CallHttp() must both give up after their timeout.
   void TestUnresponsiveEngine()
