Daemon: interim responses and successes other than 200 do not state that a request did not run

What callers saw: the daemon took a 102 or 103 of an engine for the final status, and each status below 500 but 200 for the statement that the request did not run. So a request that the engine was running was tried again elsewhere, or its caller was told "not-run"; 202 and 206 likewise. Found by reading what happens to a status of 000 on the daemon's path.

Cause: Poco skips interim responses of status 100 only, and the rule stood as "below 500". Now ReceiveHead skips up to 16 interim responses, as the gateway does, and StatesNotRun() is 300 to 499 and 503.

EngineStreamTest TestInterimResponses ("Expected: 200, Actual: 103") and HttpCallTest TestWholeResponses failed before; the table TestStatesNotRun is of a new function whose old rule had 202 and 206 the other way.

--- a/include/gentianloom/external/BoundedSocket.h
+++ b/include/gentianloom/external/BoundedSocket.h
@@ -57,11 +57,12 @@
 };
 
 /**
- * @brief Receives the head of a response. Poco takes the end of a connection for the end of a head.
+ * @brief Receives the head of a final response. Poco takes the end of a connection for the end of a
+ * head, and interim responses other than 100 for final ones.
  * @param aSession session over a BoundedSocket
  * @return the stream of the body
- * @throws Poco::Net::MessageException if the connection ended within the head, or the head states a
- *   number that is no status
+ * @throws Poco::Net::MessageException if the connection ended within the head, the head states a
+ *   number that is no status, or too many interim responses come first
  */
 std::istream& ReceiveHead(Poco::Net::HTTPClientSession& aSession,
                           Poco::Net::HTTPResponse& aResponse);
--- a/include/gentianloom/net/HttpStatus.h
+++ b/include/gentianloom/net/HttpStatus.h
@@ -33,6 +33,12 @@
   return aNumber >= kFirstStatus && aNumber < kEndOfStatuses;
 }
 
+/// @brief Whether a status is that of an interim response, which a final one follows.
+constexpr bool IsInterim(int aStatus)
+{
+  return aStatus >= kFirstStatus && aStatus < kOk;
+}
+
 /// @brief Whether a status is that of a success.
 constexpr bool IsSuccess(int aStatus)
 {
--- a/include/gentianloom/serving/EngineStream.h
+++ b/include/gentianloom/serving/EngineStream.h
@@ -35,6 +35,11 @@
   bool mHasMoreBuffered = false; ///< more bytes of the stream were already received
 };
 
+/// @brief Whether an engine's status states that it did not run the request: a redirection or an
+/// error of the request, or 503. Another success than 200, and other errors of the engine, state
+/// nothing.
+bool StatesNotRun(int aStatus);
+
 /**
  * @brief Reads the response of a model engine to one chat completion as server-sent events.
  *
--- a/src/external/BoundedSocket.cpp
+++ b/src/external/BoundedSocket.cpp
@@ -9,6 +9,13 @@
 
 namespace gentianloom {
 
+namespace {
+
+/// Interim responses that are skipped before a final one.
+constexpr int kMaxInterimResponses = 16;
+
+} // namespace
+
 int BoundedSocketImpl::receiveBytes(void* aBuffer, int aLength, int aFlags)
 {
   if (std::chrono::steady_clock::now() >= mLimits.mDeadline) {
@@ -38,15 +45,21 @@
 std::istream& ReceiveHead(Poco::Net::HTTPClientSession& aSession,
                           Poco::Net::HTTPResponse& aResponse)
 {
-  auto& out = aSession.receiveResponse(aResponse);
-  // Of a whole head, nothing behind it is read before the body is.
-  if (BoundedSocket::LimitsOf(aSession.socket())->HasEnded()) {
-    throw Poco::Net::MessageException("the connection ended within the head of the response");
-  }
-  if (!net::IsStatus(static_cast<int>(aResponse.getStatus()))) {
-    throw Poco::Net::MessageException("the response has no valid status");
+  for (int n = 0; n <= kMaxInterimResponses; ++n) {
+    auto& out = aSession.receiveResponse(aResponse); // skips status 100 itself
+    // Of a whole head, nothing behind it is read before the body is.
+    if (BoundedSocket::LimitsOf(aSession.socket())->HasEnded()) {
+      throw Poco::Net::MessageException("the connection ended within the head of the response");
+    }
+    const auto status = static_cast<int>(aResponse.getStatus());
+    if (!net::IsStatus(status)) {
+      throw Poco::Net::MessageException("the response has no valid status");
+    }
+    if (!net::IsInterim(status)) {
+      return out;
+    }
   }
-  return out;
+  throw Poco::Net::MessageException("too many interim responses");
 }
 
 } // namespace gentianloom
--- a/src/net/HttpParser.cpp
+++ b/src/net/HttpParser.cpp
@@ -26,7 +26,6 @@
 /// Explicit maximum, because Boost 1.74 treats an unset limit as a limit of zero.
 constexpr auto kNoLimit = std::numeric_limits<std::uint64_t>::max();
 
-constexpr int kFirstFinalStatus = 200;
 /// Interim responses that are skipped before a final one.
 constexpr int kMaxInterimResponses = 16;
 /// With more bytes than this, a size line, trailers or a head that are still incomplete never end.
@@ -237,7 +236,7 @@
     mState = ParseState::Failed;
     return;
   }
-  if (status < kFirstFinalStatus) {
+  if (IsInterim(status)) {
     if (++mInterimResponses > kMaxInterimResponses) {
       mState = ParseState::Failed;
       return;
--- a/src/serving/ChatRelay.cpp
+++ b/src/serving/ChatRelay.cpp
@@ -26,12 +26,6 @@
            { "total_tokens", aExchange.mPromptTokens + aExchange.mOutputTokens } };
 }
 
-/// Whether an HTTP status means that the engine rejected the request without running it.
-bool IsRejection(int aStatus)
-{
-  return aStatus == 429 || aStatus == 503;
-}
-
 } // namespace
 
 ChatRelay::ChatRelay(const ExchangePtr& aExchange,
@@ -139,7 +133,7 @@
                                ErrorCode::EndpointFailed,
                                "the endpoint rejected the request with status " +
                                  std::to_string(status.value()) + ": " + mStream->ReadRemainder());
-    failure.mFailure.mRequestDidNotRun = IsRejection(status.value()) || status.value() < 500;
+    failure.mFailure.mRequestDidNotRun = StatesNotRun(status.value());
     return failure;
   }
   mValidator.emplace(
--- a/src/serving/EngineStream.cpp
+++ b/src/serving/EngineStream.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/serving/EngineStream.h"
 
+#include "gentianloom/net/HttpStatus.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -66,6 +68,12 @@
   std::int64_t mSequence = 0; ///< of the last `id:` line, for the next event; 0 if there was none
 };
 
+bool StatesNotRun(int aStatus)
+{
+  const bool isRefused = aStatus >= net::kMultipleChoices && aStatus < net::kFirstServerError;
+  return isRefused || aStatus == net::kUnavailable;
+}
+
 bool FindTokenCount(std::string_view aData, std::string_view aField, Tokens& aOut)
 {
   const auto at = aData.rfind(aField);
--- a/tests/external/HttpCallTest.cpp
+++ b/tests/external/HttpCallTest.cpp
@@ -78,6 +78,10 @@
       { "HTTP/1.1 200 OK\r\n\r\nab", "ab", false },
       { "HTTP/1.0 200 OK\r\n\r\n", "", false },
       { "HTTP/1.1 204 No Content\r\n\r\n", "", true },
+      { "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "ab",
+        true },
     };
     for (const auto& row : rows) {
       const auto response = Call(row.mResponse, "POST");
--- a/tests/serving/EngineStreamTest.cpp
+++ b/tests/serving/EngineStreamTest.cpp
@@ -14,7 +14,9 @@
   CPPUNIT_TEST(TestLastEventIsNotDelayed);
   CPPUNIT_TEST(TestStreamEnd);
   CPPUNIT_TEST(TestCutHeads);
+  CPPUNIT_TEST(TestInterimResponses);
   CPPUNIT_TEST(TestNoStatus);
+  CPPUNIT_TEST(TestStatesNotRun);
   CPPUNIT_TEST(TestUnresponsiveEngine);
   CPPUNIT_TEST(TestEndlessResponse);
   CPPUNIT_TEST(TestEndlessStream);
@@ -71,6 +73,43 @@
     }
   }
 
+  // An interim response counted as the final one, and so as the promise that the request did not
+  // run. Too many of them are no response.
+  void TestInterimResponses()
+  {
+    struct Row
+    {
+      int mInterim;
+      bool mIsFinalRead;
+    };
+    const Row rows[] = { { 0, true }, { 1, true }, { 16, true }, { 17, false } };
+    for (const auto& row : rows) {
+      testing::ScriptedEngine engine;
+      HttpRequest request{ "POST", "/v1/chat/completions", "{}" };
+      auto stream = EngineStream::Start(engine.Address(), request, ServingSettings{}, kMaxDuration);
+      CPPUNIT_ASSERT(stream.has_value());
+      engine.AcceptOnly();
+      for (int n = 0; n < row.mInterim; ++n) {
+        engine.Send("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+      }
+      engine.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      const auto status = stream.value()->ReadStatus();
+      CPPUNIT_ASSERT_EQUAL(row.mIsFinalRead ? 200 : 0, status ? status.value() : 0);
+    }
+  }
+
+  // TWICE: 202 or 206 counted as the promise that the request did not run, and it ran again.
+  void TestStatesNotRun()
+  {
+    const std::pair<int, bool> rows[] = { { 200, false }, { 202, false }, { 206, false },
+                                          { 301, true },  { 400, true },  { 404, true },
+                                          { 429, true },  { 500, false }, { 502, false },
+                                          { 503, true },  { 504, false } };
+    for (const auto& [status, isNotRun] : rows) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(status), isNotRun, StatesNotRun(status));
+    }
+  }
+
   // MIXED: a number that is no status counted as the status of an engine's response.
   void TestNoStatus()
   {
