Targets of calls are percent-encoded: a key of another writer is a value, not syntax

The processes were not ready: they never got to the end of the list.

Cause: StoreClient joined the last key of a page into the target of the next read as it was. After "servers/&x" the service read after=servers/ and returned the same page without end; after a blank, a line end or "%x" the target was malformed and the call failed for ever.

The stand-in of the store now refuses malformed targets (400) for all tests and records them.

--- a/src/serving/EngineRequests.cpp
+++ b/src/serving/EngineRequests.cpp
@@ -1,17 +1,15 @@
 #include "gentianloom/serving/EngineRequests.h"
 
-#include <Poco/URI.h>
+#include "gentianloom/net/RequestTarget.h"
 
 namespace gentianloom {
 
 namespace {
 
-/// Returns the path of the stream of a request on its engine.
-std::string StreamPath(const Exchange& aExchange)
+/// Returns the target of the stream of a request on its engine.
+net::RequestTarget StreamTarget(const Exchange& aExchange)
 {
-  std::string id;
-  Poco::URI::encode(aExchange.mRequestId, "/?#&%+ ", id);
-  return "/v1/streams/" + id;
+  return net::RequestTarget("/v1/streams").AddSegment(aExchange.mRequestId);
 }
 
 HttpRequest MakeRequest(const Exchange& aExchange, std::string aMethod, std::string aPath)
@@ -38,12 +36,13 @@
 
 HttpRequest MakeResumeRequest(const Exchange& aExchange, std::int64_t aAfter)
 {
-  return MakeRequest(aExchange, "GET", StreamPath(aExchange) + "?after=" + std::to_string(aAfter));
+  auto target = StreamTarget(aExchange).AddParameter("after", std::to_string(aAfter));
+  return MakeRequest(aExchange, "GET", target.Text());
 }
 
 HttpRequest MakeCancelRequest(const Exchange& aExchange, const std::string& aAttemptId)
 {
-  auto out = MakeRequest(aExchange, "DELETE", StreamPath(aExchange));
+  auto out = MakeRequest(aExchange, "DELETE", StreamTarget(aExchange).Text());
   out.mHeaders.emplace_back(kAttemptHeader, aAttemptId);
   return out;
 }
--- /dev/null
+++ b/tests/platform/odd_name_test.py
@@ -0,0 +1,127 @@
+#!/usr/bin/env python3
+"""Entries of other writers whose names hold characters that have a meaning in a target or a header.
+
+Such an entry names nothing to use; the others hold, and later changes are followed. Pages of one item
+make each key one after which a page begins.
+"""
+import time
+import unittest
+
+from gateway_environment import Environment, Platform
+
+MAX_KEY_BYTES = 200
+NAMES = (
+    "&x", "+x", "#x", "%x", "%20x", "%", "a b", "a ", " a", "&after=zz", "&prefix=op/", "a\tb", "a\nb",
+    "a\r\nX-Model: n", "=", "?", "/", "a/b", ";", '"', "\\", "é", "\U0001f600", "\0", "", ".", "..",
+    "%" * (MAX_KEY_BYTES - len("/gentianloom/instances/blocked-requests/")),
+)
+WATCHED_PREFIXES = ("servers/", "op/", "op/evacuate/", "/gentianloom/instances/",
+                    "/gentianloom/instances/blocked-requests/")
+OTHER_PREFIXES = ("/gentianloom/crash-evidence/", "/gentianloom/software-versions",
+                  "/gentianloom/budget-shards/", "/gentianloom/usage/g1-")
+WATCHED_KEYS = [prefix + name for prefix in WATCHED_PREFIXES for name in NAMES]
+UNREADABLE = "?"
+PAGE_ITEMS = 500
+REQUESTS = 12
+INSTANCES = 6  # of a zone, so that some learn of changes from the others only
+FOLLOW_S = 3
+
+
+class OddNameTest(unittest.TestCase):
+    def start_platform(self):
+        """Two endpoints are listed; a test may list the third one."""
+        out = Platform({"w1": "v1", "w2": "v1", "w3": "v1"})
+        self.addCleanup(out.close)
+        out.send_command(remove="servers/w3")
+        return out
+
+    def start(self, platform, name="g1"):
+        out = Environment(platform=platform, name=name, start_gateway=False)
+        self.addCleanup(out.close)
+        out.start()
+        return out
+
+    def check_serves(self, gateway):
+        routes = ("send", "read", "chat")
+        statuses = [gateway.call(f"/{routes[n % len(routes)]}/x", f"{gateway.name}-{time.monotonic()}").status
+                    for n in range(REQUESTS)]
+        self.assertEqual([200] * REQUESTS, statuses)
+        self.assertEqual([], gateway.send_command()["invalid_targets"])
+
+    def check_start(self, keys, page=PAGE_ITEMS):
+        """A gateway that starts among unreadable entries serves."""
+        platform = self.start_platform()
+        platform.send_command(put=keys, raw=UNREADABLE, page=page)
+        try:
+            gateway = self.start(platform)
+            gateway.wait(lambda: gateway.call("/chat/x", f"first-{time.monotonic()}").status == 200)
+            self.check_serves(gateway)
+        finally:
+            self.doCleanups()
+
+    def check_follows(self, gateways):
+        """All gateways learn in time that an endpoint leaves the list, and that it is back."""
+        platform = gateways[0].platform
+        for it in gateways:
+            it.log.truncate(0)
+        for change, make in (("the entry of an endpoint was deleted",
+                              lambda: platform.send_command(remove="servers/w1")),
+                             ("the entry of an endpoint changed", lambda: platform.list_endpoint("w1"))):
+            make()
+            before = time.monotonic()
+            for it in gateways:
+                it.wait_for_log_line(lambda line: line.get("endpoint") == "w1" and line["change"] == change)
+            self.assertLess(time.monotonic() - before, FOLLOW_S)
+
+    # RECOVER: processes that started while one such entry stood in the store were not ready.
+    def test_start_with_one_odd_name(self):
+        for name in NAMES:
+            with self.subTest(name):
+                self.check_start(["servers/" + name], page=1)
+
+    def test_start_with_odd_names_under_each_prefix(self):
+        for prefix in WATCHED_PREFIXES + OTHER_PREFIXES:
+            for page in (1, PAGE_ITEMS):
+                with self.subTest(prefix=prefix, page=page):
+                    self.check_start([prefix + it for it in NAMES], page)
+
+    # The odd entry is the last one of the first page, and the endpoints are on the second.
+    def test_start_with_a_list_of_several_pages(self):
+        unusable = [f"servers/!{n:03}" for n in range(PAGE_ITEMS - 1)]
+        for name in NAMES:
+            with self.subTest(name):
+                self.check_start([*unusable, "servers/!z" + name])
+
+    # The watch tells of the entries, then the list is read again after 410.
+    def test_odd_names_that_appear_while_a_gateway_runs(self):
+        platform = self.start_platform()
+        platform.send_command(page=1)
+        gateway = self.start(platform)
+        platform.send_command(put=WATCHED_KEYS, raw=UNREADABLE)
+        self.check_follows([gateway])
+        self.check_serves(gateway)
+        platform.send_command(store_mode="busy")
+        time.sleep(1)  # the watches that wait end
+        platform.send_command(put="unrelated", raw="", forget_history=True)
+        platform.send_command(store_mode="up")
+        for prefix in ("op/", "servers/", "/gentianloom/instances/"):
+            gateway.wait_for_log_line(lambda it, prefix=prefix: it.get("prefix") == prefix
+                                      and it["change"].startswith("the watched revision is no longer"))
+        self.check_follows([gateway])
+        self.check_serves(gateway)
+
+    def test_odd_names_told_by_the_watchers_of_a_zone(self):
+        platform = self.start_platform()
+        gateways = [self.start(platform, f"g{n}") for n in range(INSTANCES)]
+        time.sleep(FOLLOW_S)  # until all know of each other
+        platform.send_command(put=WATCHED_KEYS, raw=UNREADABLE)
+        self.check_follows(gateways)
+        told = [line for it in gateways for line in it.log_lines()
+                if line["change"] == "read changes" and line["source"] != "own watch"]
+        self.assertNotEqual([], told)
+        for it in gateways:
+            self.check_serves(it)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -23,6 +23,7 @@
         with store.changed:
             if "store_mode" in command:
                 store.mode = command["store_mode"]
+            store.page = command.get("page", store.page)
             if "slow_prefix" in command:
                 store.slow_prefix = command["slow_prefix"]
             store.extend_leases(command.get("extend_leases_s", 0))
@@ -35,8 +36,10 @@
                 store.put("unrelated", b"")
             if "put" in command:
                 raw = command.get("raw")
-                store.put(command["put"], json.dumps(command["value"]).encode() if raw is None
-                          else raw.encode("latin-1"))
+                value = json.dumps(command["value"]).encode() if raw is None else raw.encode("latin-1")
+                keys = command["put"]
+                for key in keys if isinstance(keys, list) else [keys]:
+                    store.put(key, value)
             if "remove" in command:
                 store.remove(command["remove"])
             if command.get("silence_watches"):
@@ -62,6 +65,7 @@
                    "falls": {k: it.falls for k, it in platform["workers"].items()},
                    "connections": {k: it.server.accepted for k, it in platform["workers"].items()},
                    "calls": store.calls,
+                   "invalid_targets": store.invalid_targets,
                    "store": added,
                    "items": {k: base64.b64decode(it["value"]).decode(errors="replace")
                              for k, it in store.items.items()}}
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -41,7 +41,6 @@
 class Server(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 128
-    page = 500
     view = None  # addresses of endpoints by those in their entries
 
     def __init__(self, *arguments, **named):
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -1,6 +1,7 @@
 """The key-value store of the stand-in of the platform."""
 import base64
 import json
+import re
 import threading
 import time
 from urllib.parse import parse_qs, urlparse
@@ -8,6 +9,9 @@
 from standin_server import MAX_WAIT_S, Handler
 
 SLOW_READ_S = 0.5
+PAGE_ITEMS = 500
+# Target of a request in origin form (RFC 9112): no blanks, no fragment, only whole escapes.
+TARGET = re.compile(r"/(?:[A-Za-z0-9\-._~!$&'()*+,;=:@/?]|%[0-9A-Fa-f]{2})*")
 
 
 class Store:
@@ -30,6 +34,8 @@
         self.slow_prefix = None  # reads of this prefix wait for SLOW_READ_S
         self.silent_watches = 0  # watches up to this number never get a response
         self.calls = 0
+        self.page = PAGE_ITEMS
+        self.invalid_targets = []
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -97,6 +103,9 @@
         body = self.body()
         with store.changed:
             store.calls += 1
+            if not TARGET.fullmatch(self.path):
+                store.invalid_targets.append(self.path)
+                return self.respond(400, {})
             is_refused = store.mode == "read-only" and url.path == "/kv-txn"
             if store.mode == "busy" or is_refused:
                 return self.respond(503, {})
@@ -138,7 +147,7 @@
                 store.changed.wait_for(lambda: False, timeout=SLOW_READ_S)
             matching = [store.items[k] for k in sorted(store.items) if k.startswith(query["prefix"])
                      and k > query.get("after", "")]
-            page = matching[:self.server.page]
+            page = matching[:store.page]
             return 200, {"items": page, "has-more": len(matching) > len(page), "at": store.revision}
         if path == "/kv-watch":
             return self.watch(store, query)
