A name with characters of a target's or a header's syntax is no id of an endpoint

What callers saw: a sound entry of another writer under such a name was used. Its address got requests, and of 12 requests several were answered 503; "a\r\nX-Model: n" as a name put a further header line into the requests.

Cause: DecodeEndpoint judged the value only.

--- a/tests/platform/WireProtocolTest.cpp
+++ b/tests/platform/WireProtocolTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(TestAllowedRegions);
   CPPUNIT_TEST(TestEndpoints);
   CPPUNIT_TEST(TestEndpointsWithOddFields);
+  CPPUNIT_TEST(TestEndpointIds);
   CPPUNIT_TEST(TestEvacuatedZones);
   CPPUNIT_TEST(TestAddresses);
   CPPUNIT_TEST_SUITE_END();
@@ -189,6 +190,35 @@
     }
   }
 
+  // A sound entry of another writer got requests, with its name in a header.
+  void TestEndpointIds()
+  {
+    struct Row
+    {
+      std::string mId;
+      bool mIsUsable;
+    };
+    const Row rows[] = {
+      { "i-7f3a91c2", true }, { "W.1_x~y", true },    { "10.1.0.40:8721", true },
+      { "a@b", true },        { "7", true },          { std::string(192, 'w'), true },
+      { "", false },          { ".", false },         { "..", false },
+      { "-a", false },        { "a b", false },       { "a ", false },
+      { " a", false },        { "a\tb", false },      { "a\r\nX-Model: n", false },
+      { "&x", false },        { "a+x", false },       { "a#x", false },
+      { "a%x", false },       { "a%20x", false },     { "a?x", false },
+      { "a/b", false },       { "a=b", false },       { "a;b", false },
+      { "a,b", false },       { "a\"b", false },      { "a\\b", false },
+      { "\xc3\xa9", false },  { "a\xc3\xa9", false }, { std::string("a\0", 2), false }
+    };
+    const std::string entry =
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1","slots":64,)"
+      R"("state":"ready","cold-remaining-ms":0,"sequence":4})";
+    for (const auto& row : rows) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        row.mId, row.mIsUsable, mProtocol.DecodeEndpoint(row.mId, entry).has_value());
+    }
+  }
+
   // A malformed key among those of the operators must evacuate nothing, and other kinds of keys are
   // no error.
   void TestEvacuatedZones()
--- a/tests/platform/odd_name_test.py
+++ b/tests/platform/odd_name_test.py
@@ -15,6 +15,7 @@
     "a\r\nX-Model: n", "=", "?", "/", "a/b", ";", '"', "\\", "é", "\U0001f600", "\0", "", ".", "..",
     "%" * (MAX_KEY_BYTES - len("/gentianloom/instances/blocked-requests/")),
 )
+USABLE_NAMES = ("i-7f3a91c2", "W.1_x~y", "10.1.0.40:8721", "a@b")
 WATCHED_PREFIXES = ("servers/", "op/", "op/evacuate/", "/gentianloom/instances/",
                     "/gentianloom/instances/blocked-requests/")
 OTHER_PREFIXES = ("/gentianloom/crash-evidence/", "/gentianloom/software-versions",
@@ -123,5 +124,33 @@
             self.check_serves(it)
 
 
+    # An id is sent to its endpoint in a header; an entry whose name cannot be one names no endpoint.
+    def test_sound_entry_under_an_odd_name_is_not_used(self):
+        platform = self.start_platform()
+        platform.send_command(put=["servers/" + it for it in NAMES], value=self.sound_entry(platform, 1))
+        gateway = self.start(platform)
+        self.check_serves(gateway)
+        platform.send_command(put=["servers/" + it for it in NAMES], value=self.sound_entry(platform, 2))
+        self.check_follows([gateway])
+        self.check_serves(gateway)
+        self.assertEqual(0, platform.send_command()["connections"]["w3"])
+
+    def test_sound_entry_under_a_plain_name_is_used(self):
+        for name in USABLE_NAMES:
+            with self.subTest(name):
+                platform = self.start_platform()
+                for it in ("w1", "w2"):
+                    platform.send_command(remove="servers/" + it)
+                platform.send_command(worker="w3", set={"name": name})
+                platform.send_command(put="servers/" + name, value=self.sound_entry(platform, 1))
+                self.check_serves(self.start(platform))
+                self.doCleanups()
+
+    @staticmethod
+    def sound_entry(platform, sequence):
+        return {"service": "pool", "address": platform.addresses["workers"]["w3"], "zone": "a", "slots": 8,
+                "state": "ready", "version": "v1", "cold-remaining-ms": 0, "sequence": sequence}
+
+
 if __name__ == "__main__":
     unittest.main()
