One item of the store that cannot be read is passed over; the others of the response hold

The daemon's client of etcd threw through the thread that reads the members or a configuration.

Cause: both clients read a response as a whole, so that one odd item failed or ended all of it; DecodeBase64 threw for an invalid character, which StoreClient did not catch, and dropped single characters behind the last group.

An item whose value or revision is unreadable keeps its key and gets kUnreadableValue, which no record has: what is known of an endpoint holds, and a budget shard that cannot be read still grants nothing. An empty value would have been an empty shard. An item without a key, and an event without a revision, are left out. A lease without a number is an error, not the lease 0.

--- a/include/gentianloom/external/KeyValueStore.h
+++ b/include/gentianloom/external/KeyValueStore.h
@@ -19,6 +19,14 @@
 /// Identifier of a lease of the key-value service. Zero means none.
 using LeaseId = std::int64_t;
 
+/**
+ * @brief Value of an entry that a response does not state in a way that can be read.
+ *
+ * No record has it, so that each reader ignores the entry as it does that of another writer. An
+ * empty value, or no entry, would say that nothing is stored.
+ */
+inline constexpr std::string_view kUnreadableValue = "\xff";
+
 /// One stored entry.
 struct KeyValue
 {
--- a/src/external/EtcdStore.cpp
+++ b/src/external/EtcdStore.cpp
@@ -1,8 +1,10 @@
 #include "gentianloom/external/EtcdStore.h"
 
 #include "gentianloom/base/Base64.h"
+#include "gentianloom/base/JsonFields.h"
 #include "gentianloom/base/JsonReader.h"
 #include "gentianloom/external/HttpCall.h"
+#include "gentianloom/net/HttpHead.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -20,14 +22,32 @@
 constexpr ReceiveLimits kWatchLimits{ kMaxCallResponseBytes,
                                       std::chrono::steady_clock::time_point::max() };
 
-/// The JSON mapping encodes 64-bit numbers as strings; numbers are accepted as well.
+/// Returns a whole number of at least 0; nothing for any other value. The JSON mapping encodes
+/// 64-bit numbers as strings; numbers are accepted as well.
+std::optional<std::int64_t> FindEncodedNumber(const Json& aObject, const char* aKey)
+{
+  const auto text = FindText(aObject, aKey);
+  if (!text) {
+    return FindNumber(aObject, aKey);
+  }
+  const auto n = net::ParseNumber(*text);
+  return n && *n >= 0 ? n : std::nullopt;
+}
+
+/// Returns a number that the JSON mapping leaves out if it is 0.
 std::int64_t ReadNumber(const Json& aObject, const char* aKey)
 {
-  const auto it = aObject.find(aKey);
-  if (it == aObject.end()) {
-    return 0;
+  return FindEncodedNumber(aObject, aKey).value_or(0);
+}
+
+/// Returns decoded bytes; empty if the field is missing, as the JSON mapping has empty ones.
+std::optional<std::string> FindBytes(const Json& aObject, const char* aKey)
+{
+  if (FindField(aObject, aKey) == nullptr) {
+    return std::string();
   }
-  return it->is_string() ? std::stoll(it->get<std::string>()) : it->get<std::int64_t>();
+  const auto text = FindText(aObject, aKey);
+  return text ? DecodeBase64(*text) : std::nullopt;
 }
 
 /// Returns the exclusive end of the range of all keys with a prefix: the prefix with its last byte
@@ -45,21 +65,27 @@
   return std::string(1, '\0');
 }
 
-KeyValue ReadEntry(const Json& aEntry)
+/// Returns an entry; nothing if it has no key or no revision.
+std::optional<KeyValue> ReadEntry(const Json& aEntry)
 {
+  auto key = FindBytes(aEntry, "key");
+  const auto revision = FindEncodedNumber(aEntry, "mod_revision");
+  if (!key || key->empty() || !revision) {
+    return std::nullopt;
+  }
   KeyValue out;
-  out.mKey = DecodeBase64(aEntry.value("key", ""));
-  out.mValue = DecodeBase64(aEntry.value("value", ""));
+  out.mKey = std::move(*key);
+  out.mValue = FindBytes(aEntry, "value").value_or(std::string(kUnreadableValue));
   out.mCreateRevision = ReadNumber(aEntry, "create_revision");
-  out.mModRevision = ReadNumber(aEntry, "mod_revision");
+  out.mModRevision = *revision;
   out.mLease = ReadNumber(aEntry, "lease");
   return out;
 }
 
 Revision ReadRevision(const Json& aResponse)
 {
-  const auto it = aResponse.find("header");
-  return it == aResponse.end() ? 0 : ReadNumber(*it, "revision");
+  const auto* it = FindField(aResponse, "header");
+  return it == nullptr ? 0 : ReadNumber(*it, "revision");
 }
 
 using JsonResult = boost::outcome_v2::checked<Json, CallFailure>;
@@ -129,14 +155,15 @@
     return false;
   }
   const auto& result = json["result"];
-  if (result.value("canceled", false)) {
+  if (FindFlag(result, "canceled")) {
     return false;
   }
   std::vector<WatchEvent> events;
-  const auto entries = result.find("events");
-  if (entries != result.end()) {
-    for (const auto& it : *entries) {
-      events.push_back({ ReadEntry(it.at("kv")), it.value("type", "PUT") == "DELETE" });
+  for (const auto& it : FindList(result, "events")) {
+    const auto* const kv = FindField(it, "kv");
+    auto entry = kv == nullptr ? std::nullopt : ReadEntry(*kv);
+    if (entry) {
+      events.push_back({ std::move(*entry), FindText(it, "type") == "DELETE" });
     }
   }
   return aOnEvents(events, ReadRevision(result));
@@ -222,10 +249,10 @@
     }
     RangeResponse response;
     response.mRevision = ReadRevision(json.value());
-    const auto entries = json.value().find("kvs");
-    if (entries != json.value().end()) {
-      for (const auto& it : *entries) {
-        response.mEntries.push_back(ReadEntry(it));
+    for (const auto& it : FindList(json.value(), "kvs")) {
+      auto entry = ReadEntry(it);
+      if (entry) {
+        response.mEntries.push_back(std::move(*entry));
       }
     }
     return response;
@@ -248,7 +275,7 @@
       result.mEffect = Effect::Unknown;
       return result;
     }
-    const bool succeeded = json.value().value("succeeded", false);
+    const bool succeeded = FindFlag(json.value(), "succeeded");
     result.mEffect = succeeded ? Effect::Applied : Effect::NotApplied;
     result.mIsConflict = !succeeded;
     result.mRevision = ReadRevision(json.value());
@@ -267,7 +294,11 @@
       last = json.error().mError;
       continue;
     }
-    return ReadNumber(json.value(), "ID");
+    const auto lease = FindEncodedNumber(json.value(), "ID");
+    if (lease) {
+      return *lease;
+    }
+    last = MakeError(ErrorCode::PlatformUnavailable, aStep, address, "a lease has no number");
   }
   return last;
 }
@@ -282,8 +313,8 @@
       last = json.error().mError;
       continue;
     }
-    const auto result = json.value().find("result");
-    const Json& answer = result == json.value().end() ? json.value() : *result;
+    const auto* const result = FindField(json.value(), "result");
+    const Json& answer = result == nullptr ? json.value() : *result;
     return std::chrono::seconds(ReadNumber(answer, "TTL"));
   }
   return last;
--- a/src/outcome/IntentRecord.cpp
+++ b/src/outcome/IntentRecord.cpp
@@ -82,7 +82,11 @@
     out.mResponse.mStatus = json.value("status", 0);
     out.mResponse.mContentType = json.value("contentType", "");
     out.mIsBodyStored = json.contains("answer");
-    out.mResponse.mBody = DecodeBase64(json.value("answer", ""));
+    auto body = DecodeBase64(json.value("answer", ""));
+    if (!body) {
+      return std::nullopt;
+    }
+    out.mResponse.mBody = std::move(*body);
     return out;
   } catch (const Json::exception&) {
     return std::nullopt;
--- /dev/null
+++ b/tests/platform/odd_item_test.py
@@ -0,0 +1,53 @@
+#!/usr/bin/env python3
+"""Items of the store whose own fields are missing, of another type or not base64.
+
+Such an item is passed over; the other items of the response hold, and later changes are followed.
+"""
+import unittest
+
+from standin_store import MISSING
+from store_entries import UNREADABLE, StoreEntriesTest
+
+PREFIXES = ("servers/", "op/", "/gentianloom/instances/", "/gentianloom/instances/blocked-requests/",
+            "/gentianloom/crash-evidence/", "/gentianloom/budget-shards/", "/gentianloom/usage/g1-")
+ODD_FIELDS = {
+    "no base64": {"value": "?"},
+    "base64 cut off": {"value": "YWJjY"},
+    "value is a number": {"value": 5},
+    "value is null": {"value": None},
+    "value is nested": {"value": [[{}]]},
+    "no value": {"value": MISSING},
+    "revision is a text": {"rev": "6"},
+    "revision is negative": {"rev": -1},
+    "revision beyond 64 bits": {"rev": 10 ** 30},
+    "no revision": {"rev": MISSING},
+    "key is a number": {"key": 5},
+    "no key": {"key": MISSING},
+    "deleted is a text": {"deleted": "yes"},
+    "lease is a text": {"lease": "none", "created": "never"},
+    "no object": 5,
+    "null": None,
+    "a list": [],
+}
+
+
+class OddItemTest(StoreEntriesTest):
+    # One such item made the whole response unreadable, at the start and for a watch, or ended the process.
+    def test_odd_items(self):
+        for name, odd in ODD_FIELDS.items():
+            with self.subTest(name):
+                keys = [prefix + "odd" for prefix in PREFIXES]
+                platform = self.start_platform()
+                platform.send_command(odd_fields={key: odd for key in keys})
+                try:
+                    running = self.start(platform, "g1")
+                    platform.send_command(put=keys, raw=UNREADABLE)
+                    self.check_follows([running])
+                    self.check_serves(running)
+                    self.check_serves(self.start(platform, "g2"))
+                finally:
+                    self.doCleanups()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -24,6 +24,7 @@
             if "store_mode" in command:
                 store.mode = command["store_mode"]
             store.page = command.get("page", store.page)
+            store.odd_fields.update(command.get("odd_fields", {}))
             if "slow_prefix" in command:
                 store.slow_prefix = command["slow_prefix"]
             store.extend_leases(command.get("extend_leases_s", 0))
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -10,6 +10,7 @@
 
 SLOW_READ_S = 0.5
 PAGE_ITEMS = 500
+MISSING = "(missing)"  # instead of a field's value: the field is left out
 # Target of a request in origin form (RFC 9112): no blanks, no fragment, only whole escapes.
 TARGET = re.compile(r"/(?:[A-Za-z0-9\-._~!$&'()*+,;=:@/?]|%[0-9A-Fa-f]{2})*")
 
@@ -36,6 +37,7 @@
         self.calls = 0
         self.page = PAGE_ITEMS
         self.invalid_targets = []
+        self.odd_fields = {}  # by key: what responses state instead of an item's own fields
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -126,7 +128,7 @@
 
     def seen(self, out):
         """What the callers of this listener read: endpoints under the addresses of its `view`."""
-        if not self.server.view:
+        if not self.server.view and not self.server.state.odd_fields:
             return out
         out = dict(out)
         for part in set(out) & {"items", "events"}:
@@ -134,7 +136,10 @@
         return out
 
     def seen_item(self, item):
-        if not item["key"].startswith("servers/") or "value" not in item:
+        odd = self.server.state.odd_fields.get(item["key"], item)
+        if odd is not item:
+            return {k: v for k, v in (item | odd).items() if v != MISSING} if isinstance(odd, dict) else odd
+        if not self.server.view or not item["key"].startswith("servers/") or "value" not in item:
             return item
         entry = json.loads(base64.b64decode(item["value"]))
         address = entry.get("address")
--- a/tests/platform/tests.cmake
+++ b/tests/platform/tests.cmake
@@ -31,6 +31,7 @@
 gentianloom_gateway_test(process-brittle-endpoint brittle_endpoint_test.py)
 gentianloom_gateway_test(process-odd-entry odd_entry_test.py)
 gentianloom_gateway_test(process-odd-name odd_name_test.py)
+gentianloom_gateway_test(process-odd-item odd_item_test.py)
 gentianloom_gateway_test(process-request-limits request_limits_test.py)
 gentianloom_gateway_test(process-instance-rules instance_rules_test.py)
 gentianloom_gateway_test(process-evacuation evacuation_test.py)
--- a/tests/standin/KeyValueRole.cpp
+++ b/tests/standin/KeyValueRole.cpp
@@ -39,17 +39,18 @@
   Transaction out;
   for (const auto& it : aBody.value("compare", Json::array())) {
     out.mCompares.push_back(
-      { DecodeBase64(it.at("key").get<std::string>()), Number(it, "modRevision") });
+      { DecodeBase64(it.at("key").get<std::string>()).value(), Number(it, "modRevision") });
   }
   for (const auto& it : aBody.value("success", Json::array())) {
     if (it.contains("requestPut")) {
       const auto& put = it["requestPut"];
-      out.mWrites.push_back({ DecodeBase64(put.at("key").get<std::string>()),
-                              DecodeBase64(put.value("value", "")),
+      out.mWrites.push_back({ DecodeBase64(put.at("key").get<std::string>()).value(),
+                              DecodeBase64(put.value("value", "")).value(),
                               Number(put, "lease") });
     } else {
       const auto& deletion = it.at("requestDeleteRange");
-      out.mWrites.push_back({ DecodeBase64(deletion.at("key").get<std::string>()), "", 0, true });
+      out.mWrites.push_back(
+        { DecodeBase64(deletion.at("key").get<std::string>()).value(), "", 0, true });
     }
   }
   return out;
@@ -119,7 +120,7 @@
 
   Json CallRange(const Json& aBody)
   {
-    const auto key = DecodeBase64(aBody.at("key").get<std::string>());
+    const auto key = DecodeBase64(aBody.at("key").get<std::string>()).value();
     const auto answer = mStore.Range(key, aBody.contains("range_end"), Step::GrantRead).value();
     Json list = Json::array();
     for (const auto& it : answer.mEntries) {
@@ -131,7 +132,7 @@
   void Watch(const Json& aOrder, Poco::Net::HTTPServerResponse& aResponse)
   {
     ++mReads;
-    const auto prefix = DecodeBase64(aOrder.at("key").get<std::string>());
+    const auto prefix = DecodeBase64(aOrder.at("key").get<std::string>()).value();
     aResponse.setChunkedTransferEncoding(true);
     auto& out = aResponse.send();
     out << Json{ { "result", { { "created", true } } } } << "\n" << std::flush;
