--- a/tests/platform/odd_item_test.py
+++ b/tests/platform/odd_item_test.py
@@ -3,13 +3,17 @@
 
 Such an item is passed over; the other items of the response hold, and later changes are followed.
 """
+import time
 import unittest
 
+from gateway_environment import WAIT_S
 from standin_store import MISSING
-from store_entries import UNREADABLE, StoreEntriesTest
+from store_entries import FOLLOW_S, UNREADABLE, StoreEntriesTest
 
 PREFIXES = ("servers/", "op/", "/gentianloom/instances/", "/gentianloom/instances/blocked-requests/",
             "/gentianloom/crash-evidence/", "/gentianloom/budget-shards/", "/gentianloom/usage/g1-")
+FLEET_READS_PER_S = 2_000  # of all instances
+FLEET_INSTANCES = 75
 ODD_FIELDS = {
     "no base64": {"value": "?"},
     "base64 cut off": {"value": "YWJjY"},
@@ -48,6 +52,31 @@
                 finally:
                     self.doCleanups()
 
+    # The pages were read without end, which used what the whole fleet may read.
+    def test_pages_that_repeat(self):
+        platform = self.start_platform()
+        running = self.start(platform, "g1")
+        platform.send_command(page=1, repeats_pages=True)
+        calls = platform.send_command()["calls"]
+        with self.assertRaises(AssertionError):
+            self.start(platform, "g2")
+        calls = platform.send_command()["calls"] - calls
+        self.assertLess(calls, 2 * WAIT_S * FLEET_READS_PER_S / FLEET_INSTANCES)
+        self.check_serves(running)
+        platform.send_command(repeats_pages=False)
+        self.check_serves(self.start(platform, "g3"))
+        self.check_follows([running])
+
+    # A key that is shorter than the prefix ended the process.
+    def test_keys_outside_the_prefix(self):
+        platform = self.start_platform()
+        running = self.start(platform, "g1")
+        platform.send_command(ignores_prefix=True, put=["", "x", "servers", "y" * 200], raw=UNREADABLE)
+        time.sleep(FOLLOW_S)
+        self.check_serves(running)
+        self.check_serves(self.start(platform, "g2"))
+        self.check_follows([running])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -24,6 +24,8 @@
             if "store_mode" in command:
                 store.mode = command["store_mode"]
             store.page = command.get("page", store.page)
+            store.repeats_pages = command.get("repeats_pages", store.repeats_pages)
+            store.ignores_prefix = command.get("ignores_prefix", store.ignores_prefix)
             store.odd_fields.update(command.get("odd_fields", {}))
             if "slow_prefix" in command:
                 store.slow_prefix = command["slow_prefix"]
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -36,6 +36,8 @@
         self.silent_watches = 0  # watches up to this number never get a response
         self.calls = 0
         self.page = PAGE_ITEMS
+        self.repeats_pages = False  # each page of a range is the first one
+        self.ignores_prefix = False  # ranges and watches are of all keys
         self.invalid_targets = []
         self.odd_fields = {}  # by key: what responses state instead of an item's own fields
 
@@ -95,6 +97,7 @@
 
 
 class StoreHandler(Handler):
+    disable_nagle_algorithm = True  # a response is written in two parts
     def common_headers(self):
         return (("Store-Era", str(self.server.state.era)),)
 
@@ -147,15 +150,16 @@
         return item | {"value": base64.b64encode(json.dumps(entry).encode()).decode()}
 
     def route(self, store, method, path, query, body):
+        prefix = "" if store.ignores_prefix else query.get("prefix")
         if path == "/kv-range":
             if query["prefix"] == store.slow_prefix:
                 store.changed.wait_for(lambda: False, timeout=SLOW_READ_S)
-            matching = [store.items[k] for k in sorted(store.items) if k.startswith(query["prefix"])
-                     and k > query.get("after", "")]
+            after = "" if store.repeats_pages else query.get("after", "")
+            matching = [store.items[k] for k in sorted(store.items) if k.startswith(prefix) and k > after]
             page = matching[:store.page]
             return 200, {"items": page, "has-more": len(matching) > len(page), "at": store.revision}
         if path == "/kv-watch":
-            return self.watch(store, query)
+            return self.watch(store, query, prefix)
         if path == "/kv-txn":
             return store.commit(json.loads(body))
         if path == "/kv-lease":
@@ -176,7 +180,7 @@
             return 200, {}
         return 404, {"method": method}
 
-    def watch(self, store, query):
+    def watch(self, store, query, prefix):
         after = int(query["after"])
         if after < store.oldest_revision or after > store.revision:
             return 410, {}
@@ -191,7 +195,7 @@
                 continue
             store.expire_leases()
             events = [it for it in store.history
-                      if it["rev"] > after and it["key"].startswith(query["prefix"])]
+                      if it["rev"] > after and it["key"].startswith(prefix)]
             left = end - time.monotonic()
             if store.era != era:
                 return 503, {}
