One entry among the budget shards that cannot be read no longer stops all budgets

What callers saw (by tests): while an entry of another writer stood under /gentianloom/budget-shards/ with a name that reads as a number, such as "99999" or "007", or while the shard of one organisation could not be read, no instance drew tokens of any budget, and all callers with a prepaid budget got 402: nothing left.

Cause: ShardOfKey took any number, also one in another notation, for a shard, and one shard that could not be parsed made the whole cache invalid. A request then found no tokens after a round that had "succeeded", which counts as exhausted.

Fix: a key is a shard's only if it is the key that is written for that number. A shard that cannot be parsed is left out of transactions until it can be; only its own budgets wait, and their callers get 503 rather than 402, since what is left is not known. It still grants nothing, and is not overwritten.

Open: the same in a shard's own key at the daemon (BudgetManager), and a usage report that cannot be read.

--- a/include/gentianloom/budget/GrantManager.h
+++ b/include/gentianloom/budget/GrantManager.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -175,8 +176,10 @@
   /// @return whether the round is over; false after a conflict
   bool OnCommitAnswer(PlannedWrite& aPlanned, const AsyncCommitResult& aAnswer);
   void OnConflict(const std::vector<KeyValue>& aCurrent);
-  /// @return false if the entry cannot be parsed
+  /// @return false if the entry is this instance's usage report and cannot be parsed
   bool CacheEntry(const KeyValue& aEntry);
+  /// Whether the shard of a budget cannot be parsed, so that it is not known what is left of it.
+  bool IsUnreadable(const std::string& aBudget) const;
   void OnStoreResult(bool aSucceeded, const std::string& aError);
   void EndRound();
   void NotifyWaiters();
@@ -216,6 +219,7 @@
   bool mNotifiesWhenReserveOpens = false; ///< a NotifyWhenReserveOpens() task runs
   bool mIsCacheValid = false; ///< false before the first read and after an unknown outcome
   std::map<int, CachedShard> mCachedShards;
+  std::set<int> mUnreadableShards; ///< nothing is drawn from them
   CachedReport mCachedReport;
   std::vector<std::weak_ptr<net::Signal>> mWaiters;
   std::int64_t mEra = 0; ///< of the key-value service, as known to the rounds
--- a/src/budget/GrantEra.cpp
+++ b/src/budget/GrantEra.cpp
@@ -55,10 +55,10 @@
     std::any_of(mCachedShards.begin(), mCachedShards.end(), [this](const auto& it) {
       return it.second.mRecord.mEra == mEra;
     });
-  const bool isEmpty =
-    mIsCacheValid && std::none_of(mCachedShards.begin(), mCachedShards.end(), [](const auto& it) {
-      return it.second.mRevision != 0;
-    });
+  const bool isEmpty = mIsCacheValid && mUnreadableShards.empty() &&
+                       std::none_of(mCachedShards.begin(), mCachedShards.end(), [](const auto& it) {
+                         return it.second.mRevision != 0;
+                       });
   return isWrittenInEra || isEmpty || mClock.Now() - mEraSeenAt >= kEraSettleTime;
 }
 
--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -40,14 +40,19 @@
 /// Common prefix of the keys of all shards.
 constexpr std::string_view kShardPrefix = "/gentianloom/budget-shards/";
 
-/// Returns the number of the shard that is stored under a key; unset if it is not a shard's key.
+/// Returns the number of the shard that is stored under a key; unset if it is not a shard's key, as
+/// one that only begins like it or writes the number in another way.
 std::optional<int> ShardOfKey(std::string_view aKey)
 {
   if (!aKey.starts_with(kShardPrefix)) {
     return std::nullopt;
   }
   const auto n = net::ParseNumber(aKey.substr(kShardPrefix.size()));
-  return n ? std::optional(static_cast<int>(*n)) : std::nullopt;
+  if (!n || *n < 0 || *n >= kShards) {
+    return std::nullopt;
+  }
+  const auto shard = static_cast<int>(*n);
+  return aKey == ShardKey(shard) ? std::optional(shard) : std::nullopt;
 }
 
 /// Returns the first shards of a set, at most @p aLimit.
@@ -126,7 +131,7 @@
   }
   const auto answer = mLedger.Reserve(aBudget, aTokens, now, usableTokens);
   if (answer == ReserveAnswer::Wait) {
-    if (mPacer.IsStoreUnavailable() || !IsSettled()) {
+    if (mPacer.IsStoreUnavailable() || !IsSettled() || IsUnreadable(aBudget)) {
       // No tokens can be drawn, and the usable tokens do not cover the request.
       mLedger.RefuseWaiting(aBudget, now, false);
       return ReserveAnswer::Unavailable;
@@ -134,11 +139,17 @@
     mWaiters.push_back(aWaiter);
     Wake();
   }
-  return answer == ReserveAnswer::Exhausted && mPacer.IsStoreUnavailable()
+  return answer == ReserveAnswer::Exhausted &&
+             (mPacer.IsStoreUnavailable() || IsUnreadable(aBudget))
            ? ReserveAnswer::Unavailable
            : answer;
 }
 
+bool GrantManager::IsUnreadable(const std::string& aBudget) const
+{
+  return mUnreadableShards.contains(ShardOf(aBudget));
+}
+
 /// Answers a request that exceeds the cap while the key-value service is unavailable. Returns
 /// nothing if the holding does not cover the request either, or if no report was stored yet.
 std::optional<ReserveAnswer> GrantManager::DecideReserveWait(const Holding& aHolding,
@@ -287,12 +298,17 @@
   }
   auto record = ParseShard(aEntry.mValue);
   if (!record) {
-    LogChange(LogLevel::Error,
-              "budget",
-              "a stored shard cannot be parsed; no tokens of its budgets are granted",
-              { { "key", aEntry.mKey }, { "error", ToString(record.error()) } });
-    return false;
+    mCachedShards.erase(*shard);
+    const bool isNew = mUnreadableShards.insert(*shard).second;
+    if (isNew) {
+      LogChange(LogLevel::Error,
+                "budget",
+                "a stored shard cannot be parsed; no tokens of its budgets are granted",
+                { { "key", aEntry.mKey }, { "error", ToString(record.error()) } });
+    }
+    return true;
   }
+  mUnreadableShards.erase(*shard);
   mCachedShards[*shard] = { aEntry.mModRevision, std::move(record.value()) };
   return true;
 }
@@ -362,6 +378,9 @@
   auto shards =
     mCachedReport.mReport ? mCachedReport.mReport->mShards : std::map<int, SeparateHoldings>();
   for (const auto it : aShards) {
+    if (mUnreadableShards.contains(it)) {
+      continue;
+    }
     auto record = MakeFullShard(it);
     if (!isSettled || !mLedger.Reconcile(it, record) || mLedger.IsClosed(it)) {
       continue;
@@ -412,10 +431,15 @@
   }
   for (const auto& it : range.value().mEntries) {
     const auto shard = ShardOfKey(it.mKey);
-    if (!shard || mCachedShards[*shard].mRevision >= it.mModRevision) {
+    if (!shard) {
+      continue;
+    }
+    const auto known = mCachedShards.find(*shard);
+    if (known != mCachedShards.end() && known->second.mRevision >= it.mModRevision) {
       continue;
     }
-    if (CacheEntry(it)) {
+    CacheEntry(it);
+    if (!mUnreadableShards.contains(*shard)) {
       mLedger.Reconcile(*shard, MakeFullShard(*shard));
     }
   }
--- a/tests/budget/GrantManagerTest.cpp
+++ b/tests/budget/GrantManagerTest.cpp
@@ -134,6 +134,8 @@
   CPPUNIT_TEST(TestNoOverspend);
   CPPUNIT_TEST(TestReplacedProcessStops);
   CPPUNIT_TEST(TestStoreComesBackFromCopy);
+  CPPUNIT_TEST(TestOddShards);
+  CPPUNIT_TEST(TestUnreadableShard);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +150,57 @@
     CPPUNIT_ASSERT(process.Reserve(500) == ReserveAnswer::Reserved);
   }
 
+  // One entry of another writer among the shards kept all budgets of all instances from being used,
+  // and their callers were told that nothing was left.
+  void TestOddShards()
+  {
+    constexpr Tokens kTokens = kPrepaid / 5;
+    const auto own = std::to_string(ShardOf("b"));
+    const auto other = std::to_string((ShardOf("b") + 1) % kShards);
+    const std::string names[] = { "",         "?",   "0" + own, "+" + own, own + " ",
+                                  own + "&x", "256", "-1",      "99999",   "9999999999999999999",
+                                  other };
+    for (const auto& name : names) {
+      for (const bool isThereFirst : { true, false }) {
+        MemoryAsyncStore store;
+        Process process(store, mClock, "run-1");
+        const auto put = [&] { store.Put("/gentianloom/budget-shards/" + name, "?"); };
+        if (isThereFirst) {
+          put();
+        }
+        process.mManager.Start();
+        RunRounds(process);
+        put();
+        RunRounds(process);
+        CPPUNIT_ASSERT_MESSAGE(name, IsReserved(process, kTokens));
+      }
+    }
+  }
+
+  // Of a budget whose own shard cannot be read, nothing may be drawn, but callers may come again.
+  void TestUnreadableShard()
+  {
+    constexpr Tokens kTokens = kPrepaid / 5;
+    Process process(mStore, mClock, "run-1", "boot", { "b", "c" });
+    CPPUNIT_ASSERT(ShardOf("b") != ShardOf("c"));
+    process.mManager.Start();
+    RunRounds(process);
+    const auto record = mStore.mItems.at(ShardKey(ShardOf("b"))).mValue;
+    mStore.Put(ShardKey(ShardOf("b")), "?");
+    RunRounds(process);
+    for (int n = 0; n < 10; ++n) {
+      const auto answer = process.Reserve(kTokens);
+      CPPUNIT_ASSERT(answer == ReserveAnswer::Wait || answer == ReserveAnswer::Unavailable);
+      RunRounds(process);
+    }
+    CPPUNIT_ASSERT(process.Reserve(kTokens) == ReserveAnswer::Unavailable);
+    CPPUNIT_ASSERT(process.mManager.Holdings().at("c").mGranted > 0);
+    CPPUNIT_ASSERT_EQUAL(std::string("?"), mStore.mItems.at(ShardKey(ShardOf("b"))).mValue);
+    mStore.Put(ShardKey(ShardOf("b")), record);
+    RunRounds(process);
+    CPPUNIT_ASSERT(IsReserved(process, kTokens));
+  }
+
   // Tokens that were drawn since the copy were in nobody's record, and others drew them again.
   void TestStoreComesBackFromCopy()
   {
@@ -431,6 +484,29 @@
   }
 
 private:
+  void RunRounds(Process& aProcess)
+  {
+    constexpr int kRounds = 5;
+    for (int n = 0; n < kRounds; ++n) {
+      mClock.Advance(kBackOff);
+      aProcess.RunRound();
+    }
+  }
+
+  /// Whether a process can reserve so many tokens after some rounds.
+  bool IsReserved(Process& aProcess, Tokens aTokens)
+  {
+    constexpr int kAttempts = 10;
+    for (int n = 0; n < kAttempts; ++n) {
+      if (aProcess.Reserve(aTokens) == ReserveAnswer::Reserved) {
+        return true;
+      }
+      mClock.Advance(kBackOff);
+      aProcess.RunRound();
+    }
+    return false;
+  }
+
   void RunRandomFleet(int aInstances, std::uint64_t aSeed, const std::string& aName)
   {
     MemoryAsyncStore store;
--- a/tests/platform/odd_name_test.py
+++ b/tests/platform/odd_name_test.py
@@ -22,6 +22,7 @@
 OTHER_PREFIXES = ("/gentianloom/crash-evidence/", "/gentianloom/software-versions",
                   "/gentianloom/budget-shards/", "/gentianloom/usage/g1-")
 WATCHED_KEYS = [prefix + name for prefix in WATCHED_PREFIXES for name in NAMES]
+ODD_SHARDS = ("007", "+7", "7 ", "256", "99999", "-1")
 INSTANCES = 6  # of a zone, so that some learn of changes from the others only
 
 
@@ -38,6 +39,10 @@
                 with self.subTest(prefix=prefix, page=page):
                     self.check_start([prefix + it for it in NAMES], page)
 
+    # Callers of all prepaid organisations were told that nothing was left (402).
+    def test_start_with_odd_names_of_shards(self):
+        self.check_start(["/gentianloom/budget-shards/" + it for it in ODD_SHARDS])
+
     # The odd entry is the last one of the first page, and the endpoints are on the second.
     def test_start_with_a_list_of_several_pages(self):
         unusable = [f"servers/!{n:03}" for n in range(PAGE_ITEMS - 1)]
