A key that begins like another one is not read in its place

What callers saw (by tests): with an entry under "/gentianloom/software-versions&x" the record of software versions was read from that entry: what was recorded was not known, and a new version was never recorded, since the transaction compared the other entry's revision. Streams of two versions could then not be resumed.

Cause: a single key is read as a prefix, and each entry of the answer was taken for the record. The take-over of budgets read the record of its predecessor in the same way (instance "g1" saw "g10"); nothing was seen to go wrong there.

Fix: FindEntry returns the entry of the key itself. SoftwareVersionRecordTest TestOddEntries failed before: the record was not written within 30 s.

--- a/include/gentianloom/external/KeyValueStore.h
+++ b/include/gentianloom/external/KeyValueStore.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,10 @@
   std::vector<KeyValue> mEntries;
 };
 
+/// @brief Returns the entry of one key; nullptr if there is none. A read of the key as a prefix
+/// also returns the keys that begin with it.
+const KeyValue* FindEntry(std::span<const KeyValue> aEntries, std::string_view aKey);
+
 /// Condition of a transaction: the key was last written at exactly this revision, or does not exist
 /// if the revision is zero.
 struct Compare
--- a/src/budget/GrantTakeOver.cpp
+++ b/src/budget/GrantTakeOver.cpp
@@ -18,19 +18,17 @@
   if (mPredecessorEvidence) {
     co_return mPredecessorEvidence;
   }
-  std::string key(kInstancePrefix);
-  key += mIdentity.mInstance;
-  const auto range = co_await mStore.Range(std::move(key));
+  const auto key = std::string(kInstancePrefix) + mIdentity.mInstance;
+  const auto range = co_await mStore.Range(key);
   if (!range) {
     OnStoreResult(false, ToString(range.error()));
     co_return std::nullopt;
   }
   PredecessorEvidence out{ mIdentity.mBoot, Millis(0), mStartedWallTime, false, mEra };
   out.mStartedAt = std::chrono::duration_cast<Millis>(mStartedAt.time_since_epoch());
-  for (const auto& it : range.value().mEntries) {
-    const auto record = ParseInstanceRecord(it.mValue);
-    out.mIsLeaseAlive =
-      out.mIsLeaseAlive || (record && record.value().mIncarnation == aIncarnation);
+  if (const auto* const entry = FindEntry(range.value().mEntries, key)) {
+    const auto record = ParseInstanceRecord(entry->mValue);
+    out.mIsLeaseAlive = record && record.value().mIncarnation == aIncarnation;
   }
   mPredecessorEvidence = out;
   co_return out;
--- a/src/gateway/SoftwareVersionRecord.cpp
+++ b/src/gateway/SoftwareVersionRecord.cpp
@@ -95,22 +95,21 @@
 {
   mRevision = 0;
   mRecorded.clear();
-  bool isValid = true;
-  for (const auto& it : aEntries) {
-    mRevision = it.mModRevision;
-    auto versions = ParseSoftwareVersions(it.mValue);
-    isValid = versions.has_value();
-    if (isValid) {
-      mRecorded = std::move(versions.value());
-      continue;
-    }
+  auto versions = Result<SoftwareVersions>(SoftwareVersions());
+  if (const auto* const entry = FindEntry(aEntries, kSoftwareVersionKey)) {
+    mRevision = entry->mModRevision;
+    versions = ParseSoftwareVersions(entry->mValue);
+  }
+  if (versions) {
+    mRecorded = std::move(versions.value());
+  } else {
     LogChange(LogLevel::Warning,
               "endpoints",
               "the record of software versions is invalid; it will be replaced",
               { { "error", ToString(versions.error()) } });
   }
   mHistory.SetRecorded(mRecorded);
-  return isValid;
+  return versions.has_value();
 }
 
 net::Task<bool> SoftwareVersionRecord::Read()
--- a/tests/gateway/SoftwareVersionRecordTest.cpp
+++ b/tests/gateway/SoftwareVersionRecordTest.cpp
@@ -1,5 +1,8 @@
 #include "gentianloom/gateway/SoftwareVersionRecord.h"
 
+#include "support/MemoryAsyncStore.h"
+#include "support/RunLoop.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace gentianloom {
@@ -10,6 +13,7 @@
   CPPUNIT_TEST(TestSoleVersion);
   CPPUNIT_TEST(TestUpdate);
   CPPUNIT_TEST(TestText);
+  CPPUNIT_TEST(TestOddEntries);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr TimePoint kStart{ std::chrono::hours(1) };
@@ -66,6 +70,31 @@
       CPPUNIT_ASSERT_MESSAGE(it, !ParseSoftwareVersions(it));
     }
   }
+
+  // An entry whose key begins with that of the record was taken for it: a new version was never
+  // recorded, and the recorded ones were not known.
+  void TestOddEntries()
+  {
+    const std::string key(kSoftwareVersionKey);
+    for (const auto* name : { "&x", "-old", "/a", " " }) {
+      for (const auto* value : { "?", "", R"({"pool":["v9"]})" }) {
+        net::Loop loop(1);
+        const ManualClock clock;
+        MemoryAsyncStore store;
+        store.Put(key, ToText({ { "pool", { "v1" } } }));
+        store.Put(key + name, value);
+        SoftwareVersionHistory history;
+        history.Observe("pool", "v2", clock.Now());
+        SoftwareVersionRecord record(loop, store, history, clock);
+        record.Start();
+        const auto isRecorded = [&] {
+          const auto versions = ParseSoftwareVersions(store.mItems.at(key).mValue);
+          return versions && versions.value() == SoftwareVersions{ { "pool", { "v1", "v2" } } };
+        };
+        CPPUNIT_ASSERT_MESSAGE(std::string(name) + value, testing::RunUntil(loop, isRecorded));
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoftwareVersionRecordTest);
