A record of an instance counts under the key of its name and with addresses that can be called

What callers saw (by tests): the address of a sound record that another writer put under a name of its own, and texts that are no address, stood in the answers to GET /resolve. After the entry was deleted the address stayed, since the record was kept under its name and removed under its key.

Fix: ParseInstanceEntry compares the name with the key and parses both addresses; other records are ignored and logged.

--- a/include/gentianloom/membership/InstanceDirectory.h
+++ b/include/gentianloom/membership/InstanceDirectory.h
@@ -3,6 +3,7 @@
 
 #include "gentianloom/base/Clock.h"
 #include "gentianloom/base/Error.h"
+#include "gentianloom/external/KeyValueStore.h"
 
 #include <map>
 #include <string>
@@ -36,6 +37,12 @@
 /// @return the record, or ErrorCode::MalformedJson if the text is not a valid one
 Result<InstanceRecord> ParseInstanceRecord(std::string_view aText);
 
+/// @brief Reads an entry under kInstancePrefix.
+/// @return the record, or ErrorCode::MalformedJson if it cannot be parsed, is stored under another
+///   key than that of its name, or has an address that is not written as IP:PORT; the address for
+///   peers may be empty
+Result<InstanceRecord> ParseInstanceEntry(const KeyValue& aEntry);
+
 /**
  * @brief The instances that callers may use, as known from their leased keys. Does no I/O.
  *
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -11,7 +11,7 @@
 /// Parses an instance record, or logs why it cannot be parsed.
 Result<InstanceRecord> ReadInstance(const KeyValue& aEntry)
 {
-  auto out = ParseInstanceRecord(aEntry.mValue);
+  auto out = ParseInstanceEntry(aEntry);
   if (!out) {
     LogChange(LogLevel::Warning,
               "instances",
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -4,6 +4,7 @@
 #include "gentianloom/base/Ids.h"
 #include "gentianloom/membership/Keepers.h"
 #include "gentianloom/membership/RegionPreference.h"
+#include "gentianloom/net/HttpClient.h"
 
 #include <nlohmann/json.hpp>
 
@@ -40,6 +41,26 @@
   }
 }
 
+Result<InstanceRecord> ParseInstanceEntry(const KeyValue& aEntry)
+{
+  BOOST_OUTCOME_TRY(out, ParseInstanceRecord(aEntry.mValue));
+  const auto isAddress = [](const std::string& aText) {
+    return net::ParseSocketAddress(aText).has_value();
+  };
+  const bool isNamed =
+    !out.mName.empty() && aEntry.mKey == std::string(kInstancePrefix) + out.mName;
+  const bool hasAddresses =
+    isAddress(out.mAddress) && (out.mPeerAddress.empty() || isAddress(out.mPeerAddress));
+  if (!isNamed || !hasAddresses) {
+    return MakeError(ErrorCode::MalformedJson,
+                     Step::RequestPlace,
+                     "key-value service",
+                     isNamed ? "an address of the instance is not written as IP:PORT"
+                             : "the record is stored under another name than its own");
+  }
+  return out;
+}
+
 void InstanceDirectory::Put(InstanceRecord aRecord)
 {
   auto& it = mEntries[aRecord.mName];
--- a/tests/platform/odd_name_test.py
+++ b/tests/platform/odd_name_test.py
@@ -4,6 +4,7 @@
 Such an entry names nothing to use; the others hold, and later changes are followed. Pages of one item
 make each key one after which a page begins.
 """
+import json
 import time
 import unittest
 
@@ -23,6 +24,9 @@
                   "/gentianloom/budget-shards/", "/gentianloom/usage/g1-")
 WATCHED_KEYS = [prefix + name for prefix in WATCHED_PREFIXES for name in NAMES]
 ODD_SHARDS = ("007", "+7", "7 ", "256", "99999", "-1")
+ODD_INSTANCES = (("&x", {}), ("g8", {}), ("a b", {"name": "g1"}), ("g9", {"address": "nowhere"}),
+                 ("g9", {"address": "127.0.0.1:0"}), ("g9", {"address": ""}), ("g9", {"peer_address": "?"}),
+                 ("", {"name": ""}))
 INSTANCES = 6  # of a zone, so that some learn of changes from the others only
 
 
@@ -103,6 +107,25 @@
                 self.check_serves(self.start(platform))
                 self.doCleanups()
 
+    # Such an address was given to callers, and it stayed when the entry was deleted.
+    def test_sound_record_that_is_no_instance_is_not_named(self):
+        platform = self.start_platform()
+        running = self.start(platform, "g1")
+        for key, changes in ODD_INSTANCES:
+            with self.subTest(key=key, changes=changes):
+                key = "/gentianloom/instances/" + key
+                record = {"name": "g9", "incarnation": "run-9", "zone": "a", "address": "127.0.0.1:9",
+                          "peer_address": "127.0.0.1:10", "leaving": False}
+                platform.send_command(put=key, value=record | changes)
+                self.check_follows([running])
+                for it in (running, self.start(platform, f"g{time.monotonic_ns()}")):
+                    reply = it.get(it.directory, "/resolve?zone=a")
+                    addresses = json.loads(reply.body)["addresses"]
+                    self.assertIn(f"127.0.0.1:{running.caller}", addresses)
+                    self.assertNotIn(record.get("address"), addresses)
+                    self.assertNotIn(changes.get("address"), addresses)
+                platform.send_command(remove=key)
+
     @staticmethod
     def sound_entry(platform, sequence):
         return {"service": "pool", "address": platform.addresses["workers"]["w3"], "zone": "a", "slots": 8,
