GET /resolve decodes the parameters of its query

What callers saw (by tests): the name, region and zone of a query were read as raw text, so that a client that encodes them, as it must where they hold a blank, "&" or a byte beyond ASCII, was answered as one without a zone, and a host with an escape had no region rules.

Cause: the query was taken apart by hand. net::FindParameter decodes with POCO's decoder and is beside RequestTarget, which encodes; a value with a malformed escape stays as it was sent.

--- a/include/gentianloom/net/RequestTarget.h
+++ b/include/gentianloom/net/RequestTarget.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLOOM_NET_REQUEST_TARGET_H
 #define GENTIANLOOM_NET_REQUEST_TARGET_H
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,15 @@
   bool mHasQuery = false;
 };
 
+/**
+ * @brief Finds a parameter in the query of a target.
+ *
+ * Escapes are decoded, and a plus sign is a blank. A value with a malformed escape is returned as
+ * it was sent.
+ * @return the first value of the parameter; nothing if there is none
+ */
+std::optional<std::string> FindParameter(std::string_view aTarget, std::string_view aName);
+
 } // namespace gentianloom::net
 
 #endif
--- a/tests/platform/WireProtocolTest.cpp
+++ b/tests/platform/WireProtocolTest.cpp
@@ -261,6 +261,11 @@
                          { "/resolve?name=zone=q", "zone=q", "", "" },
                          { "/resolve?region=&zone=&name=", "", "", "" },
                          { "/resolve?region=r&region=s", "", "r", "" },
+                         { "/resolve?name=h%2Eexample%3A80&zone=a%20b", "h.example", "", "a b" },
+                         { "/resolve?zone=a+b&region=r%2Bs%26t%3Du", "", "r+s&t=u", "a b" },
+                         { "/resolve?zone=%C3%A9&region=a%2", "", "a%2", "\xc3\xa9" },
+                         { "/resolve?zone=%zz&z%6Fne=y&region=%", "", "%", "%zz" },
+                         { "/resolve?z%6Fne=y&&=&region", "", "", "y" },
                          { "/resolve", "", "", "" },
                          { "/resolve?", "", "", "" } };
     for (const auto& row : rows) {
