Daemon: one odd row, record or field of another program no longer ends the process

Cause: value() of the JSON library throws if a field has another type; only missing fields had been thought of.

--- a/src/configuration/ConfigurationHead.cpp
+++ b/src/configuration/ConfigurationHead.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/configuration/ConfigurationHead.h"
 
+#include "gentianloom/base/JsonFields.h"
+
 #include <ctime>
 
 namespace gentianloom {
@@ -34,12 +36,12 @@
   }
   ConfigurationHead out;
   out.mVersion = json["version"].get<std::int64_t>();
-  out.mParent = json.value("parent", std::int64_t{ 0 });
+  out.mParent = FindNumber(json, "parent").value_or(0);
   out.mDigest = json["digest"].get<std::string>();
-  out.mApplyId = json.value("applyId", "");
-  out.mOperator = json.value("operator", "");
-  out.mAction = json.value("action", "apply");
-  out.mWallTime = Millis(json.value("timeMs", std::int64_t{ 0 }));
+  out.mApplyId = FindText(json, "applyId").value_or("");
+  out.mOperator = FindText(json, "operator").value_or("");
+  out.mAction = FindText(json, "action").value_or("apply");
+  out.mWallTime = Millis(FindNumber(json, "timeMs").value_or(0));
   return out;
 }
 
--- a/src/configuration/ConfigurationStoreSweep.cpp
+++ b/src/configuration/ConfigurationStoreSweep.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/configuration/ConfigurationStore.h"
 
+#include "gentianloom/base/JsonFields.h"
+
 #include <algorithm>
 #include <set>
 
@@ -34,13 +36,15 @@
   BOOST_OUTCOME_TRY(answer, aStore.Range(kPendingPrefix, true, Step::ApplicationStore));
   for (const auto& entry : answer.mEntries) {
     const auto json = Json::parse(entry.mValue, nullptr, false);
-    if (!json.is_object() ||
-        Millis(json.value("timeMs", std::int64_t{ 0 })) + kPendingLifetime > aWallTime) {
+    const auto time = FindNumber(json, "timeMs");
+    if (!time || Millis(*time) > aWallTime - kPendingLifetime) {
       continue;
     }
     aOut.insert(entry.mKey);
-    for (const auto& it : json.value("chunks", std::vector<std::string>())) {
-      aOut.insert(std::string(kChunkPrefix) + it);
+    for (const auto& it : FindList(json, "chunks")) {
+      if (it.is_string()) {
+        aOut.insert(std::string(kChunkPrefix) + it.get<std::string>());
+      }
     }
   }
   return success();
--- a/src/external/HttpEngineControl.cpp
+++ b/src/external/HttpEngineControl.cpp
@@ -3,11 +3,13 @@
 #include "gentianloom/external/HttpCall.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace gentianloom {
 
 namespace {
 
+constexpr int kStatusOk = 200;
 constexpr int kStatusAccepted = 202;
 constexpr int kStatusConflict = 409;
 
@@ -19,6 +21,27 @@
   return aText == "failed" ? EngineState::Failed : EngineState::Ready;
 }
 
+/// Parses a status; nothing if a field has another type, since the engine's state is not known
+/// then.
+std::optional<EngineStatus> ParseStatus(const std::string& aText)
+{
+  try {
+    const auto json = Json::parse(aText);
+    EngineStatus out;
+    out.mTarget = { json.value("model", ""),
+                    json.value("version", ""),
+                    json.value("adapters", std::vector<std::string>()),
+                    json.value("role", "both") };
+    std::sort(out.mTarget.mAdapters.begin(), out.mTarget.mAdapters.end());
+    out.mState = ParseState(json.value("state", "ready"));
+    out.mReason = json.value("reason", "");
+    out.mConfigurationVersion = json.value("configuration_version", std::int64_t{ 0 });
+    return out;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 } // namespace
 
 Result<EngineStatus> HttpEngineControl::Observe(const std::string& aAddress)
@@ -27,23 +50,14 @@
   if (!answer) {
     return answer.error().mError;
   }
-  const auto json = Json::parse(answer.value().mBody, nullptr, false);
-  if (answer.value().mStatus != 200 || !json.is_object()) {
+  auto out = answer.value().mStatus == kStatusOk ? ParseStatus(answer.value().mBody) : std::nullopt;
+  if (!out) {
     return MakeError(ErrorCode::PlatformUnavailable,
                      Step::OrderVerify,
                      aAddress,
                      "the engine did not return its status at /control");
   }
-  EngineStatus out;
-  out.mTarget = { json.value("model", ""),
-                  json.value("version", ""),
-                  json.value("adapters", std::vector<std::string>()),
-                  json.value("role", "both") };
-  std::sort(out.mTarget.mAdapters.begin(), out.mTarget.mAdapters.end());
-  out.mState = ParseState(json.value("state", "ready"));
-  out.mReason = json.value("reason", "");
-  out.mConfigurationVersion = json.value("configuration_version", std::int64_t{ 0 });
-  return out;
+  return std::move(*out);
 }
 
 OrderResult HttpEngineControl::Send(const std::string& aAddress, const EngineOrder& aOrder)
--- a/src/external/HttpWeightStore.cpp
+++ b/src/external/HttpWeightStore.cpp
@@ -1,13 +1,17 @@
+#include "gentianloom/base/JsonFields.h"
 #include "gentianloom/base/JsonReader.h"
 #include "gentianloom/external/HttpCall.h"
 #include "gentianloom/external/WeightStore.h"
 
+#include <algorithm>
+
 namespace gentianloom {
 
 namespace {
 
 constexpr int kStatusTooManyRequests = 429;
 constexpr std::int64_t kDefaultRetryAfterMs = 1'000;
+constexpr std::int64_t kMaxRetryAfterMs = 3'600'000;
 
 } // namespace
 
@@ -33,8 +37,8 @@
     mAddress,
     isLimited ? "the weight store limits loading; the request is retried after the time it returned"
               : "the weight store did not grant a permit for " + aWeights);
-  error.mRetryAfter = Millis(json.is_object() ? json.value("retry_after_ms", kDefaultRetryAfterMs)
-                                              : kDefaultRetryAfterMs);
+  const auto retryAfter = FindNumber(json, "retry_after_ms").value_or(kDefaultRetryAfterMs);
+  error.mRetryAfter = Millis(std::min(retryAfter, kMaxRetryAfterMs));
   return error;
 }
 
--- a/src/membership/MemberRecords.cpp
+++ b/src/membership/MemberRecords.cpp
@@ -1,5 +1,7 @@
 #include "gentianloom/membership/MemberRecords.h"
 
+#include "gentianloom/base/Address.h"
+#include "gentianloom/base/JsonFields.h"
 #include "gentianloom/base/JsonReader.h"
 
 #include <algorithm>
@@ -110,8 +112,10 @@
   BOOST_OUTCOME_TRY(range, mStore.Range(kMemberKeyPrefix, true, kStep));
   for (const auto& it : range.mEntries) {
     const auto record = Json::parse(it.mValue, nullptr, false);
-    if (record.is_object()) {
-      mMembership.AddCandidate(record.value("name", ""), record.value("peerAddress", ""));
+    const auto name = FindText(record, "name");
+    const auto address = FindText(record, "peerAddress");
+    if (name && address && ParseAddress(*address)) {
+      mMembership.AddCandidate(*name, *address);
     }
   }
   return success();
--- a/src/report/Audit.cpp
+++ b/src/report/Audit.cpp
@@ -1,5 +1,6 @@
 #include "gentianloom/report/Audit.h"
 
+#include "gentianloom/base/JsonFields.h"
 #include "gentianloom/configuration/ConfigurationHead.h"
 
 #include <algorithm>
@@ -29,14 +30,15 @@
   std::vector<AuditEntry> out;
   for (const auto& it : answer.mEntries) {
     const auto json = Json::parse(it.mValue, nullptr, false);
-    if (!json.is_object()) {
+    const auto time = FindNumber(json, "timeMs");
+    if (!time) {
       continue;
     }
-    out.push_back({ Millis(json.value("timeMs", std::int64_t{ 0 })),
-                    json.value("operator", ""),
-                    json.value("area", ""),
-                    json.value("action", ""),
-                    json.value("text", "") });
+    out.push_back({ Millis(*time),
+                    FindText(json, "operator").value_or(""),
+                    FindText(json, "area").value_or(""),
+                    FindText(json, "action").value_or(""),
+                    FindText(json, "text").value_or("") });
   }
   std::stable_sort(out.begin(), out.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.mWallTime < aRight.mWallTime;
--- a/tests/configuration/ConfigurationStoreTest.cpp
+++ b/tests/configuration/ConfigurationStoreTest.cpp
@@ -2,6 +2,8 @@
 
 #include "gentianloom/configuration/ConfigurationJson.h"
 
+#include "gentianloom/report/Audit.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace gentianloom::testing {
@@ -15,6 +17,7 @@
   CPPUNIT_TEST(TestRestoredService);
   CPPUNIT_TEST(TestSweep);
   CPPUNIT_TEST(TestSweepDuringApply);
+  CPPUNIT_TEST(TestOddRecords);
   CPPUNIT_TEST_SUITE_END();
 
   ManualClock mClock;
@@ -149,6 +152,34 @@
     mStore.Apply(configuration, MakeApplyRequest("ana")).value();
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 5 }, ReadInForce()->Spec().mOrganisations.size());
   }
+
+  // A record of another writer ended the thread that sweeps, or the answer to an operator.
+  void TestOddRecords()
+  {
+    mStore.Apply(SampleConfiguration(1), MakeApplyRequest("ana")).value();
+    const auto chunks = mMemory.Range(kChunkPrefix, true, Step::Settings).value().mEntries.size();
+    for (const auto* value : { "",
+                               "?",
+                               "[]",
+                               "{}",
+                               R"({"timeMs":"0"})",
+                               R"({"timeMs":-1})",
+                               R"({"timeMs":9223372036854775807})",
+                               R"({"timeMs":[],"chunks":5,"operator":5,"text":{}})" }) {
+      const Transaction odd{
+        {}, { { std::string(kPendingPrefix) + "&x", value }, { "/gentianloom/audit/&x", value } }
+      };
+      mMemory.Commit(odd, Step::Settings);
+      CPPUNIT_ASSERT_MESSAGE(value, mStore.Sweep(Millis(7'200'000)));
+      CPPUNIT_ASSERT_MESSAGE(value, ReadAudit(mMemory));
+      CPPUNIT_ASSERT_EQUAL(
+        chunks, mMemory.Range(kChunkPrefix, true, Step::Settings).value().mEntries.size());
+    }
+    for (const auto* text : { R"({"version":1,"digest":"d","parent":"0"})",
+                              R"({"version":1,"digest":"d","timeMs":[],"operator":5})" }) {
+      CPPUNIT_ASSERT_MESSAGE(text, ParseHead(text));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationStoreTest);
--- a/tests/membership/MembershipTest.cpp
+++ b/tests/membership/MembershipTest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(TestEntryPoints);
   CPPUNIT_TEST(TestEntryPointsAreStableAndBalanced);
   CPPUNIT_TEST(TestRecordIsRewritten);
+  CPPUNIT_TEST(TestOddRecords);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -242,6 +243,34 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, entries());
   }
+
+  // A record of another writer ended the thread that reads the members, and with it the process.
+  void TestOddRecords()
+  {
+    for (const auto* value : { "",
+                               "?",
+                               "5",
+                               "[]",
+                               "{}",
+                               R"({"name":5,"peerAddress":"10.0.0.2:1"})",
+                               R"({"name":"x","peerAddress":5})",
+                               R"({"name":null,"peerAddress":[]})",
+                               R"({"name":"x","peerAddress":"nowhere"})" }) {
+      ManualClock clock;
+      Metrics metrics;
+      standin::MemoryStore store(clock);
+      Settings settings;
+      settings.mName = "self";
+      MembershipService service(settings, "self-1", {}, clock, metrics);
+      MemberRecords records(store, service, {}, clock, metrics);
+      store.Commit({ {}, { { std::string(kMemberKeyPrefix) + "&x", value } } }, Step::Settings);
+      for (int n = 0; n < 5; ++n) {
+        clock.Advance(records.RunOnce());
+      }
+      const auto& failures = metrics.CounterOf("gentianloom_membership_record_failures_total");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(value, std::uint64_t{ 0 }, failures.Value());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
