Daemon: an event of an engine with a null for its text adds nothing, instead of throwing

What callers would see: an engine that ends its stream with "content":null, or sends a delta or choices of another type, made the library throw through the thread that relays the response. Found by reading; no process was run into it.

--- a/src/serving/ChatRelay.cpp
+++ b/src/serving/ChatRelay.cpp
@@ -1,6 +1,7 @@
 #include "gentianloom/serving/ChatRelay.h"
 
 #include "gentianloom/base/Ids.h"
+#include "gentianloom/serving/ChatDelta.h"
 #include "gentianloom/serving/EngineRequests.h"
 #include "gentianloom/serving/HttpMessages.h"
 
@@ -361,17 +362,10 @@
 
 void ChatRelay::AppendText(const std::string& aData)
 {
-  const auto json = Json::parse(aData, nullptr, false);
-  if (!json.is_object() || !json.contains("choices") || json["choices"].empty()) {
-    return;
-  }
-  const auto& choice = json["choices"][0];
-  if (choice.contains("delta")) {
-    mResponseText += choice["delta"].value("content", "");
-  }
-  const auto reason = choice.find("finish_reason");
-  if (reason != choice.end() && reason->is_string()) {
-    mFinishReason = reason->get<std::string>();
+  auto delta = ParseChatDelta(aData);
+  mResponseText += delta.mText;
+  if (!delta.mFinishReason.empty()) {
+    mFinishReason = std::move(delta.mFinishReason);
   }
 }
 
