A usage report that cannot be read is replaced; the instance draws tokens again

What callers saw (by tests): an instance whose usage report another writer had overwritten drew nothing any more, and neither did its successors under that name: 503 for the first request with a prepaid budget, 402 for all others.

Cause: the report made the whole cache invalid, and nothing ever wrote it again.

Fix: the entry's revision is kept, so that the next transaction replaces it. A running instance writes what it last reported; one that starts has no predecessor to close. What that one held stays in the sums of the shards, so it counts as spent and cannot be drawn again.

--- a/include/gentianloom/budget/GrantManager.h
+++ b/include/gentianloom/budget/GrantManager.h
@@ -176,8 +176,8 @@
   /// @return whether the round is over; false after a conflict
   bool OnCommitAnswer(PlannedWrite& aPlanned, const AsyncCommitResult& aAnswer);
   void OnConflict(const std::vector<KeyValue>& aCurrent);
-  /// @return false if the entry is this instance's usage report and cannot be parsed
-  bool CacheEntry(const KeyValue& aEntry);
+  void CacheReport(const KeyValue& aEntry);
+  void CacheEntry(const KeyValue& aEntry);
   /// Whether the shard of a budget cannot be parsed, so that it is not known what is left of it.
   bool IsUnreadable(const std::string& aBudget) const;
   void OnStoreResult(bool aSucceeded, const std::string& aError);
--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -280,21 +280,36 @@
   }
 }
 
+/// Caches this instance's usage report. One that cannot be parsed is replaced by the next write:
+/// what a predecessor held then counts as spent, since the shards' sums include it.
+void GrantManager::CacheReport(const KeyValue& aEntry)
+{
+  auto report = ParseUsageReport(aEntry.mValue);
+  mCachedReport.mRevision = aEntry.mModRevision;
+  if (report) {
+    mCachedReport.mReport = std::move(report.value());
+    return;
+  }
+  const auto& known = mCachedReport.mReport;
+  if (known && known->mIncarnation != mIdentity.mIncarnation) {
+    mCachedReport.mReport.reset();
+  }
+  LogChange(LogLevel::Error,
+            "budget",
+            "the stored usage report cannot be parsed; it will be replaced",
+            { { "key", aEntry.mKey }, { "error", ToString(report.error()) } });
+}
+
 /// Caches an entry that was read from the key-value service.
-bool GrantManager::CacheEntry(const KeyValue& aEntry)
+void GrantManager::CacheEntry(const KeyValue& aEntry)
 {
   if (aEntry.mKey == UsageReportKey(mIdentity.mInstance)) {
-    auto report = ParseUsageReport(aEntry.mValue);
-    mCachedReport.mRevision = aEntry.mModRevision;
-    mCachedReport.mReport.reset();
-    if (report) {
-      mCachedReport.mReport = std::move(report.value());
-    }
-    return report.has_value();
+    CacheReport(aEntry);
+    return;
   }
   const auto shard = ShardOfKey(aEntry.mKey);
   if (!shard) {
-    return true;
+    return;
   }
   auto record = ParseShard(aEntry.mValue);
   if (!record) {
@@ -306,11 +321,10 @@
                 "a stored shard cannot be parsed; no tokens of its budgets are granted",
                 { { "key", aEntry.mKey }, { "error", ToString(record.error()) } });
     }
-    return true;
+    return;
   }
   mUnreadableShards.erase(*shard);
   mCachedShards[*shard] = { aEntry.mModRevision, std::move(record.value()) };
-  return true;
 }
 
 /// Reads all shards and this instance's usage report into the cache.
@@ -335,15 +349,15 @@
   mRefreshedAt = mClock.Now();
   mCachedShards.clear();
   mCachedReport = {};
-  bool isValid = true;
+  mUnreadableShards.clear();
   for (const auto& it : shards.value().mEntries) {
-    isValid = CacheEntry(it) && isValid;
+    CacheEntry(it);
   }
   for (const auto& it : reports.value().mEntries) {
-    isValid = CacheEntry(it) && isValid;
+    CacheEntry(it);
   }
-  mIsCacheValid = isValid;
-  co_return isValid;
+  mIsCacheValid = true;
+  co_return true;
 }
 
 ShardRecord GrantManager::MakeFullShard(int aShard) const
@@ -525,7 +539,7 @@
 {
   mIsCacheValid = !aCurrent.empty();
   for (const auto& it : aCurrent) {
-    mIsCacheValid = CacheEntry(it) && mIsCacheValid;
+    CacheEntry(it);
   }
 }
 
