--- a/tests/platform/odd_name_test.py
+++ b/tests/platform/odd_name_test.py
@@ -15,6 +15,7 @@
 NAMES = (
     "&x", "+x", "#x", "%x", "%20x", "%", "a b", "a ", " a", "&after=zz", "&prefix=op/", "a\tb", "a\nb",
     "a\r\nX-Model: n", "=", "?", "/", "a/b", ";", '"', "\\", "é", "\U0001f600", "\0", "", ".", "..",
+    "x\ud800", "x\udcffy",
     "%" * (MAX_KEY_BYTES - len("/gentianloom/instances/blocked-requests/")),
 )
 USABLE_NAMES = ("i-7f3a91c2", "W.1_x~y", "10.1.0.40:8721", "a@b")
