An unreadable shard that is deleted holds its budgets back no longer

The marks now go with the entries at each refresh. GrantManagerTest TestUnreadableShardIsDeleted failed before (0 tokens granted after the entry had gone).

--- a/src/budget/GrantManager.cpp
+++ b/src/budget/GrantManager.cpp
@@ -443,6 +443,8 @@
   if (!range || range.value().mEra != mEra) {
     co_return; // an outage is detected by the next write
   }
+  std::erase_if(mUnreadableShards,
+                [&](int it) { return FindEntry(range.value().mEntries, ShardKey(it)) == nullptr; });
   for (const auto& it : range.value().mEntries) {
     const auto shard = ShardOfKey(it.mKey);
     if (!shard) {
--- a/tests/budget/GrantManagerTest.cpp
+++ b/tests/budget/GrantManagerTest.cpp
@@ -136,6 +136,7 @@
   CPPUNIT_TEST(TestStoreComesBackFromCopy);
   CPPUNIT_TEST(TestOddShards);
   CPPUNIT_TEST(TestUnreadableShard);
+  CPPUNIT_TEST(TestUnreadableShardIsDeleted);
   CPPUNIT_TEST(TestUnreadableReport);
   CPPUNIT_TEST_SUITE_END();
 
@@ -202,6 +203,25 @@
     CPPUNIT_ASSERT(IsReserved(process, kTokens));
   }
 
+  // An entry that stood under the key of a shard before any budget did.
+  void TestUnreadableShardIsDeleted()
+  {
+    const auto key = ShardKey(ShardOf("c"));
+    mStore.Put(key, "?");
+    Process process(mStore, mClock, "run-1", "boot", { "b", "c" });
+    process.mManager.Start();
+    RunRounds(process);
+    mClock.Advance(Millis(5'000)); // until the entry counts as one of this era
+    RunRounds(process);
+    CPPUNIT_ASSERT(process.mManager.Holdings().at("b").mGranted > 0);
+    CPPUNIT_ASSERT_EQUAL(Tokens{ 0 }, process.mManager.Holdings().at("c").mGranted);
+    mStore.Remove(key);
+    RunRounds(process);
+    mClock.Advance(Millis(5'000));
+    RunRounds(process);
+    CPPUNIT_ASSERT(process.mManager.Holdings().at("c").mGranted > 0);
+  }
+
   // An instance whose usage report cannot be read drew nothing any more, and neither did its
   // successors. What is not known of it must not be drawn again.
   void TestUnreadableReport()
