What is known of an instance or a block holds while its entry cannot be read

What callers saw (by tests): an instance that read the list again dropped another one whose record it could not read, and no longer named it in GET /resolve; a record of blocked requests that was overwritten stayed so, and a process that started knew nothing of the block.

--- a/include/gentianloom/gateway/BlockedRequests.h
+++ b/include/gentianloom/gateway/BlockedRequests.h
@@ -106,6 +106,8 @@
   bool IsBlocked(const Entry& aBlock) const;
   std::vector<std::string> BlockedKeys(std::span<const std::string> aKeys) const;
   void Clear(const std::string& aKey, Entry& aBlock);
+  /// Writes the record of a known block again, over the entry of a revision.
+  void WriteAgain(const std::string& aKey, Revision aRevision);
   void SetTrials(Entry& aBlock, int aTrials) const;
   BlockedRequestRecord RecordOf(const Entry& aBlock) const;
   net::Task<void> WriteRecord(std::string aKey);
--- a/include/gentianloom/membership/InstanceDirectory.h
+++ b/include/gentianloom/membership/InstanceDirectory.h
@@ -103,6 +103,9 @@
                                                 TimePoint aNow,
                                                 std::string_view aZone = {}) const;
 
+  /// @brief Returns the record of an instance; nullptr if it is not known.
+  const InstanceRecord* Find(std::string_view aName) const;
+
   /// @brief Whether an IP address is that of a known instance.
   bool HasHost(std::string_view aHost) const;
 
--- a/src/gateway/BlockedRequests.cpp
+++ b/src/gateway/BlockedRequests.cpp
@@ -240,6 +240,7 @@
               "guard",
               "ignored an invalid record of blocked requests",
               { { "record", aEntry.mKey }, { "error", ToString(parsed.error()) } });
+    WriteAgain(key, aEntry.mModRevision);
     return;
   }
   const auto& record = parsed.value();
@@ -270,17 +271,22 @@
   }
 }
 
-void BlockedRequests::OnRecordDeleted(std::string_view aRecordKey)
+void BlockedRequests::WriteAgain(const std::string& aKey, Revision aRevision)
 {
-  const auto it = mBlocks.find(KeyOf(aRecordKey));
+  const auto it = mBlocks.find(aKey);
   if (it != mBlocks.end()) {
-    // Unless the block is about to end, the record has expired in an outage.
     it->second.mIsRecorded = false;
-    it->second.mRevision = 0;
-    it->second.mRecordAt = mClock.Now() + mRecordDelay(it->first);
+    it->second.mRevision = aRevision;
+    it->second.mRecordAt = mClock.Now() + mRecordDelay(aKey);
   }
 }
 
+void BlockedRequests::OnRecordDeleted(std::string_view aRecordKey)
+{
+  // Unless the block is about to end, the record has expired in an outage.
+  WriteAgain(KeyOf(aRecordKey), 0);
+}
+
 void BlockedRequests::OnRecords(std::span<const KeyValue> aEntries)
 {
   for (auto& [key, block] : mBlocks) {
--- a/src/gateway/GatewayWatches.cpp
+++ b/src/gateway/GatewayWatches.cpp
@@ -81,8 +81,11 @@
         continue;
       }
       auto record = ReadInstance(it);
+      const auto* const known = mInstances.Find(it.mKey.substr(kInstancePrefix.size()));
       if (record) {
         records.push_back(std::move(record.value()));
+      } else if (known != nullptr) {
+        records.push_back(*known);
       }
     }
     const bool mayBeLeaseExpiry = aAvailability != StoreAvailability::Available;
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -167,6 +167,12 @@
   return out;
 }
 
+const InstanceRecord* InstanceDirectory::Find(std::string_view aName) const
+{
+  const auto it = mEntries.find(aName);
+  return it == mEntries.end() ? nullptr : &it->second.mRecord;
+}
+
 bool InstanceDirectory::HasHost(std::string_view aHost) const
 {
   return std::any_of(mEntries.begin(), mEntries.end(), [&](const auto& it) {
--- a/tests/gateway/CrashReportExchangeTest.cpp
+++ b/tests/gateway/CrashReportExchangeTest.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(TestSurvivedRunsAtOtherInstances);
   CPPUNIT_TEST(TestEvidenceOutlivesAllInstances);
   CPPUNIT_TEST(TestSurvivedRunLeavesTheRecord);
+  CPPUNIT_TEST(TestUnreadableRecordIsWrittenAgain);
   CPPUNIT_TEST(TestMessages);
   CPPUNIT_TEST_SUITE_END();
 
@@ -349,6 +350,20 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
   }
 
+  // An entry of another writer in place of the record stayed: no instance that starts knew the
+  // block.
+  void TestUnreadableRecordIsWrittenAgain()
+  {
+    BlockAtAllInstances();
+    mStore.Put(Record()->mKey, "?");
+    DistributeRecord();
+    CPPUNIT_ASSERT_EQUAL(static_cast<long>(kInstances), CountBlocking());
+    Run([this] {
+      mClock.Advance(Millis(10));
+      return ParseBlockedRequestRecord(Record()->mValue).has_value();
+    });
+  }
+
   // Endpoints that were mended must get the requests again, but one request has to show it.
   void TestTrials()
   {
--- a/tests/platform/odd_item_test.py
+++ b/tests/platform/odd_item_test.py
@@ -3,6 +3,7 @@
 
 Such an item is passed over; the other items of the response hold, and later changes are followed.
 """
+import json
 import time
 import unittest
 
@@ -67,6 +68,26 @@
         self.check_serves(self.start(platform, "g3"))
         self.check_follows([running])
 
+    # An instance that reads the list again dropped another one whose record could not be read.
+    def test_unreadable_record_of_a_known_instance(self):
+        platform = self.start_platform()
+        running, other = (self.start(platform, it) for it in ("g1", "g2"))
+        running.wait(lambda: self.names(running, other))
+        platform.send_command(odd_fields={"/gentianloom/instances/g2": {"value": "?"}})
+        platform.send_command(store_mode="busy")
+        time.sleep(1)  # the watches that wait end
+        platform.send_command(put="unrelated", raw="", forget_history=True)
+        platform.send_command(store_mode="up")
+        running.wait_for_log_line(lambda it: it.get("prefix") == "/gentianloom/instances/"
+                                  and it["change"].startswith("the watched revision is no longer"))
+        time.sleep(FOLLOW_S)  # longer than an instance is kept after an outage
+        self.assertTrue(self.names(running, other))
+
+    @staticmethod
+    def names(asked, other):
+        reply = asked.get(asked.directory, "/resolve?zone=a")
+        return f"127.0.0.1:{other.caller}" in json.loads(reply.body)["addresses"]
+
     # A key that is shorter than the prefix ended the process.
     def test_keys_outside_the_prefix(self):
         platform = self.start_platform()
