--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -476,13 +476,13 @@
         self.tasks.append(task)
         return task
 
-    async def start(self, configuration, gateways, workers):
+    async def start(self, configuration, gateways, workers, make_worker=Worker):
         if not GATEWAY.exists():
             raise CannotRun("target/ is not built")
         self.run(self.store.run())
         self.store.put_json("op/config", configuration)
         for n in range(workers):
-            worker = await Worker(self.store, self.record, f"w{n + 1}").start()
+            worker = await make_worker(self.store, self.record, f"w{n + 1}").start()
             self.workers.append(worker)
             self.run(worker.beat())
         for n in range(gateways):
