--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,9 @@
-"""Case 11: the store comes back from a copy while it turns one machine away. TROUBLE=0: it does not."""
+"""Case 11: a request crashes each worker that runs it, half a second after its first event.
+
+TROUBLE=0: it does no harm.
+"""
 import asyncio
+import functools
 import os
 import pathlib
 import random
@@ -7,42 +11,60 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib-3"))
-from budget import Callers, configuration, last_budget_writer  # noqa: E402
-from fleet import play  # noqa: E402
+from budget import Callers, configuration  # noqa: E402
+from crash import POISON_PATH, CrashingWorker  # noqa: E402
+from fleet import call, play  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PREPAID = 120_000
-STALE_S = 3.0  # reads with allow-stale "may be seconds old"
-CALM_S = 16  # until each machine holds what it keeps for a calm time
-COPY_S = 3.0  # "a copy some seconds old"
-AWAY_S = 0.5  # "away for a moment"
-TURNED_AWAY_S = 7.0  # the site files have up to 9 s, for up to 0.35 of the machines
-FIRST_CALLERS_S, FIRST_PER_S = 2.0, 100  # callers of the one machine, before the store goes away
-CALLERS_S, PER_S = 30, 60  # callers of all machines
+CRASH_AFTER_S = 0.5  # after the first event; without the crash the answer takes 2 s
+EVENTS = 40
+WORKERS = 6
+AGAIN_S = 2.0  # from the end of a try until the request comes again
+PLAYED_S = 60
+PER_S = 8  # other requests
+CONTACT_S = 3.0  # contact-ms
+ALLOWED_RETRIES = 3
+
+
+class Poison:
+    """The request that comes again and again, with the same path, caller and body, at any machine."""
+
+    def __init__(self, fleet, record):
+        self.fleet, self.record = fleet, record
+        self.sent = 0
+
+    async def send_again(self):
+        while True:
+            self.sent += 1
+            attempt, gateway = f"p{self.sent}", random.choice(self.fleet.gateways)
+            headers = {"X-Attempt-Id": attempt, "X-Credential": "key-of-org",
+                       "X-Deadline-Ms": "4000", "X-Model": "m", "X-Token-Usage": "100,200",
+                       "X-Prompt-Prefix": "aa:80,bb:20"}
+            self.record.add(f"send    {attempt} to {gateway.name}")
+            reply = await call(gateway.caller, "POST", POISON_PATH, headers, b"poison")
+            self.record.add(f"answer  {attempt} {reply.status} {reply.events} events, "
+                            f"{'complete' if reply.complete else 'broken off'}")
+            await asyncio.sleep(AGAIN_S)
 
 
 async def case(fleet, record):
-    fleet.store.stale_s = STALE_S
-    await fleet.start(configuration(PREPAID), gateways=3, workers=3)
-    await asyncio.sleep(CALM_S)
-    victim = last_budget_writer(fleet)
+    crashes, arrivals = [], []
+    CrashingWorker.crash_after_s = CRASH_AFTER_S if TROUBLE else None
+    make_worker = functools.partial(CrashingWorker, crashes=crashes, arrivals=arrivals, events=EVENTS)
+    await fleet.start(configuration(10_000_000), gateways=3, workers=WORKERS, make_worker=make_worker)
+    await asyncio.sleep(3)
     callers = Callers(fleet, record)
-    record.say(f"callers come, all of them to {victim.name}")
-    await callers.send(FIRST_CALLERS_S, FIRST_PER_S, lambda: victim)
-    if TROUBLE:
-        record.say(f"the store turns {victim.name} away for {TURNED_AWAY_S} s, and has a drill")
-        drill = fleet.run(fleet.drill(COPY_S, AWAY_S))
-        victim.port.set_mode("silent")
-
-        async def let_in_again():
-            await asyncio.sleep(TURNED_AWAY_S)
-            victim.port.set_mode("up")
-            record.say(f"the store serves {victim.name} again")
-        fleet.run(let_in_again())
-        await drill
-    record.say("callers come to all machines")
-    await callers.send(CALLERS_S, PER_S, lambda: random.choice(fleet.gateways))
-    return await callers.judge(PREPAID)
+    fleet.run(Poison(fleet, record).send_again())
+    await callers.send(PLAYED_S, PER_S, lambda: random.choice(fleet.gateways))
+    await asyncio.gather(*callers.tasks)
+    record.say(f"other requests, answers by status: {callers.statuses}")
+    if len(crashes) < 3:
+        record.say(f"{len(crashes)} workers crashed, {len(arrivals)} arrivals of the request")
+        return True
+    late = [it for it in arrivals if it[0] > crashes[2][0] + CONTACT_S]
+    record.say(f"{len(crashes)} workers crashed; the request reached workers {len(late)} times later than "
+               f"{CONTACT_S} s after the third crash; {ALLOWED_RETRIES} are allowed")
+    return len(late) <= ALLOWED_RETRIES
 
 
 play(case, HERE)
