--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -379,20 +379,24 @@
 class Gateway:
     """One gateway process with settings like those of a small deployment."""
 
-    def __init__(self, name, port, folder, zone="a", **more):
-        self.name, self.port, self.folder = name, port, folder
-        self.caller, self.ready, self.directory, self.peer, metrics = free_ports(5)
+    def __init__(self, name, port, folder, zone="a"):
+        self.name, self.port, self.folder, self.zone = name, port, folder, zone
         self.process = None
+        self.write_settings()
+
+    def write_settings(self):
+        """Writes deploy/settings.json, filled in, with ports that are free now."""
+        self.caller, self.ready, self.directory, self.peer, metrics = free_ports(5)
         at = "127.0.0.1:%d"
-        settings = {  # deploy/settings.json, filled in
-            "instance": name, "availability_zone": zone, "caller_address": at % self.caller,
+        settings = {
+            "instance": self.name, "availability_zone": self.zone, "caller_address": at % self.caller,
             "readiness_address": at % self.ready, "directory_address": at % self.directory,
             "metrics_address": at % metrics, "peer_address": at % self.peer,
-            "store_address": port.address, "store_writes_per_s": "400", "rights_window_s": "20",
+            "store_address": self.port.address, "store_writes_per_s": "400", "rights_window_s": "20",
             "leave_time_s": "8", "retry_share": "0.2", "retry_slack": "54", "cold_overage": "",
             "cold_slack": "", "memory_mb": "260", "link_mbps": "1000.0", "max_fds": "4100",
-            "zones": {"a": "r", "b": "r"}} | more
-        self.settings = pathlib.Path(folder) / f"{name}.json"
+            "zones": {"a": "r", "b": "r"}}
+        self.settings = pathlib.Path(self.folder) / f"{self.name}.json"
         self.settings.write_text(json.dumps(settings))
 
     def start(self):
@@ -406,6 +410,9 @@
     async def wait_ready(self, timeout_s=10):
         end = now() + timeout_s
         while now() < end:
+            if self.process.poll() is not None:  # another process was given one of its ports
+                self.write_settings()
+                self.start()
             status = (await call(self.ready, "GET", "/readiness", {}, timeout_s=1)).status
             if status == 200:
                 return
